Add the module skeleton, the build checks and the wire records

Cause: an empty repository; everything later grows inside these modules. Weighed: one module (rejected, since nothing would keep clocks and input or output out of the decisions) against core, serving, daemon and standins.

--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/wire/EngineStateDocument.java
@@ -0,0 +1,13 @@
+package io.bilberrygrade.serving.wire;
+
+import java.util.List;
+
+/** State of a model engine as it reports it itself. */
+public record EngineStateDocument(
+        List<LoadedModel> models,
+        String role,
+        long highestFencingToken,
+        long memoryTokens,
+        List<ReservationDocument> reservations,
+        List<SessionDocument> sessions,
+        LoadDocument load) {}
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/wire/ManifestDocument.java
@@ -0,0 +1,6 @@
+package io.bilberrygrade.serving.wire;
+
+import java.util.List;
+
+/** Manifest of the published configuration: a monotone version and its parts. */
+public record ManifestDocument(long version, List<PartReference> parts) {}
