--- /dev/null
+++ b/core/src/main/java/io/bilberrygrade/core/config/Deployment.java
@@ -0,0 +1,50 @@
+package io.bilberrygrade.core.config;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.bilberrygrade.core.identity.EndpointId;
+import io.bilberrygrade.core.identity.ModelId;
+import io.bilberrygrade.core.identity.ServiceId;
+import io.bilberrygrade.core.identity.WorkClassId;
+import java.util.Optional;
+
+/**
+ * One version of the published configuration, checked and ready for use. {@code teams} is keyed by
+ * the digest of the team's credential.
+ */
+public record Deployment(
+        long version,
+        ImmutableMap<WorkClassId, WorkClass> classes,
+        ImmutableMap<String, Team> teams,
+        ImmutableMap<ModelId, Model> models,
+        ImmutableMap<EndpointId, Endpoint> endpoints) {
+    /** The configuration of a daemon that has not read any yet. */
+    public static final Deployment EMPTY =
+            new Deployment(
+                    0, ImmutableMap.of(), ImmutableMap.of(), ImmutableMap.of(), ImmutableMap.of());
+
+    /** Returns the team whose credential has the given SHA-256 digest in hexadecimal. */
+    public Optional<Team> teamByCredentialDigest(String digest) {
+        return Optional.ofNullable(teams.get(digest));
+    }
+
+    /** Returns the engines that serve a model. */
+    public ImmutableList<Endpoint> enginesOf(ModelId model) {
+        return endpoints.values().stream()
+                .filter(
+                        e ->
+                                e.kind() instanceof EndpointKind.Engine g
+                                        && g.models().contains(model))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    /** Returns the instances of a plain service. */
+    public ImmutableList<Endpoint> instancesOf(ServiceId service) {
+        return endpoints.values().stream()
+                .filter(
+                        e ->
+                                e.kind() instanceof EndpointKind.Service s
+                                        && s.service().equals(service))
+                .collect(ImmutableList.toImmutableList());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/bilberrygrade/core/config/Endpoint.java
@@ -0,0 +1,9 @@
+package io.bilberrygrade.core.config;
+
+import io.bilberrygrade.core.identity.Address;
+import io.bilberrygrade.core.identity.DataCentreId;
+import io.bilberrygrade.core.identity.EndpointId;
+
+/** Endpoint that requests are routed to. */
+public record Endpoint(
+        EndpointId id, DataCentreId dataCentre, Address address, EndpointKind kind) {}
--- /dev/null
+++ b/core/src/main/java/io/bilberrygrade/core/config/EndpointKind.java
@@ -0,0 +1,18 @@
+package io.bilberrygrade.core.config;
+
+import com.google.common.collect.ImmutableSet;
+import io.bilberrygrade.core.identity.ModelId;
+import io.bilberrygrade.core.identity.ServiceId;
+
+/** What an endpoint is and what it needs to be known of it. */
+public sealed interface EndpointKind {
+    /**
+     * Model engine. {@code memoryTokens} is its KV memory in tokens; {@code checksFencing} says
+     * whether it refuses orders that carry an old fencing token.
+     */
+    record Engine(ImmutableSet<ModelId> models, long memoryTokens, boolean checksFencing)
+            implements EndpointKind {}
+
+    /** Instance of a plain service. */
+    record Service(ServiceId service) implements EndpointKind {}
+}
--- /dev/null
+++ b/core/src/main/java/io/bilberrygrade/core/identity/Address.java
@@ -0,0 +1,26 @@
+package io.bilberrygrade.core.identity;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/** IP number and port of a listening socket. */
+public record Address(String host, int port) {
+    private static final int MAX_PORT = 65_535;
+
+    /** Creates the address; refuses an empty host and a port outside 1 to 65,535. */
+    public Address {
+        checkArgument(!host.isEmpty(), "a host must not be empty");
+        checkArgument(port > 0 && port <= MAX_PORT, "port %s is out of range", port);
+    }
+
+    /** Parses {@code host:port}; throws {@link IllegalArgumentException} on any other form. */
+    public static Address parse(String text) {
+        int colon = text.lastIndexOf(':');
+        checkArgument(colon > 0, "'%s' is not of the form host:port", text);
+        return new Address(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    @Override
+    public String toString() {
+        return host + ":" + port;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/bilberrygrade/core/identity/DataCentreId.java
@@ -0,0 +1,14 @@
+package io.bilberrygrade.core.identity;
+
+/** Name of a data centre. */
+public record DataCentreId(String value) implements Identifier {
+    /** Creates the identifier; refuses an empty or over-long value. */
+    public DataCentreId {
+        Identifier.check(value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/bilberrygrade/core/identity/RequestId.java
@@ -0,0 +1,14 @@
+package io.bilberrygrade.core.identity;
+
+/** Identifier of one request, unique among all daemons. */
+public record RequestId(String value) implements Identifier {
+    /** Creates the identifier; refuses an empty or over-long value. */
+    public RequestId {
+        Identifier.check(value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/bilberrygrade/core/identity/WorkClassId.java
@@ -0,0 +1,14 @@
+package io.bilberrygrade.core.identity;
+
+/** Name of a class of work. */
+public record WorkClassId(String value) implements Identifier {
+    /** Creates the identifier; refuses an empty or over-long value. */
+    public WorkClassId {
+        Identifier.check(value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/bilberrygrade/core/request/Outcome.java
@@ -0,0 +1,49 @@
+package io.bilberrygrade.core.request;
+
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * Final outcome of a request. The three kinds are never blurred, since a caller decides from them
+ * whether a request that may not be repeated can be sent again.
+ */
+public sealed interface Outcome {
+    /** The request ran and its whole answer was relayed; {@code tokens} is the answer's length. */
+    record Done(int tokens) implements Outcome {}
+
+    /**
+     * The request did not run and will not run. {@code retryAfter} says when to come back; {@code
+     * peer} is the instance or endpoint at which the refusal arose.
+     */
+    record NotRun(
+            Step step,
+            Reason reason,
+            String detail,
+            Optional<String> peer,
+            Optional<Duration> retryAfter)
+            implements Outcome {}
+
+    /** The request may have run, wholly or in part. */
+    record Unknown(
+            Step step,
+            Reason reason,
+            String detail,
+            Optional<String> peer,
+            Optional<Duration> retryAfter)
+            implements Outcome {}
+
+    /** Returns a refusal that arose on this daemon and names no time to come back. */
+    static Outcome notRun(Step step, Reason reason, String detail) {
+        return new NotRun(step, reason, detail, Optional.empty(), Optional.empty());
+    }
+
+    /** Returns a refusal that arose on this daemon and names when to come back. */
+    static Outcome notRun(Step step, Reason reason, String detail, Duration retryAfter) {
+        return new NotRun(step, reason, detail, Optional.empty(), Optional.of(retryAfter));
+    }
+
+    /** Returns an unknown outcome that arose at a peer or endpoint. */
+    static Outcome unknown(Step step, Reason reason, String detail, String peer) {
+        return new Unknown(step, reason, detail, Optional.of(peer), Optional.empty());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/bilberrygrade/core/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Decides which endpoint serves a request. */
+package io.bilberrygrade.core.routing;
--- /dev/null
+++ b/daemon/src/main/java/io/bilberrygrade/daemon/command/package-info.java
@@ -0,0 +1,2 @@
+/** The sub-commands of the command line. */
+package io.bilberrygrade.daemon.command;
--- /dev/null
+++ b/daemon/src/main/java/io/bilberrygrade/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The entry daemon as a program. */
+package io.bilberrygrade.daemon;
--- /dev/null
+++ b/daemon/src/main/java/io/bilberrygrade/daemon/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Reads the settings file of a daemon. */
+package io.bilberrygrade.daemon.settings;
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/EndpointController.java
@@ -0,0 +1,88 @@
+package io.bilberrygrade.serving.controller;
+
+import com.google.common.collect.ImmutableList;
+import io.bilberrygrade.core.config.Deployment;
+import io.bilberrygrade.core.config.Endpoint;
+import io.bilberrygrade.core.identity.EndpointId;
+import io.bilberrygrade.core.identity.ModelId;
+import io.bilberrygrade.core.routing.EndpointLoad;
+import io.bilberrygrade.core.routing.EndpointView;
+import io.bilberrygrade.serving.wire.LoadDocument;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** Owns what this daemon knows of each endpoint: reported load, own dispatches and failures. */
+public final class EndpointController {
+    private static final Duration EJECTION = Duration.ofSeconds(2);
+
+    private final Map<EndpointId, State> mStates = new HashMap<>();
+
+    /** Drops what is known of endpoints that a new configuration no longer has. */
+    public void onDeployment(Deployment deployment) {
+        mStates.keySet().retainAll(deployment.endpoints().keySet());
+    }
+
+    /** Returns the views of all engines that serve a model. */
+    public ImmutableList<EndpointView> engines(Deployment deployment, ModelId model, Instant now) {
+        return deployment.enginesOf(model).stream()
+                .map(e -> view(e, now))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    /** Returns the view of one endpoint. */
+    public EndpointView view(Endpoint endpoint, Instant now) {
+        State state = state(endpoint.id());
+        boolean available = !now.isBefore(state.mEjectedUntil);
+        return new EndpointView(
+                endpoint, state.mLoad, state.mOwnRequests, state.mOwnQueuedTokens, available);
+    }
+
+    /** Counts a request that is sent to an endpoint. */
+    public void dispatched(EndpointId endpoint, long promptTokens) {
+        State state = state(endpoint);
+        state.mOwnRequests++;
+        state.mOwnQueuedTokens += promptTokens;
+    }
+
+    /** Counts a request whose prompt has been prefilled. */
+    public void firstToken(EndpointId endpoint, long promptTokens) {
+        state(endpoint).mOwnQueuedTokens -= promptTokens;
+    }
+
+    /** Counts a request that has left an endpoint. */
+    public void finished(EndpointId endpoint) {
+        state(endpoint).mOwnRequests--;
+    }
+
+    /** Takes an endpoint out of use for a while after a failure. */
+    public void failed(EndpointId endpoint, Instant now) {
+        state(endpoint).mEjectedUntil = now.plus(EJECTION);
+    }
+
+    /** Takes over a load report. */
+    public void loadReported(EndpointId endpoint, LoadDocument load, Instant now) {
+        Instant measured = now.minusMillis(load.ageMillis());
+        state(endpoint).mLoad =
+                Optional.of(
+                        new EndpointLoad(
+                                load.queuedTokens(),
+                                load.queuedShortTokens(),
+                                load.runningRequests(),
+                                load.freeTokens(),
+                                measured));
+    }
+
+    private State state(EndpointId id) {
+        return mStates.computeIfAbsent(id, i -> new State());
+    }
+
+    private static final class State {
+        private Optional<EndpointLoad> mLoad = Optional.empty();
+        private int mOwnRequests;
+        private long mOwnQueuedTokens;
+        private Instant mEjectedUntil = Instant.MIN;
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Access to model engines. */
+package io.bilberrygrade.serving.engine;
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
@@ -0,0 +1,236 @@
+package io.bilberrygrade.serving.entry;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.collect.ImmutableList;
+import io.bilberrygrade.core.identity.Incarnation;
+import io.bilberrygrade.core.identity.RequestId;
+import io.bilberrygrade.core.routing.LeastOutstandingPolicy;
+import io.bilberrygrade.serving.controller.ConfigController;
+import io.bilberrygrade.serving.controller.DrainController;
+import io.bilberrygrade.serving.controller.EndpointController;
+import io.bilberrygrade.serving.controller.MembershipController;
+import io.bilberrygrade.serving.engine.HttpModelEngine;
+import io.bilberrygrade.serving.event.EventLog;
+import io.bilberrygrade.serving.event.LifecycleEvent;
+import io.bilberrygrade.serving.filter.ClassifyFilter;
+import io.bilberrygrade.serving.filter.CompletionDispatcher;
+import io.bilberrygrade.serving.filter.CompletionFilter;
+import io.bilberrygrade.serving.filter.DeadlineFilter;
+import io.bilberrygrade.serving.filter.FilterChain;
+import io.bilberrygrade.serving.filter.IdentifyFilter;
+import io.bilberrygrade.serving.filter.ReadinessFilter;
+import io.bilberrygrade.serving.filter.ServiceFilter;
+import io.bilberrygrade.serving.http.CallerApi;
+import io.bilberrygrade.serving.http.HttpCalls;
+import io.bilberrygrade.serving.http.OperationsApi;
+import io.bilberrygrade.serving.metrics.RequestMetrics;
+import io.bilberrygrade.serving.peer.PeerIdentity;
+import io.bilberrygrade.serving.peer.PeerMessage;
+import io.bilberrygrade.serving.peer.PeerServer;
+import io.bilberrygrade.serving.peer.TcpPeerNetwork;
+import io.bilberrygrade.serving.platform.HttpConfigSource;
+import io.bilberrygrade.serving.platform.HttpInstanceSource;
+import io.bilberrygrade.serving.service.HttpPlainService;
+import io.bilberrygrade.serving.settings.EntrySettings;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.AbstractVerticle;
+import io.vertx.core.Promise;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.ext.web.Router;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.function.Consumer;
+
+/**
+ * One entry daemon. All its state is touched on one event loop only, so that no part of it needs a
+ * lock.
+ */
+public final class EntryDaemon extends AbstractVerticle {
+    private static final Duration CONFIG_WAIT = Duration.ofSeconds(20);
+    private static final int CONFIG_PAUSE_MILLIS = 100;
+    private static final int CONFIG_RETRY_MILLIS = 500;
+    private static final int MEMBERSHIP_PERIOD_MILLIS = 1_000;
+
+    private final EntrySettings mSettings;
+    private final Incarnation mIncarnation;
+    private final InstantSource mClock;
+    private final EventLog mEvents;
+    private final MetricRegistry mMetrics = new MetricRegistry();
+    private final DrainController mDrain = new DrainController();
+    private final EndpointController mEndpoints = new EndpointController();
+    private ConfigController mConfig;
+    private MembershipController mMembership;
+    private HttpCalls mCalls;
+    private TcpPeerNetwork mPeers;
+    private PeerServer mPeerServer;
+    private HttpServer mServer;
+    private long mNextRequest;
+    private boolean mStopped;
+
+    /** Creates the daemon; deploying it starts it. */
+    public EntryDaemon(
+            EntrySettings settings, Incarnation incarnation, InstantSource clock, EventLog events) {
+        mSettings = settings;
+        mIncarnation = incarnation;
+        mClock = clock;
+        mEvents = events;
+    }
+
+    @Override
+    public void start(Promise<Void> started) {
+        io.vertx.mutiny.core.Vertx mutinyVertx = io.vertx.mutiny.core.Vertx.newInstance(vertx);
+        PeerIdentity self = new PeerIdentity(mSettings.instance(), mIncarnation);
+        mCalls = new HttpCalls(mutinyVertx);
+        mPeers = new TcpPeerNetwork(vertx, self, mSettings.peerKey());
+        mConfig =
+                new ConfigController(
+                        new HttpConfigSource(mCalls, mSettings.configurationService()), mEvents);
+        mMembership =
+                new MembershipController(
+                        self,
+                        new HttpInstanceSource(mCalls, mSettings.instanceList()),
+                        mPeers,
+                        () -> mConfig.current().version(),
+                        mEvents);
+        mConfig.onChange(mEndpoints::onDeployment);
+        mConfig.onChange(d -> becomeReady());
+        mPeerServer = new PeerServer(vertx, self, mSettings.peerKey(), this::onPeer, mEvents);
+        mServer = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true));
+        listen(started);
+    }
+
+    private void listen(Promise<Void> started) {
+        mServer.requestHandler(router())
+                .listen(mSettings.callerPort(), mSettings.host())
+                .onFailure(started::fail)
+                .onSuccess(
+                        s ->
+                                mPeerServer
+                                        .listen(mSettings.host(), mSettings.peerPort())
+                                        .subscribe()
+                                        .with(port -> opened(started, port), started::fail));
+    }
+
+    private void opened(Promise<Void> started, int peerPort) {
+        mEvents.record(
+                new LifecycleEvent.Started(
+                        mSettings.instance().value(),
+                        mIncarnation.value(),
+                        mServer.actualPort(),
+                        peerPort));
+        watchConfig();
+        refreshMembership();
+        started.complete();
+    }
+
+    /** Returns the port on which callers are served, once the daemon is deployed. */
+    public int callerPort() {
+        return mServer.actualPort();
+    }
+
+    /**
+     * Refuses new requests and completes when the running ones have their answers, or with those
+     * left over once the drain's bound has passed. Safe to call from any thread.
+     */
+    public Uni<Void> drain() {
+        return Uni.createFrom()
+                .emitter(e -> context.runOnContext(v -> drainOnContext(e::complete)));
+    }
+
+    private void drainOnContext(Consumer<Void> done) {
+        mEvents.record(new LifecycleEvent.DrainStarted(mDrain.running()));
+        mDrain.drain()
+                .ifNoItem()
+                .after(mSettings.drainTimeout())
+                .recoverWithItem((Void) null)
+                .subscribe()
+                .with(v -> done.accept(null));
+    }
+
+    @Override
+    public void stop() {
+        mStopped = true;
+        mPeers.close();
+        mCalls.close();
+        mEvents.record(new LifecycleEvent.Stopped(mDrain.running()));
+    }
+
+    private Router router() {
+        RequestMetrics observer = new RequestMetrics(mMetrics, mEvents);
+        CallerApi api =
+                new CallerApi(
+                        chain(), mConfig::current, this::nextRequestId, mClock, observer, mEvents);
+        Router router = Router.router(vertx);
+        api.mount(router, mSettings.maxBodyBytes());
+        new OperationsApi(mDrain, mMetrics).mount(router);
+        return router;
+    }
+
+    private FilterChain chain() {
+        CompletionDispatcher dispatcher =
+                new CompletionDispatcher(
+                        new HttpModelEngine(mCalls),
+                        mEndpoints,
+                        new LeastOutstandingPolicy(),
+                        mIncarnation,
+                        mClock,
+                        mEvents);
+        return new FilterChain(
+                ImmutableList.of(
+                        new ReadinessFilter(mDrain),
+                        new IdentifyFilter(),
+                        new DeadlineFilter(mClock, mSettings.maxDeadline()),
+                        new ClassifyFilter(),
+                        new CompletionFilter(dispatcher),
+                        new ServiceFilter(new HttpPlainService(mCalls), mEndpoints, mClock)));
+    }
+
+    private RequestId nextRequestId() {
+        String id = mSettings.instance() + "-" + mIncarnation.value() + "-" + mNextRequest++;
+        return new RequestId(id);
+    }
+
+    private void becomeReady() {
+        if (!mDrain.accepting() && !mDrain.draining()) {
+            mDrain.becomeReady();
+            mEvents.record(new LifecycleEvent.Ready(mConfig.current().version()));
+        }
+    }
+
+    private void watchConfig() {
+        if (mStopped) {
+            return;
+        }
+        mConfig.refresh(CONFIG_WAIT)
+                .subscribe()
+                .with(
+                        v -> vertx.setTimer(CONFIG_PAUSE_MILLIS, t -> watchConfig()),
+                        e -> vertx.setTimer(CONFIG_RETRY_MILLIS, t -> watchConfig()));
+    }
+
+    private void refreshMembership() {
+        if (mStopped) {
+            return;
+        }
+        mMembership
+                .refresh()
+                .onTermination()
+                .invoke(() -> vertx.setTimer(MEMBERSHIP_PERIOD_MILLIS, t -> refreshMembership()))
+                .subscribe()
+                .with(v -> {}, this::report);
+    }
+
+    private Uni<PeerMessage> onPeer(PeerIdentity from, PeerMessage message) {
+        return switch (message) {
+            case PeerMessage.Ping p -> Uni.createFrom().item(mMembership.onPing(p));
+            default ->
+                    Uni.createFrom()
+                            .item(new PeerMessage.Failure("unexpected call of " + from.instance()));
+        };
+    }
+
+    private void report(Throwable e) {
+        mEvents.record(new LifecycleEvent.UnexpectedError("background work", e.toString()));
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/error/package-info.java
@@ -0,0 +1,2 @@
+/** Checked exceptions that carry the step and the peer at which they arose. */
+package io.bilberrygrade.serving.error;
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/ConfigEvent.java
@@ -0,0 +1,20 @@
+package io.bilberrygrade.serving.event;
+
+/** Events of the published configuration. */
+public sealed interface ConfigEvent extends Event {
+    /** A configuration version came into force on this daemon. */
+    @EventInfo(number = 2001, level = EventLevel.INFO, audited = true)
+    record InForce(long version, long previousVersion, String source) implements ConfigEvent {}
+
+    /** A published version failed its checks and changed nothing. */
+    @EventInfo(number = 2002, level = EventLevel.ERROR)
+    record Rejected(long version, String source, String faults) implements ConfigEvent {}
+
+    /** The configuration service could not be read. */
+    @EventInfo(number = 2003, level = EventLevel.WARN)
+    record SourceUnavailable(String peer, String error) implements ConfigEvent {}
+
+    /** A source offered an older version than the one in force; it was ignored. */
+    @EventInfo(number = 2004, level = EventLevel.WARN)
+    record StaleOffer(String source, long offeredVersion, long version) implements ConfigEvent {}
+}
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/Attempt.java
@@ -0,0 +1,102 @@
+package io.bilberrygrade.serving.filter;
+
+import io.bilberrygrade.core.config.Endpoint;
+import io.bilberrygrade.core.request.Outcome;
+import io.bilberrygrade.core.request.Step;
+import io.bilberrygrade.serving.controller.EndpointController;
+import io.bilberrygrade.serving.engine.EngineEvent;
+import io.bilberrygrade.serving.engine.GenerateCall;
+import io.bilberrygrade.serving.engine.ModelEngine;
+import io.bilberrygrade.serving.error.CallException;
+import io.bilberrygrade.serving.error.Delivery;
+import io.smallrye.mutiny.Multi;
+import io.smallrye.mutiny.Uni;
+import java.time.InstantSource;
+
+/** One attempt to run a completion on one engine. */
+final class Attempt {
+    private final ModelEngine mEngine;
+    private final EndpointController mEndpoints;
+    private final InstantSource mClock;
+    private final Endpoint mEndpoint;
+    private final AnswerProgress mProgress;
+    private long mQueuedTokens;
+
+    Attempt(
+            ModelEngine engine,
+            EndpointController endpoints,
+            InstantSource clock,
+            Endpoint endpoint,
+            AnswerProgress progress) {
+        mEngine = engine;
+        mEndpoints = endpoints;
+        mClock = clock;
+        mEndpoint = endpoint;
+        mProgress = progress;
+    }
+
+    Uni<Outcome> run(GenerateCall call) {
+        mQueuedTokens = call.request().prompt().tokens();
+        mEndpoints.dispatched(mEndpoint.id(), mQueuedTokens);
+        Multi<EngineEvent> events = mEngine.generate(mEndpoint, call);
+        return events.onItem()
+                .transformToUniAndConcatenate(this::handle)
+                .onFailure(CallException.class)
+                .invoke(e -> failed((CallException) e))
+                .collect()
+                .last()
+                .onTermination()
+                .invoke(this::left);
+    }
+
+    private Uni<Outcome> handle(EngineEvent event) {
+        return switch (event) {
+            case EngineEvent.Accepted a -> {
+                mProgress.markMayHaveRun();
+                a.load()
+                        .ifPresent(
+                                l -> mEndpoints.loadReported(mEndpoint.id(), l, mClock.instant()));
+                yield Uni.createFrom().nullItem();
+            }
+            case EngineEvent.Tokens t -> {
+                prefillDone();
+                yield mProgress.accept(t)
+                        ? Uni.createFrom().nullItem()
+                        : broken("tokens up to " + t.offset() + " are missing");
+            }
+            case EngineEvent.Finished f ->
+                    f.tokens() == mProgress.nextOffset()
+                            ? Uni.createFrom().item(new Outcome.Done(f.tokens()))
+                            : broken("the answer has " + f.tokens() + " tokens");
+        };
+    }
+
+    private Uni<Outcome> broken(String message) {
+        return Uni.createFrom()
+                .failure(
+                        new CallException(
+                                Step.RELAY,
+                                mEndpoint.id().value(),
+                                Delivery.MAY_HAVE_RUN,
+                                message));
+    }
+
+    private void failed(CallException e) {
+        if (e.delivery() == Delivery.MAY_HAVE_RUN) {
+            mProgress.markMayHaveRun();
+        }
+        if (e.delivery() != Delivery.REFUSED) {
+            mEndpoints.failed(mEndpoint.id(), mClock.instant());
+        }
+    }
+
+    private void prefillDone() {
+        mEndpoints.firstToken(mEndpoint.id(), mQueuedTokens);
+        mQueuedTokens = 0;
+    }
+
+    private void left() {
+        prefillDone();
+        mEndpoints.finished(mEndpoint.id());
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
@@ -0,0 +1,153 @@
+package io.bilberrygrade.serving.filter;
+
+import com.google.common.collect.ImmutableList;
+import io.bilberrygrade.core.identity.Incarnation;
+import io.bilberrygrade.core.request.InferenceRequest;
+import io.bilberrygrade.core.request.Outcome;
+import io.bilberrygrade.core.request.Reason;
+import io.bilberrygrade.core.request.Step;
+import io.bilberrygrade.core.routing.EndpointView;
+import io.bilberrygrade.core.routing.PlacementPolicy;
+import io.bilberrygrade.serving.controller.EndpointController;
+import io.bilberrygrade.serving.engine.GenerateCall;
+import io.bilberrygrade.serving.engine.ModelEngine;
+import io.bilberrygrade.serving.error.CallException;
+import io.bilberrygrade.serving.event.EventLog;
+import io.bilberrygrade.serving.event.RequestEvent;
+import io.smallrye.mutiny.Uni;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Optional;
+
+/**
+ * Runs a completion on an engine and, when an engine fails in the middle, resumes the answer at its
+ * token offset on another one, as long as the deadline allows.
+ */
+public final class CompletionDispatcher {
+    private static final int MAX_ATTEMPTS = 4;
+    private static final int DEFAULT_PRIORITY = 1;
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+    private final ModelEngine mEngine;
+    private final EndpointController mEndpoints;
+    private final PlacementPolicy mPolicy;
+    private final Incarnation mIncarnation;
+    private final InstantSource mClock;
+    private final EventLog mEvents;
+
+    /** Creates the dispatcher. */
+    public CompletionDispatcher(
+            ModelEngine engine,
+            EndpointController endpoints,
+            PlacementPolicy policy,
+            Incarnation incarnation,
+            InstantSource clock,
+            EventLog events) {
+        mEngine = engine;
+        mEndpoints = endpoints;
+        mPolicy = policy;
+        mIncarnation = incarnation;
+        mClock = clock;
+        mEvents = events;
+    }
+
+    /** Runs the request to its final outcome. */
+    public Uni<Outcome> dispatch(Exchange exchange, InferenceRequest request) {
+        AnswerProgress progress = new AnswerProgress(exchange.sink());
+        Uni<Outcome> deadline =
+                Uni.createFrom()
+                        .item(() -> deadlinePast(progress))
+                        .onItem()
+                        .delayIt()
+                        .by(atLeastOneMilli(request.remaining(mClock.instant())));
+        Uni<Outcome> gone =
+                Uni.createFrom()
+                        .emitter(e -> exchange.sink().onCallerGone(() -> e.complete(callerGone())));
+        return Uni.join()
+                .first(attempt(exchange, request, progress, 1), deadline, gone)
+                .toTerminate();
+    }
+
+    private Uni<Outcome> attempt(
+            Exchange exchange, InferenceRequest request, AnswerProgress progress, int number) {
+        Optional<EndpointView> chosen =
+                mPolicy.place(
+                        request,
+                        mEndpoints.engines(
+                                exchange.deployment(), request.model(), mClock.instant()),
+                        mClock.instant());
+        if (chosen.isEmpty()) {
+            return Uni.createFrom().item(noEndpoint(progress));
+        }
+        EndpointView view = chosen.get();
+        return new Attempt(mEngine, mEndpoints, mClock, view.endpoint(), progress)
+                .run(call(exchange, request, progress, number))
+                .onFailure(CallException.class)
+                .recoverWithUni(
+                        e -> failed(exchange, request, progress, number, (CallException) e));
+    }
+
+    private GenerateCall call(
+            Exchange exchange, InferenceRequest request, AnswerProgress progress, int number) {
+        return new GenerateCall(
+                request,
+                number,
+                mIncarnation,
+                DEFAULT_PRIORITY,
+                request.remaining(mClock.instant()),
+                progress.nextOffset(),
+                Optional.empty(),
+                ImmutableList.of(),
+                exchange.body());
+    }
+
+    private Uni<Outcome> failed(
+            Exchange exchange,
+            InferenceRequest request,
+            AnswerProgress progress,
+            int number,
+            CallException e) {
+        mEvents.record(
+                new RequestEvent.AttemptFailed(
+                        request.id().value(),
+                        number,
+                        e.peer(),
+                        progress.nextOffset(),
+                        e.getMessage()));
+        if (number == MAX_ATTEMPTS || !request.remaining(mClock.instant()).isPositive()) {
+            return Uni.createFrom().item(exhausted(progress, e));
+        }
+        return attempt(exchange, request, progress, number + 1);
+    }
+
+    private static Outcome noEndpoint(AnswerProgress progress) {
+        String detail = "no engine is available";
+        if (progress.mayHaveRun()) {
+            return Outcome.unknown(Step.ROUTE, Reason.NO_ENDPOINT, detail, "");
+        }
+        return Outcome.notRun(Step.ROUTE, Reason.NO_ENDPOINT, detail, RETRY_AFTER);
+    }
+
+    private static Outcome exhausted(AnswerProgress progress, CallException e) {
+        if (progress.mayHaveRun()) {
+            return Outcome.unknown(e.step(), Reason.ENDPOINT_FAILED, e.getMessage(), e.peer());
+        }
+        return Outcome.notRun(e.step(), Reason.ENDPOINT_REFUSED, e.getMessage(), RETRY_AFTER);
+    }
+
+    private static Outcome deadlinePast(AnswerProgress progress) {
+        String detail = "the deadline passed";
+        if (progress.mayHaveRun()) {
+            return Outcome.unknown(Step.RELAY, Reason.DEADLINE_PAST, detail, "");
+        }
+        return Outcome.notRun(Step.DISPATCH, Reason.DEADLINE_PAST, detail, RETRY_AFTER);
+    }
+
+    private static Outcome callerGone() {
+        return Outcome.unknown(Step.RELAY, Reason.CALLER_GONE, "the caller went away", "");
+    }
+
+    private static Duration atLeastOneMilli(Duration d) {
+        return d.toMillis() < 1 ? Duration.ofMillis(1) : d;
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/Exchange.java
@@ -0,0 +1,114 @@
+package io.bilberrygrade.serving.filter;
+
+import io.bilberrygrade.core.config.Deployment;
+import io.bilberrygrade.core.config.Team;
+import io.bilberrygrade.core.config.WorkClass;
+import io.bilberrygrade.core.identity.RequestId;
+import io.vertx.core.buffer.Buffer;
+import java.time.Instant;
+import java.util.Optional;
+
+/**
+ * One request on its way through the filter chain. Filters add what they find out; the deployment
+ * is the one in force when the request arrived, so that all filters see the same version.
+ */
+public final class Exchange {
+    private final RequestId mId;
+    private final Call mCall;
+    private final CallerHeaders mHeaders;
+    private final Buffer mBody;
+    private final Instant mArrival;
+    private final Deployment mDeployment;
+    private final AnswerSink mSink;
+    private Optional<Team> mTeam = Optional.empty();
+    private Optional<WorkClass> mWorkClass = Optional.empty();
+    private Optional<Instant> mDeadline = Optional.empty();
+
+    /** Creates the exchange of a request that has just arrived. */
+    public Exchange(
+            RequestId id,
+            Call call,
+            CallerHeaders headers,
+            Buffer body,
+            Instant arrival,
+            Deployment deployment,
+            AnswerSink sink) {
+        mId = id;
+        mCall = call;
+        mHeaders = headers;
+        mBody = body;
+        mArrival = arrival;
+        mDeployment = deployment;
+        mSink = sink;
+    }
+
+    /** Returns the request's identifier. */
+    public RequestId id() {
+        return mId;
+    }
+
+    /** Returns what the caller asks for. */
+    public Call call() {
+        return mCall;
+    }
+
+    /** Returns what the caller stated beside the body. */
+    public CallerHeaders headers() {
+        return mHeaders;
+    }
+
+    /** Returns the caller's body, which is passed on unchanged. */
+    public Buffer body() {
+        return mBody;
+    }
+
+    /** Returns the time of arrival. */
+    public Instant arrival() {
+        return mArrival;
+    }
+
+    /** Returns the configuration that holds for this request. */
+    public Deployment deployment() {
+        return mDeployment;
+    }
+
+    /** Returns where the answer goes. */
+    public AnswerSink sink() {
+        return mSink;
+    }
+
+    /** Returns the team, once identified. */
+    public Team team() {
+        return mTeam.orElseThrow();
+    }
+
+    /** Sets the team. */
+    public void identify(Team team) {
+        mTeam = Optional.of(team);
+    }
+
+    /** Returns the class of work, once known. */
+    public WorkClass workClass() {
+        return mWorkClass.orElseThrow();
+    }
+
+    /** Returns the class of work, or empty before it is known. */
+    public Optional<WorkClass> findWorkClass() {
+        return mWorkClass;
+    }
+
+    /** Sets the class of work. */
+    public void classify(WorkClass workClass) {
+        mWorkClass = Optional.of(workClass);
+    }
+
+    /** Returns the deadline, once known. */
+    public Instant deadline() {
+        return mDeadline.orElseThrow();
+    }
+
+    /** Sets the deadline. */
+    public void limit(Instant deadline) {
+        mDeadline = Optional.of(deadline);
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/IdentifyFilter.java
@@ -0,0 +1,36 @@
+package io.bilberrygrade.serving.filter;
+
+import com.google.common.hash.Hashing;
+import io.bilberrygrade.core.config.Team;
+import io.bilberrygrade.core.request.Outcome;
+import io.bilberrygrade.core.request.Reason;
+import io.bilberrygrade.core.request.Step;
+import io.smallrye.mutiny.Uni;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+/** Finds the caller's team by its credential; refuses callers without a known one. */
+public final class IdentifyFilter implements RequestFilter {
+    @Override
+    public Uni<Outcome> handle(Exchange exchange, FilterChain next) {
+        Optional<Team> team =
+                exchange.headers()
+                        .credential()
+                        .map(IdentifyFilter::digest)
+                        .flatMap(exchange.deployment()::teamByCredentialDigest);
+        if (team.isEmpty()) {
+            return Uni.createFrom()
+                    .item(
+                            Outcome.notRun(
+                                    Step.IDENTIFY,
+                                    Reason.BAD_CREDENTIALS,
+                                    "the credential belongs to no team"));
+        }
+        exchange.identify(team.get());
+        return next.proceed(exchange);
+    }
+
+    private static String digest(String credential) {
+        return Hashing.sha256().hashString(credential, StandardCharsets.UTF_8).toString();
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/ReadinessFilter.java
@@ -0,0 +1,36 @@
+package io.bilberrygrade.serving.filter;
+
+import io.bilberrygrade.core.request.Outcome;
+import io.bilberrygrade.core.request.Reason;
+import io.bilberrygrade.core.request.Step;
+import io.bilberrygrade.serving.controller.DrainController;
+import io.smallrye.mutiny.Uni;
+import java.time.Duration;
+
+/** Refuses requests while the daemon is starting or draining, and counts those that run. */
+public final class ReadinessFilter implements RequestFilter {
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+    private final DrainController mDrain;
+
+    /** Creates the filter. */
+    public ReadinessFilter(DrainController drain) {
+        mDrain = drain;
+    }
+
+    @Override
+    public Uni<Outcome> handle(Exchange exchange, FilterChain next) {
+        if (!mDrain.accepting()) {
+            Reason reason = mDrain.draining() ? Reason.DRAINING : Reason.NOT_READY;
+            return Uni.createFrom()
+                    .item(
+                            Outcome.notRun(
+                                    Step.ADMISSION,
+                                    reason,
+                                    "this instance takes no new requests",
+                                    RETRY_AFTER));
+        }
+        mDrain.started();
+        return next.proceed(exchange).onTermination().invoke(mDrain::finished);
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/package-info.java
@@ -0,0 +1,2 @@
+/** The chain of filters through which each request passes. */
+package io.bilberrygrade.serving.filter;
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/CompletionBody.java
@@ -0,0 +1,11 @@
+package io.bilberrygrade.serving.http;
+
+import io.bilberrygrade.core.request.Prompt;
+import java.util.Optional;
+
+/**
+ * What a completion call's body says. The prompt itself stays where it is in the body; {@code
+ * promptStart} and {@code promptEnd} are the byte offsets of its JSON string without the quotes.
+ */
+public record CompletionBody(
+        Optional<String> model, Prompt prompt, boolean stream, int promptStart, int promptEnd) {}
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/HttpCall.java
@@ -0,0 +1,116 @@
+package io.bilberrygrade.serving.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import io.bilberrygrade.core.identity.Address;
+import io.bilberrygrade.core.request.Step;
+import io.bilberrygrade.serving.error.CallException;
+import io.bilberrygrade.serving.error.Delivery;
+import io.bilberrygrade.serving.json.Mappers;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.mutiny.ext.web.client.HttpRequest;
+import io.vertx.mutiny.ext.web.client.HttpResponse;
+import io.vertx.mutiny.ext.web.client.WebClient;
+import java.net.ConnectException;
+import java.time.Duration;
+
+/** One HTTP call whose answer is read whole. */
+public final class HttpCall {
+    private static final int HTTP_OK = 200;
+    private static final int HTTP_REDIRECT = 300;
+    private static final int HTTP_CONFLICT = 409;
+
+    private final WebClient mClient;
+    private final Address mPeer;
+    private final Step mStep;
+    private final MultiMap mHeaders = MultiMap.caseInsensitiveMultiMap();
+    private int mAcceptedStatus = HTTP_OK;
+    private boolean mAcceptsAnyStatus;
+
+    HttpCall(WebClient client, Address peer, Step step) {
+        mClient = client;
+        mPeer = peer;
+        mStep = step;
+    }
+
+    /** Adds a header, unless the value is empty. */
+    public HttpCall header(String name, String value) {
+        if (!value.isEmpty()) {
+            mHeaders.set(name, value);
+        }
+        return this;
+    }
+
+    /** Takes one more status than the successful ones as an answer. */
+    public HttpCall accepting(int status) {
+        mAcceptedStatus = status;
+        return this;
+    }
+
+    /** Takes every status as an answer, except a refusal. */
+    public HttpCall acceptingAnyStatus() {
+        mAcceptsAnyStatus = true;
+        return this;
+    }
+
+    /** Sends the call without a body. */
+    public Uni<HttpAnswer> send(HttpMethod method, String path, Duration timeout) {
+        return sendBuffer(method, path, Buffer.buffer(), timeout);
+    }
+
+    /** Sends a value as JSON. */
+    public Uni<HttpAnswer> sendJson(
+            HttpMethod method, String path, Object value, Duration timeout) {
+        try {
+            Buffer body = Buffer.buffer(Mappers.JSON.writeValueAsBytes(value));
+            return header("Content-Type", "application/json")
+                    .sendBuffer(method, path, body, timeout);
+        } catch (JsonProcessingException e) {
+            return Uni.createFrom().failure(failure(Delivery.NOT_DELIVERED, e));
+        }
+    }
+
+    /** Sends the call with a body. Fails with a {@link CallException}. */
+    public Uni<HttpAnswer> sendBuffer(
+            HttpMethod method, String path, Buffer body, Duration timeout) {
+        if (!timeout.isPositive()) {
+            return Uni.createFrom()
+                    .failure(
+                            new CallException(
+                                    mStep, mPeer.toString(), Delivery.NOT_DELIVERED, "timed out"));
+        }
+        HttpRequest<io.vertx.mutiny.core.buffer.Buffer> request =
+                mClient.request(method, mPeer.port(), mPeer.host(), path)
+                        .timeout(timeout.toMillis());
+        mHeaders.forEach(h -> request.putHeader(h.getKey(), h.getValue()));
+        return request.sendBuffer(io.vertx.mutiny.core.buffer.Buffer.newInstance(body))
+                .onFailure()
+                .transform(e -> failure(delivery(e), e))
+                .onItem()
+                .transformToUni(this::check);
+    }
+
+    private Uni<HttpAnswer> check(HttpResponse<io.vertx.mutiny.core.buffer.Buffer> response) {
+        int status = response.statusCode();
+        boolean successful = status >= HTTP_OK && status < HTTP_REDIRECT;
+        boolean refused = status == HTTP_CONFLICT && mAcceptedStatus != HTTP_CONFLICT;
+        if (successful || status == mAcceptedStatus || (mAcceptsAnyStatus && !refused)) {
+            return Uni.createFrom().item(HttpAnswer.of(response));
+        }
+        Delivery delivery = refused ? Delivery.REFUSED : Delivery.MAY_HAVE_RUN;
+        String message = "status " + status + " " + response.bodyAsString();
+        return Uni.createFrom()
+                .failure(new CallException(mStep, mPeer.toString(), delivery, message));
+    }
+
+    private CallException failure(Delivery delivery, Throwable cause) {
+        return new CallException(mStep, mPeer.toString(), delivery, cause.toString(), cause);
+    }
+
+    /** Returns what a transport failure says about the call's effect. */
+    public static Delivery delivery(Throwable failure) {
+        return failure instanceof ConnectException ? Delivery.NOT_DELIVERED : Delivery.MAY_HAVE_RUN;
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/HttpCalls.java
@@ -0,0 +1,46 @@
+package io.bilberrygrade.serving.http;
+
+import io.bilberrygrade.core.identity.Address;
+import io.bilberrygrade.core.request.Step;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.mutiny.core.Vertx;
+import io.vertx.mutiny.core.http.HttpClient;
+import io.vertx.mutiny.ext.web.client.WebClient;
+import java.time.Duration;
+
+/** Makes HTTP calls to endpoints and to the platform, with bounded connections. */
+public final class HttpCalls implements AutoCloseable {
+    private static final int MAX_CONNECTIONS_PER_PEER = 512;
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+
+    private final HttpClient mClient;
+    private final WebClient mWebClient;
+
+    /** Creates the client on the given Vert.x instance. */
+    public HttpCalls(Vertx vertx) {
+        HttpClientOptions options =
+                new HttpClientOptions()
+                        .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
+                        .setTcpNoDelay(true)
+                        .setKeepAlive(true);
+        PoolOptions pool = new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_PEER);
+        mClient = vertx.createHttpClient(options, pool);
+        mWebClient = WebClient.wrap(mClient);
+    }
+
+    /** Starts a call to a peer; failures carry the step. */
+    public HttpCall to(Address peer, Step step) {
+        return new HttpCall(mWebClient, peer, step);
+    }
+
+    /** Returns the client for answers that are read as a stream. */
+    public HttpClient streaming() {
+        return mClient;
+    }
+
+    @Override
+    public void close() {
+        mWebClient.close();
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/StatusCodes.java
@@ -0,0 +1,48 @@
+package io.bilberrygrade.serving.http;
+
+import io.bilberrygrade.core.request.Outcome;
+import io.bilberrygrade.core.request.Reason;
+
+/** Chooses the HTTP status of an outcome. */
+final class StatusCodes {
+    private static final int OK = 200;
+    private static final int GATEWAY_TIMEOUT = 504;
+    private static final int BAD_GATEWAY = 502;
+
+    private StatusCodes() {}
+
+    static int of(Outcome outcome) {
+        return switch (outcome) {
+            case Outcome.Done d -> OK;
+            case Outcome.NotRun n -> ofRefusal(n.reason());
+            case Outcome.Unknown u ->
+                    u.reason() == Reason.DEADLINE_PAST ? GATEWAY_TIMEOUT : BAD_GATEWAY;
+        };
+    }
+
+    private static int ofRefusal(Reason reason) {
+        return switch (reason) {
+            case MALFORMED,
+                    DEADLINE_MISSING,
+                    DEADLINE_PAST,
+                    KEY_MISSING,
+                    UNKNOWN_CLASS,
+                    UNKNOWN_MODEL ->
+                    400;
+            case BAD_CREDENTIALS -> 401;
+            case UNKNOWN_SERVICE -> 404;
+            case KEY_EXPIRED -> 410;
+            case TOO_LARGE -> 413;
+            case CLASS_OVER_SHARE, OVERLOADED, DEADLINE_UNREACHABLE -> 429;
+            case NOT_READY,
+                    DRAINING,
+                    NO_ENDPOINT,
+                    ENDPOINT_REFUSED,
+                    ENDPOINT_FAILED,
+                    KEY_HOME_UNREACHABLE,
+                    KEY_HOME_CHANGED,
+                    CALLER_GONE ->
+                    503;
+        };
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/package-info.java
@@ -0,0 +1,2 @@
+/** The callers' HTTP interface. */
+package io.bilberrygrade.serving.http;
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counters and timers of a daemon. */
+package io.bilberrygrade.serving.metrics;
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/PeerConnection.java
@@ -0,0 +1,167 @@
+package io.bilberrygrade.serving.peer;
+
+import io.bilberrygrade.core.identity.Address;
+import io.bilberrygrade.core.request.Step;
+import io.bilberrygrade.serving.error.CallException;
+import io.bilberrygrade.serving.error.Delivery;
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetSocket;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Outgoing connection to one peer: handshake, then calls and their replies. */
+final class PeerConnection {
+    private static final int HANDSHAKE_TIMEOUT_MILLIS = 2_000;
+
+    private final Vertx mVertx;
+    private final Address mPeer;
+    private final PeerIdentity mSelf;
+    private final PeerAuthenticator mAuthenticator;
+    private final String mNonce = PeerAuthenticator.nonce();
+    private final Map<Long, UniEmitter<? super PeerMessage>> mPending = new HashMap<>();
+    private final List<UniEmitter<? super PeerConnection>> mWaiting = new ArrayList<>();
+    private Optional<NetSocket> mSocket = Optional.empty();
+    private boolean mReady;
+    private boolean mClosed;
+    private long mNextCall = 1;
+
+    PeerConnection(Vertx vertx, Address peer, PeerIdentity self, PeerAuthenticator authenticator) {
+        mVertx = vertx;
+        mPeer = peer;
+        mSelf = self;
+        mAuthenticator = authenticator;
+    }
+
+    void connect(NetClient client) {
+        client.connect(mPeer.port(), mPeer.host())
+                .onSuccess(this::opened)
+                .onFailure(e -> fail(e.toString()));
+    }
+
+    boolean closed() {
+        return mClosed;
+    }
+
+    /** Returns this connection once the handshake is done. */
+    Uni<PeerConnection> ready() {
+        return Uni.createFrom()
+                .emitter(
+                        e -> {
+                            if (mReady) {
+                                e.complete(this);
+                            } else if (mClosed) {
+                                e.fail(failure(Delivery.NOT_DELIVERED, "closed"));
+                            } else {
+                                mWaiting.add(e);
+                            }
+                        });
+    }
+
+    Uni<PeerMessage> call(PeerMessage message) {
+        return Uni.createFrom()
+                .emitter(
+                        e -> {
+                            if (mClosed) {
+                                e.fail(failure(Delivery.NOT_DELIVERED, "closed"));
+                                return;
+                            }
+                            long call = mNextCall++;
+                            mPending.put(call, e);
+                            e.onTermination(() -> mPending.remove(call));
+                            send(call, EnvelopeKind.CALL, message);
+                        });
+    }
+
+    void close() {
+        fail("closed");
+    }
+
+    private void opened(NetSocket socket) {
+        mSocket = Optional.of(socket);
+        socket.closeHandler(v -> fail("the connection was closed"));
+        socket.exceptionHandler(e -> fail(e.toString()));
+        PeerFrames.read(socket, this::receive, this::fail);
+        mVertx.setTimer(HANDSHAKE_TIMEOUT_MILLIS, t -> failUnlessReady());
+    }
+
+    private void receive(Envelope envelope) {
+        switch (envelope.message()) {
+            case PeerMessage.Challenge c when !mReady -> greet(c);
+            case PeerMessage.Welcome w when !mReady -> welcome(w);
+            default -> reply(envelope);
+        }
+    }
+
+    private void greet(PeerMessage.Challenge challenge) {
+        String name = mSelf.instance().value();
+        long incarnation = mSelf.incarnation().value();
+        String proof =
+                mAuthenticator.proof(
+                        PeerAuthenticator.Role.CONNECTING, challenge.nonce(), name, incarnation);
+        send(0, EnvelopeKind.HANDSHAKE, new PeerMessage.Hello(name, incarnation, mNonce, proof));
+    }
+
+    private void welcome(PeerMessage.Welcome w) {
+        if (!mAuthenticator.valid(
+                w.proof(),
+                PeerAuthenticator.Role.ACCEPTING,
+                mNonce,
+                w.instance(),
+                w.incarnation())) {
+            fail("the peer lacks the shared key");
+            return;
+        }
+        mReady = true;
+        List.copyOf(mWaiting).forEach(e -> e.complete(this));
+        mWaiting.clear();
+    }
+
+    private void reply(Envelope envelope) {
+        UniEmitter<? super PeerMessage> emitter = mPending.remove(envelope.call());
+        if (emitter == null) {
+            return;
+        }
+        if (envelope.message() instanceof PeerMessage.Failure f) {
+            emitter.fail(failure(Delivery.MAY_HAVE_RUN, f.message()));
+        } else {
+            emitter.complete(envelope.message());
+        }
+    }
+
+    private void send(long call, EnvelopeKind kind, PeerMessage message) {
+        mSocket.ifPresent(
+                s ->
+                        s.write(
+                                PeerFrames.encode(
+                                        new Envelope(Envelope.VERSION, call, kind, message))));
+    }
+
+    private void failUnlessReady() {
+        if (!mReady) {
+            fail("the handshake timed out");
+        }
+    }
+
+    private void fail(String message) {
+        if (mClosed) {
+            return;
+        }
+        mClosed = true;
+        mSocket.ifPresent(NetSocket::close);
+        List.copyOf(mWaiting).forEach(e -> e.fail(failure(Delivery.NOT_DELIVERED, message)));
+        List.copyOf(mPending.values())
+                .forEach(e -> e.fail(failure(Delivery.MAY_HAVE_RUN, message)));
+        mWaiting.clear();
+        mPending.clear();
+    }
+
+    private CallException failure(Delivery delivery, String message) {
+        return new CallException(Step.PEER_CALL, mPeer.toString(), delivery, message);
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/TcpPeerNetwork.java
@@ -0,0 +1,69 @@
+package io.bilberrygrade.serving.peer;
+
+import io.bilberrygrade.core.identity.Address;
+import io.bilberrygrade.core.request.Step;
+import io.bilberrygrade.serving.error.CallException;
+import io.bilberrygrade.serving.error.Delivery;
+import io.bilberrygrade.serving.settings.PeerKey;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Calls peers over TCP, with one connection per peer that is opened when it is needed. */
+public final class TcpPeerNetwork implements PeerNetwork {
+    private static final int CONNECT_TIMEOUT_MILLIS = 500;
+
+    private final Vertx mVertx;
+    private final NetClient mClient;
+    private final PeerIdentity mSelf;
+    private final PeerAuthenticator mAuthenticator;
+    private final Map<Address, PeerConnection> mConnections = new HashMap<>();
+
+    /** Creates the network of a daemon. */
+    public TcpPeerNetwork(Vertx vertx, PeerIdentity self, PeerKey key) {
+        mVertx = vertx;
+        mSelf = self;
+        mAuthenticator = new PeerAuthenticator(key);
+        mClient =
+                vertx.createNetClient(
+                        new NetClientOptions()
+                                .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
+                                .setTcpNoDelay(true));
+    }
+
+    @Override
+    public Uni<PeerMessage> call(Address peer, PeerMessage message, Duration timeout) {
+        return connection(peer)
+                .onItem()
+                .transformToUni(c -> c.call(message))
+                .ifNoItem()
+                .after(timeout)
+                .failWith(() -> timedOut(peer));
+    }
+
+    private Uni<PeerConnection> connection(Address peer) {
+        PeerConnection open = mConnections.get(peer);
+        if (open != null && !open.closed()) {
+            return open.ready();
+        }
+        PeerConnection fresh = new PeerConnection(mVertx, peer, mSelf, mAuthenticator);
+        mConnections.put(peer, fresh);
+        fresh.connect(mClient);
+        return fresh.ready();
+    }
+
+    /** Closes all connections. */
+    public void close() {
+        mConnections.values().forEach(PeerConnection::close);
+        mClient.close();
+    }
+
+    private static CallException timedOut(Address peer) {
+        return new CallException(
+                Step.PEER_CALL, peer.toString(), Delivery.MAY_HAVE_RUN, "timed out");
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/package-info.java
@@ -0,0 +1,2 @@
+/** The protocol between entry daemons: frames, handshake, calls and replies. */
+package io.bilberrygrade.serving.peer;
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/platform/InstanceSource.java
@@ -0,0 +1,10 @@
+package io.bilberrygrade.serving.platform;
+
+import io.bilberrygrade.serving.wire.InstanceListDocument;
+import io.smallrye.mutiny.Uni;
+
+/** The platform's list of live and leaving instances, which lags. */
+public interface InstanceSource {
+    /** Reads the list. */
+    Uni<InstanceListDocument> read();
+}
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/service/ServiceAnswer.java
@@ -0,0 +1,7 @@
+package io.bilberrygrade.serving.service;
+
+import io.vertx.core.buffer.Buffer;
+import java.util.Optional;
+
+/** Answer of a plain service, passed on to the caller as it is. */
+public record ServiceAnswer(int status, Optional<String> contentType, Buffer body) {}
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/service/package-info.java
@@ -0,0 +1,2 @@
+/** Access to plain services. */
+package io.bilberrygrade.serving.service;
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of an entry daemon as checked values. */
+package io.bilberrygrade.serving.settings;
