Add stand-ins for endpoints and platform services

Small fakes of the model engine, plain service, configuration service, instance list and weight store, each with fault switches on a control port.

--- /dev/null
+++ b/standins/src/main/java/io/bilberrygrade/standins/Durations.java
@@ -0,0 +1,24 @@
+package io.bilberrygrade.standins;
+
+import java.time.Duration;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Durations of the command line. */
+final class Durations {
+    private static final Pattern FORM = Pattern.compile("(\\d+)(ms|s)?");
+
+    private Durations() {}
+
+    /** Parses {@code 20ms}, {@code 2s} or a bare number of milliseconds. */
+    static Duration parse(String text) {
+        Matcher matcher = FORM.matcher(text);
+        if (!matcher.matches()) {
+            throw new IllegalArgumentException("not a duration: " + text);
+        }
+        long number = Long.parseLong(matcher.group(1));
+        return "s".equals(matcher.group(2))
+                ? Duration.ofSeconds(number)
+                : Duration.ofMillis(number);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/io/bilberrygrade/standins/Main.java
@@ -0,0 +1,71 @@
+package io.bilberrygrade.standins;
+
+import io.bilberrygrade.standins.configservice.StandInConfigService;
+import io.bilberrygrade.standins.control.Address;
+import io.bilberrygrade.standins.control.StandIn;
+import io.bilberrygrade.standins.engine.StandInEngine;
+import io.bilberrygrade.standins.instances.StandInInstances;
+import io.bilberrygrade.standins.service.StandInService;
+import io.bilberrygrade.standins.weights.StandInWeights;
+import io.smallrye.mutiny.Uni;
+import io.vertx.mutiny.core.Vertx;
+import java.nio.file.Path;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+
+/** Runs one stand-in until the process is ended. */
+public final class Main {
+    private static final int USAGE_STATUS = 2;
+    private static final int FAILED_STATUS = 1;
+    private static final int DIED_STATUS = 137;
+
+    private Main() {}
+
+    /** Parses the command line and runs the stand-in that it names. */
+    public static void main(String[] args) {
+        ArgumentParser parser = Arguments.parser();
+        try {
+            run(parser.parseArgs(args));
+        } catch (ArgumentParserException e) {
+            parser.handleError(e);
+            System.exit(USAGE_STATUS);
+        }
+    }
+
+    private static void run(Namespace args) {
+        Vertx vertx = Vertx.vertx();
+        start(vertx, args).subscribe().with(Main::announce, Main::fail);
+    }
+
+    private static Uni<? extends StandIn<?>> start(Vertx vertx, Namespace args) {
+        Address address = Arguments.address(args);
+        return switch (args.getString(Arguments.COMMAND)) {
+            case "engine" -> StandInEngine.start(vertx, Arguments.engine(args));
+            case "service" -> StandInService.start(vertx, address);
+            case "config" ->
+                    StandInConfigService.start(
+                            vertx, address, Path.of(args.getString("directory")));
+            case "instances" ->
+                    StandInInstances.start(
+                            vertx,
+                            address,
+                            Path.of(args.getString("file")),
+                            Durations.parse(args.getString("lag")));
+            case "weights" -> StandInWeights.start(vertx, address, args.getInt("rate"));
+            default -> throw new IllegalStateException("unknown stand-in");
+        };
+    }
+
+    private static void announce(StandIn<?> standIn) {
+        standIn.onDeath(() -> Runtime.getRuntime().halt(DIED_STATUS));
+        System.out.printf(
+                "ready host=%s port=%d control=%d%n",
+                standIn.host(), standIn.port(), standIn.controlPort());
+    }
+
+    private static void fail(Throwable cause) {
+        System.err.println("bilberrygrade-standins: " + cause);
+        System.exit(FAILED_STATUS);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/io/bilberrygrade/standins/configservice/ConfigFaults.java
@@ -0,0 +1,16 @@
+package io.bilberrygrade.standins.configservice;
+
+import io.bilberrygrade.standins.control.Faults;
+
+/**
+ * Fault switches of the configuration service. {@code staleVersion} above 0 freezes answers at that
+ * version; a later version is published but not shown.
+ */
+public record ConfigFaults(
+        boolean dieNow, long freezeMillis, long slowMillis, boolean down, long staleVersion)
+        implements Faults {
+    /** Returns the switches of a healthy service. */
+    public static ConfigFaults none() {
+        return new ConfigFaults(false, 0, 0, false, 0);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/io/bilberrygrade/standins/configservice/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in for the platform's configuration service. */
+package io.bilberrygrade.standins.configservice;
--- /dev/null
+++ b/standins/src/main/java/io/bilberrygrade/standins/control/package-info.java
@@ -0,0 +1,2 @@
+/** What every stand-in shares: servers, fault switches and JSON answers. */
+package io.bilberrygrade.standins.control;
--- /dev/null
+++ b/standins/src/main/java/io/bilberrygrade/standins/weights/StandInWeights.java
@@ -0,0 +1,66 @@
+package io.bilberrygrade.standins.weights;
+
+import io.bilberrygrade.standins.control.Address;
+import io.bilberrygrade.standins.control.Json;
+import io.bilberrygrade.standins.control.StandIn;
+import io.smallrye.mutiny.Uni;
+import io.vertx.mutiny.core.Vertx;
+import io.vertx.mutiny.ext.web.Router;
+import io.vertx.mutiny.ext.web.RoutingContext;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/** Weight store that allows a number of reads in any one second. */
+public final class StandInWeights extends StandIn<WeightFaults> {
+    private static final Duration WINDOW = Duration.ofSeconds(1);
+    private static final int TOO_MANY_REQUESTS = 429;
+
+    private final Deque<Instant> mReads = new ArrayDeque<>();
+    private long mServed;
+    private long mRefused;
+
+    private StandInWeights(Address address, int rate) {
+        super(address, WeightFaults.class, WeightFaults.none(rate));
+    }
+
+    /** Starts a store that allows {@code rate} reads a second. */
+    public static Uni<StandInWeights> start(Vertx vertx, Address address, int rate) {
+        return deploy(vertx, new StandInWeights(address, rate));
+    }
+
+    @Override
+    protected void addCalls(Router router) {
+        router.get("/v1/weights/:model/:version").handler(this::read);
+    }
+
+    @Override
+    protected void addControls(Router router) {
+        router.get("/calls").handler(c -> Json.send(c, 200, new ReadCount(mServed, mRefused)));
+    }
+
+    private void read(RoutingContext context) {
+        if (allow(now())) {
+            mServed++;
+            context.response().endAndForget("weights");
+        } else {
+            mRefused++;
+            context.response()
+                    .setStatusCode(TOO_MANY_REQUESTS)
+                    .putHeader("Retry-After", "1")
+                    .endAndForget();
+        }
+    }
+
+    private boolean allow(Instant now) {
+        while (!mReads.isEmpty() && !mReads.element().isAfter(now.minus(WINDOW))) {
+            mReads.remove();
+        }
+        if (mReads.size() >= faults().rate()) {
+            return false;
+        }
+        mReads.add(now);
+        return true;
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/io/bilberrygrade/standins/weights/WeightFaults.java
@@ -0,0 +1,13 @@
+package io.bilberrygrade.standins.weights;
+
+import io.bilberrygrade.standins.control.Faults;
+
+/** Fault switches of the weight store; {@code rate} is how many reads a second it allows. */
+public record WeightFaults(
+        boolean dieNow, long freezeMillis, long slowMillis, boolean down, int rate)
+        implements Faults {
+    /** Returns the switches of a healthy store. */
+    public static WeightFaults none(int rate) {
+        return new WeightFaults(false, 0, 0, false, rate);
+    }
+}
