--- a/standins/src/main/java/io/bilberrygrade/standins/Main.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/Main.java
@@ -1,5 +1,7 @@
 package io.bilberrygrade.standins;
 
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
 import io.bilberrygrade.standins.configservice.StandInConfigService;
 import io.bilberrygrade.standins.control.Address;
 import io.bilberrygrade.standins.control.StandIn;
@@ -13,6 +15,7 @@
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
+import org.slf4j.LoggerFactory;
 
 /** Runs one stand-in until the process is ended. */
 public final class Main {
@@ -24,6 +27,7 @@
 
     /** Parses the command line and runs the stand-in that it names. */
     public static void main(String[] args) {
+        quietLibraries();
         ArgumentParser parser = Arguments.parser();
         try {
             run(parser.parseArgs(args));
@@ -33,6 +37,12 @@
         }
     }
 
+    private static void quietLibraries() {
+        if (LoggerFactory.getLogger(Logger.ROOT_LOGGER_NAME) instanceof Logger root) {
+            root.setLevel(Level.WARN);
+        }
+    }
+
     private static void run(Namespace args) {
         Vertx vertx = Vertx.vertx();
         start(vertx, args).subscribe().with(Main::announce, Main::fail);
--- a/standins/src/main/java/io/bilberrygrade/standins/engine/EngineScheduler.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/engine/EngineScheduler.java
@@ -114,6 +114,11 @@
         drop(same, "cancelled");
     }
 
+    /** Cancels the work that reports to a listener whose caller has gone. */
+    public void abandon(JobListener listener) {
+        drop(j -> j.listener() == listener, "cancelled");
+    }
+
     /** Reserves memory, or returns nothing when it is not free. */
     public Optional<String> reserve(Instant now, ReservationRequest request) {
         return mMemory.reserve(now, request);
--- a/standins/src/main/java/io/bilberrygrade/standins/engine/StandInEngine.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/engine/StandInEngine.java
@@ -148,14 +148,13 @@
                 new AnswerStream(context, seed, spec.maxTokens(), () -> putLoad(context));
         mStreams.add(stream);
         context.response().endHandler(() -> mStreams.remove(stream));
-        context.response().closeHandler(() -> abandon(spec, stream));
+        context.response().closeHandler(() -> abandon(stream));
         mScheduler.submit(now(), spec, stream).ifPresent(stream::refused);
     }
 
-    private void abandon(JobSpec spec, AnswerStream stream) {
-        if (mStreams.remove(stream)) {
-            mScheduler.cancel(spec.requestId(), spec.attempt());
-        }
+    private void abandon(AnswerStream stream) {
+        mStreams.remove(stream);
+        mScheduler.abandon(stream);
     }
 
     private void cancel(RoutingContext context) {
