--- a/standins/src/main/java/io/bilberrygrade/standins/configservice/StandInConfigService.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/configservice/StandInConfigService.java
@@ -11,7 +11,7 @@
 import io.vertx.mutiny.ext.web.RoutingContext;
 import java.io.File;
 import java.nio.file.Path;
-import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -20,10 +20,11 @@
 /** Configuration service that can be read and watched; parts are published on its control port. */
 public final class StandInConfigService extends StandIn<ConfigFaults> {
     private static final int MAX_PART_BYTES = 1 << 20;
+    private static final long FROZEN_RETRY_MILLIS = 10;
 
     private final Path mDirectory;
     private final PartHistory mHistory = new PartHistory();
-    private final List<Runnable> mWatches = new ArrayList<>();
+    private final Map<Long, Runnable> mWatches = new LinkedHashMap<>();
     private long mManifestCalls;
     private long mPartCalls;
 
@@ -69,9 +70,7 @@
     }
 
     private void wakeWatches() {
-        List<Runnable> woken = List.copyOf(mWatches);
-        mWatches.clear();
-        woken.forEach(Runnable::run);
+        List.copyOf(mWatches.values()).forEach(Runnable::run);
     }
 
     private long visibleVersion() {
@@ -87,30 +86,35 @@
             sendManifest(context);
             return;
         }
-        long timer = vertx.setTimer(waitMillis, id -> sendManifest(context));
-        watch(context, after, timer);
+        long timer = vertx.setTimer(waitMillis, id -> endWatch(id, context));
+        mWatches.put(timer, () -> checkWatch(timer, context, after));
+        context.response().closeHandler(() -> mWatches.remove(timer));
     }
 
-    private void watch(RoutingContext context, long after, long timer) {
-        mWatches.add(
-                () -> {
-                    if (context.response().ended() || context.response().closed()) {
-                        return;
-                    }
-                    if (faults().down()) {
-                        context.request().connection().closeAndForget();
-                    } else if (visibleVersion() > after && vertx.cancelTimer(timer)) {
-                        sendManifest(context);
-                    } else {
-                        watch(context, after, timer);
-                    }
-                });
+    private void checkWatch(long timer, RoutingContext context, long after) {
+        if (faults().down()) {
+            mWatches.remove(timer);
+            context.request().connection().closeAndForget();
+        } else if (visibleVersion() > after) {
+            endWatch(timer, context);
+        }
+    }
+
+    private void endWatch(long timer, RoutingContext context) {
+        mWatches.remove(timer);
+        vertx.cancelTimer(timer);
+        sendManifest(context);
     }
 
     private void sendManifest(RoutingContext context) {
-        if (!context.response().closed() && !context.response().ended()) {
-            Json.send(context, 200, mHistory.manifest(visibleVersion()));
+        if (context.response().closed() || context.response().ended()) {
+            return;
+        }
+        if (isFrozen()) {
+            vertx.setTimer(FROZEN_RETRY_MILLIS, id -> sendManifest(context));
+            return;
         }
+        Json.send(context, 200, mHistory.manifest(visibleVersion()));
     }
 
     private void sendPart(RoutingContext context) {
--- a/standins/src/main/java/io/bilberrygrade/standins/control/Json.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/control/Json.java
@@ -49,6 +49,11 @@
         }
     }
 
+    /** Returns whether {@code bytes} is a JSON object with a field of this name. */
+    public static boolean names(byte[] bytes, String field) {
+        return read(bytes, ObjectNode.class).has(field);
+    }
+
     /** Ends the call with a status and a record as JSON. */
     public static void send(RoutingContext context, int status, Object value) {
         context.response()
--- a/standins/src/main/java/io/bilberrygrade/standins/control/StandIn.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/control/StandIn.java
@@ -20,6 +20,7 @@
  */
 public abstract class StandIn<F extends Faults> extends AbstractVerticle {
     private static final long MAX_BODY_BYTES = 64L << 20;
+    private static final String FREEZE = "freezeMillis";
 
     private final Address mAddress;
     private final Class<F> mFaultType;
@@ -97,8 +98,11 @@
     }
 
     private void changeFaults(RoutingContext context) {
-        mFaults = Json.merge(mFaults, Json.body(context), mFaultType);
-        mFrozenUntil = now().plusMillis(mFaults.freezeMillis());
+        byte[] body = Json.body(context);
+        mFaults = Json.merge(mFaults, body, mFaultType);
+        if (Json.names(body, FREEZE)) {
+            mFrozenUntil = now().plusMillis(mFaults.freezeMillis());
+        }
         Json.send(context, 200, mFaults);
         onFaults(mFaults);
         if (mFaults.dieNow()) {
--- a/standins/src/main/java/io/bilberrygrade/standins/engine/StandInEngine.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/engine/StandInEngine.java
@@ -209,6 +209,7 @@
         long tokens = spec.promptTokens();
         SegmentAnswer answer =
                 new SegmentAnswer(context, tokens, () -> mScheduler.export(reservationId, tokens));
+        context.response().closeHandler(() -> mScheduler.abandon(answer));
         mScheduler.submit(now(), spec, answer).ifPresent(answer::refused);
     }
 
--- a/standins/src/test/java/io/bilberrygrade/standins/configservice/StandInConfigServiceTest.java
+++ b/standins/src/test/java/io/bilberrygrade/standins/configservice/StandInConfigServiceTest.java
@@ -68,6 +68,29 @@
                 .isEqualTo("old");
     }
 
+    @Test
+    void frozenServiceHoldsItsWatches() throws Exception {
+        CompletableFuture<HttpResponse<String>> watch =
+                sendAsync("GET", mService.port(), "/v1/manifest?after=1&waitMs=60000", "");
+        awaitManifestCall();
+        faults("{\"freezeMillis\":600000}");
+        publish("new");
+        faults("{\"slowMillis\":0}");
+        assertThat(watch).isNotDone();
+        faults("{\"freezeMillis\":0}");
+        assertThat(watch.get(BOUND.toSeconds(), TimeUnit.SECONDS).body())
+                .startsWith("{\"version\":2");
+    }
+
+    private void awaitManifestCall() throws Exception {
+        long end = System.nanoTime() + BOUND.toNanos();
+        String calls = "";
+        while (!calls.contains("\"manifests\":1") && System.nanoTime() < end) {
+            calls = send("GET", mService.controlPort(), "/calls", "").body();
+        }
+        assertThat(calls).contains("\"manifests\":1");
+    }
+
     @Test
     void downServiceResetsConnections() throws Exception {
         faults("{\"down\":true}");
