Add the demo, the example deployments and the tests of the thin path

Cause: nothing showed that the parts serve a request together. Ruled out: a demo inside one JVM, since the processes of a deployment die and freeze one by one.

--- /dev/null
+++ b/bin/lib/deployment.sh
@@ -0,0 +1,52 @@
+# Starts all processes of the example in RUN_DIR. Sourced after processes.sh.
+
+ENTRY_PIDS=()
+ENGINE_PIDS=()
+
+# Prints the fields of the example's endpoints: id, port, model or service, memory.
+example_endpoints() {
+    awk '$2 == "id:" {id = $3}
+        $1 == "address:" {split($2, a, ":"); port = a[2]}
+        $1 == "models:" {gsub(/[\[\],]/, "", $2); model = $2}
+        $1 == "memory_tokens:" {memory = $2}
+        $1 == "checks_fencing:" {print "engine", id, port, model, memory, $2}
+        $1 == "service:" {print "service", id, port, $2, 0, "true"}' \
+        "$RUN_DIR/configuration/endpoints.yaml"
+}
+
+start_deployment() { # host
+    local host=$1 kind id port what memory fencing entry settings
+    local config_port instances_port
+    config_port=$(sed -n 's/.*configuration: .*:\([0-9]*\)$/\1/p' "$RUN_DIR/entry-1.yaml")
+    instances_port=$(sed -n 's/.*instances: .*:\([0-9]*\)$/\1/p' "$RUN_DIR/entry-1.yaml")
+    start_standin config config --host "$host" --port "$config_port" \
+        --control-port $((config_port + 50)) --directory "$RUN_DIR/configuration"
+    start_standin instances instances --host "$host" --port "$instances_port" \
+        --control-port $((instances_port + 50)) --file "$RUN_DIR/instances.yaml" --lag 10s
+    while read -r kind id port what memory fencing; do
+        case $kind in
+            engine)
+                start_standin "$id" engine --host "$host" --port "$port" \
+                    --control-port $((port + 50)) --model "$what" --memory-tokens "$memory" \
+                    --prefill-rate "${PREFILL_RATE:-200000}" --check-fencing "$fencing"
+                ENGINE_PIDS+=("$LAST_PID")
+                ;;
+            service)
+                start_standin "$id" service --host "$host" --port "$port" \
+                    --control-port $((port + 50))
+                ;;
+        esac
+    done < <(example_endpoints)
+    for settings in "$RUN_DIR"/entry-*.yaml; do
+        entry=$(basename "$settings" .yaml)
+        start_entry "$entry" "$settings"
+        ENTRY_PIDS+=("$LAST_PID")
+    done
+    while read -r kind id port what memory fencing; do
+        wait_for "http://$host:$((port + 50))/health"
+    done < <(example_endpoints)
+    for settings in "$RUN_DIR"/entry-*.yaml; do
+        port=$(sed -n '/^callers:/,/^peers:/s/^  port: //p' "$settings")
+        wait_for "http://$host:$port/ready"
+    done
+}
