--- a/standins/src/main/java/io/bilberrygrade/standins/control/StandIn.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/control/StandIn.java
@@ -59,10 +59,10 @@
         onStart();
         Router calls = Router.router(vertx);
         calls.route().handler(this::applyFaults);
-        calls.route().handler(BodyHandler.create(false).setBodyLimit(MAX_BODY_BYTES));
+        readBodies(calls);
         addCalls(calls);
         Router controls = Router.router(vertx);
-        controls.route().handler(BodyHandler.create(false).setBodyLimit(MAX_BODY_BYTES));
+        readBodies(controls);
         controls.get("/health").handler(c -> c.response().endAndForget("ok"));
         controls.get("/faults").handler(c -> Json.send(c, 200, mFaults));
         controls.post("/faults").handler(this::changeFaults);
@@ -74,6 +74,17 @@
         return mServer.listen().chain(() -> mControl.listen()).replaceWithVoid();
     }
 
+    /** Reads bodies as bytes whatever their type, as some clients call every body a form. */
+    private static void readBodies(Router router) {
+        router.route()
+                .handler(
+                        c -> {
+                            c.request().headers().remove("Content-Type");
+                            c.next();
+                        });
+        router.route().handler(BodyHandler.create(false).setBodyLimit(MAX_BODY_BYTES));
+    }
+
     private HttpServer server(int port, Router router) {
         HttpServerOptions options =
                 new HttpServerOptions()
