Split the daemon's assembly into request path, peer calls and periodic tasks

Cause: every later part is wired in one class, which would grow past reading. Adds the switches by which measurements and tests turn one mechanism off.

--- a/daemon/src/main/java/io/bilberrygrade/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/io/bilberrygrade/daemon/settings/SettingsReader.java
@@ -1,11 +1,15 @@
 package io.bilberrygrade.daemon.settings;
 
+import com.google.common.collect.ImmutableSet;
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.identity.DataCentreId;
 import io.bilberrygrade.core.identity.InstanceId;
 import io.bilberrygrade.serving.json.Mappers;
 import io.bilberrygrade.serving.settings.EntrySettings;
+import io.bilberrygrade.serving.settings.Mechanism;
 import io.bilberrygrade.serving.settings.PeerKey;
+import io.bilberrygrade.serving.settings.PlacementKind;
+import io.bilberrygrade.serving.settings.PolicySettings;
 import io.bilberrygrade.serving.settings.Units;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -42,7 +46,21 @@
                 PeerKey.of(Files.readAllBytes(keyFile)),
                 Units.bytes(or(d.callers().maxBody(), DEFAULT_MAX_BODY)),
                 Units.duration(or(d.callers().maxDeadline(), DEFAULT_MAX_DEADLINE)),
-                Units.duration(or(d.callers().drainTimeout(), DEFAULT_DRAIN_TIMEOUT)));
+                Units.duration(or(d.callers().drainTimeout(), DEFAULT_DRAIN_TIMEOUT)),
+                policy(d.policy()));
+    }
+
+    private static PolicySettings policy(SettingsDocument.PolicySection section) {
+        if (section == null) {
+            return PolicySettings.FULL;
+        }
+        PlacementKind placement =
+                section.placement() == null ? PlacementKind.PREDICTIVE : section.placement();
+        ImmutableSet<Mechanism> disabled =
+                section.disabled() == null
+                        ? ImmutableSet.of()
+                        : ImmutableSet.copyOf(section.disabled());
+        return new PolicySettings(placement, disabled);
     }
 
     private static String or(String value, String defaultValue) {
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
@@ -1,31 +1,21 @@
 package io.bilberrygrade.serving.entry;
 
 import com.codahale.metrics.MetricRegistry;
-import com.google.common.collect.ImmutableList;
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.identity.RequestId;
-import io.bilberrygrade.core.routing.LeastOutstandingPolicy;
 import io.bilberrygrade.serving.controller.ConfigController;
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.controller.EndpointController;
 import io.bilberrygrade.serving.controller.MembershipController;
 import io.bilberrygrade.serving.engine.HttpModelEngine;
+import io.bilberrygrade.serving.error.CallException;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.event.LifecycleEvent;
-import io.bilberrygrade.serving.filter.ClassifyFilter;
-import io.bilberrygrade.serving.filter.CompletionDispatcher;
-import io.bilberrygrade.serving.filter.CompletionFilter;
-import io.bilberrygrade.serving.filter.DeadlineFilter;
-import io.bilberrygrade.serving.filter.FilterChain;
-import io.bilberrygrade.serving.filter.IdentifyFilter;
-import io.bilberrygrade.serving.filter.ReadinessFilter;
-import io.bilberrygrade.serving.filter.ServiceFilter;
 import io.bilberrygrade.serving.http.CallerApi;
 import io.bilberrygrade.serving.http.HttpCalls;
 import io.bilberrygrade.serving.http.OperationsApi;
 import io.bilberrygrade.serving.metrics.RequestMetrics;
 import io.bilberrygrade.serving.peer.PeerIdentity;
-import io.bilberrygrade.serving.peer.PeerMessage;
 import io.bilberrygrade.serving.peer.PeerServer;
 import io.bilberrygrade.serving.peer.TcpPeerNetwork;
 import io.bilberrygrade.serving.platform.HttpConfigSource;
@@ -41,6 +31,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.function.Consumer;
+import org.apache.commons.rng.simple.RandomSource;
 
 /**
  * One entry daemon. All its state is touched on one event loop only, so that no part of it needs a
@@ -48,9 +39,8 @@
  */
 public final class EntryDaemon extends AbstractVerticle {
     private static final Duration CONFIG_WAIT = Duration.ofSeconds(20);
-    private static final int CONFIG_PAUSE_MILLIS = 100;
-    private static final int CONFIG_RETRY_MILLIS = 500;
-    private static final int MEMBERSHIP_PERIOD_MILLIS = 1_000;
+    private static final Duration CONFIG_PAUSE = Duration.ofMillis(300);
+    private static final Duration MEMBERSHIP_PERIOD = Duration.ofSeconds(1);
 
     private final EntrySettings mSettings;
     private final Incarnation mIncarnation;
@@ -66,7 +56,7 @@
     private PeerServer mPeerServer;
     private HttpServer mServer;
     private long mNextRequest;
-    private boolean mStopped;
+    private PeriodicTasks mTasks;
 
     /** Creates the daemon; deploying it starts it. */
     public EntryDaemon(
@@ -95,7 +85,9 @@
                         mEvents);
         mConfig.onChange(mEndpoints::onDeployment);
         mConfig.onChange(d -> becomeReady());
-        mPeerServer = new PeerServer(vertx, self, mSettings.peerKey(), this::onPeer, mEvents);
+        mPeerServer =
+                new PeerServer(
+                        vertx, self, mSettings.peerKey(), new PeerCalls(mMembership), mEvents);
         mServer = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true));
         listen(started);
     }
@@ -119,8 +111,7 @@
                         mIncarnation.value(),
                         mServer.actualPort(),
                         peerPort));
-        watchConfig();
-        refreshMembership();
+        startBackgroundWork();
         started.complete();
     }
 
@@ -150,7 +141,7 @@
 
     @Override
     public void stop() {
-        mStopped = true;
+        mTasks.close();
         mPeers.close();
         mCalls.close();
         mEvents.record(new LifecycleEvent.Stopped(mDrain.running()));
@@ -158,34 +149,26 @@
 
     private Router router() {
         RequestMetrics observer = new RequestMetrics(mMetrics, mEvents);
+        RequestPath path = new RequestPath(mSettings, mClock, mEvents);
         CallerApi api =
                 new CallerApi(
-                        chain(), mConfig::current, this::nextRequestId, mClock, observer, mEvents);
+                        path.chain(
+                                mIncarnation,
+                                new HttpModelEngine(mCalls),
+                                new HttpPlainService(mCalls),
+                                mEndpoints,
+                                mDrain),
+                        mConfig::current,
+                        this::nextRequestId,
+                        mClock,
+                        observer,
+                        mEvents);
         Router router = Router.router(vertx);
         api.mount(router, mSettings.maxBodyBytes());
         new OperationsApi(mDrain, mMetrics).mount(router);
         return router;
     }
 
-    private FilterChain chain() {
-        CompletionDispatcher dispatcher =
-                new CompletionDispatcher(
-                        new HttpModelEngine(mCalls),
-                        mEndpoints,
-                        new LeastOutstandingPolicy(),
-                        mIncarnation,
-                        mClock,
-                        mEvents);
-        return new FilterChain(
-                ImmutableList.of(
-                        new ReadinessFilter(mDrain),
-                        new IdentifyFilter(),
-                        new DeadlineFilter(mClock, mSettings.maxDeadline()),
-                        new ClassifyFilter(),
-                        new CompletionFilter(dispatcher),
-                        new ServiceFilter(new HttpPlainService(mCalls), mEndpoints, mClock)));
-    }
-
     private RequestId nextRequestId() {
         String id = mSettings.instance() + "-" + mIncarnation.value() + "-" + mNextRequest++;
         return new RequestId(id);
@@ -198,39 +181,15 @@
         }
     }
 
-    private void watchConfig() {
-        if (mStopped) {
-            return;
-        }
-        mConfig.refresh(CONFIG_WAIT)
-                .subscribe()
-                .with(
-                        v -> vertx.setTimer(CONFIG_PAUSE_MILLIS, t -> watchConfig()),
-                        e -> vertx.setTimer(CONFIG_RETRY_MILLIS, t -> watchConfig()));
-    }
-
-    private void refreshMembership() {
-        if (mStopped) {
-            return;
-        }
-        mMembership
-                .refresh()
-                .onTermination()
-                .invoke(() -> vertx.setTimer(MEMBERSHIP_PERIOD_MILLIS, t -> refreshMembership()))
-                .subscribe()
-                .with(v -> {}, this::report);
-    }
-
-    private Uni<PeerMessage> onPeer(PeerIdentity from, PeerMessage message) {
-        return switch (message) {
-            case PeerMessage.Ping p -> Uni.createFrom().item(mMembership.onPing(p));
-            default ->
-                    Uni.createFrom()
-                            .item(new PeerMessage.Failure("unexpected call of " + from.instance()));
-        };
+    private void startBackgroundWork() {
+        mTasks = new PeriodicTasks(vertx, RandomSource.SPLIT_MIX_64.create(), mEvents);
+        mTasks.repeat("config", CONFIG_PAUSE, this::watchConfig);
+        mTasks.repeat("membership", MEMBERSHIP_PERIOD, mMembership::refresh);
     }
 
-    private void report(Throwable e) {
-        mEvents.record(new LifecycleEvent.UnexpectedError("background work", e.toString()));
+    private Uni<Void> watchConfig() {
+        return mConfig.refresh(CONFIG_WAIT)
+                .onFailure(CallException.class)
+                .recoverWithItem((Void) null);
     }
 }
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/PeriodicTasks.java
@@ -0,0 +1,56 @@
+package io.bilberrygrade.serving.entry;
+
+import io.bilberrygrade.serving.event.EventLog;
+import io.bilberrygrade.serving.event.LifecycleEvent;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Vertx;
+import java.time.Duration;
+import java.util.function.Supplier;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * Runs background work again and again. A pause starts when the work has ended, so that slow work
+ * never piles up, and varies by a quarter, so that daemons don't act in step.
+ */
+final class PeriodicTasks implements AutoCloseable {
+    private static final double JITTER = 0.25;
+
+    private final Vertx mVertx;
+    private final UniformRandomProvider mRandom;
+    private final EventLog mEvents;
+    private boolean mClosed;
+
+    PeriodicTasks(Vertx vertx, UniformRandomProvider random, EventLog events) {
+        mVertx = vertx;
+        mRandom = random;
+        mEvents = events;
+    }
+
+    /**
+     * Runs the work now and then again after each pause. A failure is logged and changes nothing.
+     */
+    void repeat(String name, Duration pause, Supplier<Uni<Void>> work) {
+        if (mClosed) {
+            return;
+        }
+        work.get()
+                .onTermination()
+                .invoke(() -> mVertx.setTimer(jittered(pause), t -> repeat(name, pause, work)))
+                .subscribe()
+                .with(
+                        v -> {},
+                        e ->
+                                mEvents.record(
+                                        new LifecycleEvent.UnexpectedError(name, e.toString())));
+    }
+
+    private long jittered(Duration pause) {
+        double factor = 1 - JITTER + 2 * JITTER * mRandom.nextDouble();
+        return Math.max(1, Math.round(pause.toMillis() * factor));
+    }
+
+    @Override
+    public void close() {
+        mClosed = true;
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/RequestPath.java
@@ -0,0 +1,61 @@
+package io.bilberrygrade.serving.entry;
+
+import com.google.common.collect.ImmutableList;
+import io.bilberrygrade.core.identity.Incarnation;
+import io.bilberrygrade.core.routing.LeastOutstandingPolicy;
+import io.bilberrygrade.core.routing.PlacementPolicy;
+import io.bilberrygrade.core.routing.RoundRobinPolicy;
+import io.bilberrygrade.serving.controller.DrainController;
+import io.bilberrygrade.serving.controller.EndpointController;
+import io.bilberrygrade.serving.engine.ModelEngine;
+import io.bilberrygrade.serving.event.EventLog;
+import io.bilberrygrade.serving.filter.ClassifyFilter;
+import io.bilberrygrade.serving.filter.CompletionDispatcher;
+import io.bilberrygrade.serving.filter.CompletionFilter;
+import io.bilberrygrade.serving.filter.DeadlineFilter;
+import io.bilberrygrade.serving.filter.FilterChain;
+import io.bilberrygrade.serving.filter.IdentifyFilter;
+import io.bilberrygrade.serving.filter.ReadinessFilter;
+import io.bilberrygrade.serving.filter.ServiceFilter;
+import io.bilberrygrade.serving.service.PlainService;
+import io.bilberrygrade.serving.settings.EntrySettings;
+import java.time.InstantSource;
+
+/** Puts the filter chain together, in the order in which requests pass through it. */
+final class RequestPath {
+    private final EntrySettings mSettings;
+    private final InstantSource mClock;
+    private final EventLog mEvents;
+
+    RequestPath(EntrySettings settings, InstantSource clock, EventLog events) {
+        mSettings = settings;
+        mClock = clock;
+        mEvents = events;
+    }
+
+    FilterChain chain(
+            Incarnation incarnation,
+            ModelEngine engine,
+            PlainService service,
+            EndpointController endpoints,
+            DrainController drain) {
+        CompletionDispatcher dispatcher =
+                new CompletionDispatcher(
+                        engine, endpoints, placement(), incarnation, mClock, mEvents);
+        return new FilterChain(
+                ImmutableList.of(
+                        new ReadinessFilter(drain),
+                        new IdentifyFilter(),
+                        new DeadlineFilter(mClock, mSettings.maxDeadline()),
+                        new ClassifyFilter(),
+                        new CompletionFilter(dispatcher),
+                        new ServiceFilter(service, endpoints, mClock)));
+    }
+
+    private PlacementPolicy placement() {
+        return switch (mSettings.policy().placement()) {
+            case ROUND_ROBIN -> new RoundRobinPolicy();
+            case LEAST_OUTSTANDING, PREDICTIVE -> new LeastOutstandingPolicy();
+        };
+    }
+}
--- a/serving/src/main/java/io/bilberrygrade/serving/settings/EntrySettings.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/settings/EntrySettings.java
@@ -20,4 +20,5 @@
         PeerKey peerKey,
         long maxBodyBytes,
         Duration maxDeadline,
-        Duration drainTimeout) {}
+        Duration drainTimeout,
+        PolicySettings policy) {}
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/settings/Mechanism.java
@@ -0,0 +1,22 @@
+package io.bilberrygrade.serving.settings;
+
+/**
+ * Mechanisms that a measurement or a test can switch off, to show what each is worth. A deployment
+ * runs with all of them on.
+ */
+public enum Mechanism {
+    PREFIX_AFFINITY,
+    CONFINEMENT,
+    ADMISSION,
+    GANG_STEWARD,
+    CLASS_SHARES,
+    TEAM_FAIRNESS,
+    RETRY_BUDGET,
+    EJECTION,
+    AT_MOST_ONCE,
+    VERSION_GUARD,
+    FENCING,
+    RECLAIM,
+    RESUME,
+    LEAVING_GOSSIP
+}
--- a/standins/src/test/java/io/bilberrygrade/standins/daemon/RunningDeployment.java
+++ b/standins/src/test/java/io/bilberrygrade/standins/daemon/RunningDeployment.java
@@ -11,6 +11,7 @@
 import io.bilberrygrade.serving.event.JbossEventLog;
 import io.bilberrygrade.serving.settings.EntrySettings;
 import io.bilberrygrade.serving.settings.PeerKey;
+import io.bilberrygrade.serving.settings.PolicySettings;
 import io.bilberrygrade.standins.configservice.StandInConfigService;
 import io.bilberrygrade.standins.engine.EngineSettings;
 import io.bilberrygrade.standins.engine.StandInEngine;
@@ -95,7 +96,8 @@
                         PeerKey.of("key".getBytes(StandardCharsets.UTF_8)),
                         MAX_BODY_BYTES,
                         Duration.ofMinutes(1),
-                        Duration.ofSeconds(10));
+                        Duration.ofSeconds(10),
+                        PolicySettings.FULL);
         return new EntryDaemon(
                 settings, new Incarnation(1), new MonotonicClock(), new JbossEventLog());
     }
