Resume answers after stalls, at the offset, with back-pressure

An engine that accepted a request and then froze was noticed only at the deadline: silence is now checked by a probe that all requests of one engine share. The deadline's outcome was computed when its timer started, so that it said not-run of requests that had run, and it fired off the event loop. Streams are read as the caller has room instead of being gathered in memory. A retry leaves out the engines that were tried for the request.

--- a/serving/src/main/java/io/bilberrygrade/serving/engine/HttpModelEngine.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/engine/HttpModelEngine.java
@@ -19,6 +19,7 @@
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.http.HttpMethod;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.stream.Collectors;
 
 /** Speaks to model engines over HTTP. */
@@ -30,9 +31,9 @@
     private final EngineStream mStream;
 
     /** Creates the client. */
-    public HttpModelEngine(HttpCalls calls) {
+    public HttpModelEngine(HttpCalls calls, InstantSource clock) {
         mCalls = calls;
-        mStream = new EngineStream(calls);
+        mStream = new EngineStream(calls, clock);
     }
 
     @Override
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
@@ -22,6 +22,8 @@
 import io.bilberrygrade.serving.platform.HttpInstanceSource;
 import io.bilberrygrade.serving.service.HttpPlainService;
 import io.bilberrygrade.serving.settings.EntrySettings;
+import io.bilberrygrade.serving.timer.Timers;
+import io.bilberrygrade.serving.timer.VertxTimers;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.AbstractVerticle;
 import io.vertx.core.Promise;
@@ -55,6 +57,7 @@
     private TcpPeerNetwork mPeers;
     private PeerServer mPeerServer;
     private HttpServer mServer;
+    private Timers mTimers;
     private long mNextRequest;
     private PeriodicTasks mTasks;
 
@@ -71,6 +74,7 @@
     public void start(Promise<Void> started) {
         io.vertx.mutiny.core.Vertx mutinyVertx = io.vertx.mutiny.core.Vertx.newInstance(vertx);
         PeerIdentity self = new PeerIdentity(mSettings.instance(), mIncarnation);
+        mTimers = new VertxTimers(vertx);
         mCalls = new HttpCalls(mutinyVertx);
         mPeers = new TcpPeerNetwork(vertx, self, mSettings.peerKey());
         mConfig =
@@ -131,10 +135,9 @@
 
     private void drainOnContext(Consumer<Void> done) {
         mEvents.record(new LifecycleEvent.DrainStarted(mDrain.running()));
-        mDrain.drain()
-                .ifNoItem()
-                .after(mSettings.drainTimeout())
-                .recoverWithItem((Void) null)
+        Uni.join()
+                .first(mDrain.drain(), mTimers.after(mSettings.drainTimeout()))
+                .toTerminate()
                 .subscribe()
                 .with(v -> done.accept(null));
     }
@@ -149,12 +152,12 @@
 
     private Router router() {
         RequestMetrics observer = new RequestMetrics(mMetrics, mEvents);
-        RequestPath path = new RequestPath(mSettings, mClock, mEvents);
+        RequestPath path = new RequestPath(mSettings, mClock, mEvents, mTimers);
         CallerApi api =
                 new CallerApi(
                         path.chain(
                                 mIncarnation,
-                                new HttpModelEngine(mCalls),
+                                new HttpModelEngine(mCalls, mClock),
                                 new HttpPlainService(mCalls),
                                 mEndpoints,
                                 mDrain),
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/RequestPath.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/RequestPath.java
@@ -19,6 +19,8 @@
 import io.bilberrygrade.serving.filter.ServiceFilter;
 import io.bilberrygrade.serving.service.PlainService;
 import io.bilberrygrade.serving.settings.EntrySettings;
+import io.bilberrygrade.serving.settings.Mechanism;
+import io.bilberrygrade.serving.timer.Timers;
 import java.time.InstantSource;
 
 /** Puts the filter chain together, in the order in which requests pass through it. */
@@ -26,11 +28,13 @@
     private final EntrySettings mSettings;
     private final InstantSource mClock;
     private final EventLog mEvents;
+    private final Timers mTimers;
 
-    RequestPath(EntrySettings settings, InstantSource clock, EventLog events) {
+    RequestPath(EntrySettings settings, InstantSource clock, EventLog events, Timers timers) {
         mSettings = settings;
         mClock = clock;
         mEvents = events;
+        mTimers = timers;
     }
 
     FilterChain chain(
@@ -41,7 +45,14 @@
             DrainController drain) {
         CompletionDispatcher dispatcher =
                 new CompletionDispatcher(
-                        engine, endpoints, placement(), incarnation, mClock, mEvents);
+                        engine,
+                        endpoints,
+                        placement(),
+                        incarnation,
+                        mClock,
+                        mEvents,
+                        mTimers,
+                        mSettings.policy().enabled(Mechanism.RESUME));
         return new FilterChain(
                 ImmutableList.of(
                         new ReadinessFilter(drain),
--- a/serving/src/main/java/io/bilberrygrade/serving/error/CallException.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/error/CallException.java
@@ -1,6 +1,7 @@
 package io.bilberrygrade.serving.error;
 
 import io.bilberrygrade.core.request.Step;
+import java.util.Optional;
 
 /** Failure of a call to an endpoint, to a peer or to the platform. */
 public final class CallException extends Exception {
@@ -9,6 +10,7 @@
     private final Step mStep;
     private final String mPeer;
     private final Delivery mDelivery;
+    private final String mRefusal;
 
     /** Creates a failure of the step, at the peer, with what is known of its effect. */
     public CallException(
@@ -17,6 +19,20 @@
         mStep = step;
         mPeer = peer;
         mDelivery = delivery;
+        mRefusal = "";
+    }
+
+    private CallException(Step step, String peer, String refusal) {
+        super(step + " at " + peer + ": refused, " + refusal);
+        mStep = step;
+        mPeer = peer;
+        mDelivery = Delivery.REFUSED;
+        mRefusal = refusal;
+    }
+
+    /** Returns the failure of a call that the endpoint refused, for the reason that it gave. */
+    public static CallException refused(Step step, String peer, String refusal) {
+        return new CallException(step, peer, refusal);
     }
 
     /** Creates a failure that no other exception caused. */
@@ -38,4 +54,9 @@
     public Delivery delivery() {
         return mDelivery;
     }
+
+    /** Returns the reason that the endpoint gave for a refusal, or empty. */
+    public Optional<String> refusal() {
+        return mRefusal.isEmpty() ? Optional.empty() : Optional.of(mRefusal);
+    }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/AnswerProgress.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/AnswerProgress.java
@@ -1,19 +1,33 @@
 package io.bilberrygrade.serving.filter;
 
+import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.serving.engine.EngineEvent;
+import io.smallrye.mutiny.Uni;
+import java.util.HashSet;
+import java.util.Set;
 
 /**
- * How far an answer has been relayed. Tokens that were relayed already are dropped, so that a late
- * or overlapping answer of an earlier attempt never doubles one.
+ * How far an answer has been relayed. Tokens that were relayed already and tokens of an earlier
+ * attempt are dropped, so that a late or overlapping answer never doubles one.
  */
 public final class AnswerProgress {
     private final AnswerSink mSink;
+    private final boolean mResumes;
+    private final Set<EndpointId> mTried = new HashSet<>();
     private int mNextOffset;
+    private int mAttempt;
+    private boolean mAttemptUndecided;
     private boolean mMayHaveRun;
 
     /** Creates the progress of an answer of which nothing was relayed. */
     public AnswerProgress(AnswerSink sink) {
+        this(sink, true);
+    }
+
+    /** Creates the progress of an answer; without resumption, each attempt starts it again. */
+    AnswerProgress(AnswerSink sink, boolean resumes) {
         mSink = sink;
+        mResumes = resumes;
     }
 
     /** Returns the offset of the next token to relay. */
@@ -21,9 +35,9 @@
         return mNextOffset;
     }
 
-    /** Returns whether any engine may have run the request. */
+    /** Returns whether any engine may have run the request or may be running it. */
     public boolean mayHaveRun() {
-        return mMayHaveRun;
+        return mMayHaveRun || mAttemptUndecided;
     }
 
     /** States that an engine may have run the request. */
@@ -31,8 +45,30 @@
         mMayHaveRun = true;
     }
 
-    /** Relays tokens; returns false when they would leave a gap. */
-    public boolean accept(EngineEvent.Tokens tokens) {
+    /** Starts the next attempt and returns its number, from 1; earlier ones count no more. */
+    public int startAttempt(EndpointId engine) {
+        mTried.add(engine);
+        mAttempt++;
+        mAttemptUndecided = true;
+        mNextOffset = mResumes ? mNextOffset : 0;
+        return mAttempt;
+    }
+
+    /** Ends the running attempt; whether it may have run has been stated before. */
+    public void endAttempt() {
+        mAttemptUndecided = false;
+    }
+
+    /** Returns whether an engine has been tried for this request. */
+    public boolean tried(EndpointId engine) {
+        return mTried.contains(engine);
+    }
+
+    /** Relays tokens of an attempt; returns false when they would leave a gap. */
+    public boolean accept(int attempt, EngineEvent.Tokens tokens) {
+        if (attempt != mAttempt) {
+            return true;
+        }
         if (tokens.offset() > mNextOffset) {
             return false;
         }
@@ -42,4 +78,9 @@
         }
         return true;
     }
+
+    /** Completes when the caller has room for more. */
+    public Uni<Void> writable() {
+        return mSink.writable();
+    }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/Attempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/Attempt.java
@@ -9,7 +9,6 @@
 import io.bilberrygrade.serving.engine.ModelEngine;
 import io.bilberrygrade.serving.error.CallException;
 import io.bilberrygrade.serving.error.Delivery;
-import io.smallrye.mutiny.Multi;
 import io.smallrye.mutiny.Uni;
 import java.time.InstantSource;
 
@@ -17,39 +16,52 @@
 final class Attempt {
     private final ModelEngine mEngine;
     private final EndpointController mEndpoints;
+    private final StallGuard mStalls;
     private final InstantSource mClock;
     private final Endpoint mEndpoint;
     private final AnswerProgress mProgress;
+    private final Heartbeat mHeartbeat;
+    private int mNumber;
     private long mQueuedTokens;
 
     Attempt(
             ModelEngine engine,
             EndpointController endpoints,
+            StallGuard stalls,
             InstantSource clock,
             Endpoint endpoint,
             AnswerProgress progress) {
         mEngine = engine;
         mEndpoints = endpoints;
+        mStalls = stalls;
         mClock = clock;
         mEndpoint = endpoint;
         mProgress = progress;
+        mHeartbeat = new Heartbeat(clock.instant());
     }
 
     Uni<Outcome> run(GenerateCall call) {
+        mNumber = call.attempt();
         mQueuedTokens = call.request().prompt().tokens();
         mEndpoints.dispatched(mEndpoint.id(), mQueuedTokens);
-        Multi<EngineEvent> events = mEngine.generate(mEndpoint, call);
-        return events.onItem()
-                .transformToUniAndConcatenate(this::handle)
+        Uni<Outcome> answer =
+                mEngine.generate(mEndpoint, call)
+                        .onItem()
+                        .transformToUniAndConcatenate(this::handle)
+                        .collect()
+                        .first()
+                        .onItem()
+                        .ifNull()
+                        .switchTo(() -> broken("the stream ended early"));
+        return mStalls.guard(mEndpoint, mHeartbeat, answer)
                 .onFailure(CallException.class)
                 .invoke(e -> failed((CallException) e))
-                .collect()
-                .last()
                 .onTermination()
                 .invoke(this::left);
     }
 
     private Uni<Outcome> handle(EngineEvent event) {
+        mHeartbeat.heard(mClock.instant());
         return switch (event) {
             case EngineEvent.Accepted a -> {
                 mProgress.markMayHaveRun();
@@ -58,12 +70,7 @@
                                 l -> mEndpoints.loadReported(mEndpoint.id(), l, mClock.instant()));
                 yield Uni.createFrom().nullItem();
             }
-            case EngineEvent.Tokens t -> {
-                prefillDone();
-                yield mProgress.accept(t)
-                        ? Uni.createFrom().nullItem()
-                        : broken("tokens up to " + t.offset() + " are missing");
-            }
+            case EngineEvent.Tokens t -> relay(t);
             case EngineEvent.Finished f ->
                     f.tokens() == mProgress.nextOffset()
                             ? Uni.createFrom().item(new Outcome.Done(f.tokens()))
@@ -71,6 +78,20 @@
         };
     }
 
+    private Uni<Outcome> relay(EngineEvent.Tokens tokens) {
+        prefillDone();
+        mHeartbeat.token(mClock.instant());
+        if (!mProgress.accept(mNumber, tokens)) {
+            return broken("tokens up to " + tokens.offset() + " are missing");
+        }
+        mHeartbeat.waitForCaller();
+        return mProgress
+                .writable()
+                .invoke(() -> mHeartbeat.heard(mClock.instant()))
+                .onItem()
+                .transformToUni(v -> Uni.createFrom().nullItem());
+    }
+
     private Uni<Outcome> broken(String message) {
         return Uni.createFrom()
                 .failure(
@@ -85,6 +106,7 @@
         if (e.delivery() == Delivery.MAY_HAVE_RUN) {
             mProgress.markMayHaveRun();
         }
+        mProgress.endAttempt();
         if (e.delivery() != Delivery.REFUSED) {
             mEndpoints.failed(mEndpoint.id(), mClock.instant());
         }
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
@@ -9,15 +9,19 @@
 import io.bilberrygrade.core.routing.EndpointView;
 import io.bilberrygrade.core.routing.PlacementPolicy;
 import io.bilberrygrade.serving.controller.EndpointController;
+import io.bilberrygrade.serving.engine.EngineProbes;
 import io.bilberrygrade.serving.engine.GenerateCall;
 import io.bilberrygrade.serving.engine.ModelEngine;
 import io.bilberrygrade.serving.error.CallException;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.event.RequestEvent;
+import io.bilberrygrade.serving.timer.Timers;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * Runs a completion on an engine and, when an engine fails in the middle, resumes the answer at its
@@ -27,6 +31,7 @@
     private static final int MAX_ATTEMPTS = 4;
     private static final int DEFAULT_PRIORITY = 1;
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+    private static final Duration PLACEMENT_INTERVAL = Duration.ofMillis(100);
 
     private final ModelEngine mEngine;
     private final EndpointController mEndpoints;
@@ -34,6 +39,9 @@
     private final Incarnation mIncarnation;
     private final InstantSource mClock;
     private final EventLog mEvents;
+    private final Timers mTimers;
+    private final StallGuard mStalls;
+    private final boolean mResumes;
 
     /** Creates the dispatcher. */
     public CompletionDispatcher(
@@ -42,24 +50,25 @@
             PlacementPolicy policy,
             Incarnation incarnation,
             InstantSource clock,
-            EventLog events) {
+            EventLog events,
+            Timers timers,
+            boolean resumes) {
         mEngine = engine;
         mEndpoints = endpoints;
         mPolicy = policy;
         mIncarnation = incarnation;
         mClock = clock;
         mEvents = events;
+        mTimers = timers;
+        mStalls = new StallGuard(new EngineProbes(engine, timers), timers, clock);
+        mResumes = resumes;
     }
 
     /** Runs the request to its final outcome. */
     public Uni<Outcome> dispatch(Exchange exchange, InferenceRequest request) {
-        AnswerProgress progress = new AnswerProgress(exchange.sink());
+        AnswerProgress progress = new AnswerProgress(exchange.sink(), mResumes);
         Uni<Outcome> deadline =
-                Uni.createFrom()
-                        .item(() -> deadlinePast(progress))
-                        .onItem()
-                        .delayIt()
-                        .by(atLeastOneMilli(request.remaining(mClock.instant())));
+                mTimers.after(request.remaining(mClock.instant())).map(v -> deadlinePast(progress));
         Uni<Outcome> gone =
                 Uni.createFrom()
                         .emitter(e -> exchange.sink().onCallerGone(() -> e.complete(callerGone())));
@@ -71,17 +80,44 @@
     private Uni<Outcome> attempt(
             Exchange exchange, InferenceRequest request, AnswerProgress progress, int number) {
         Optional<EndpointView> chosen =
-                mPolicy.place(
-                        request,
-                        mEndpoints.engines(
-                                exchange.deployment(), request.model(), mClock.instant()),
-                        mClock.instant());
-        if (chosen.isEmpty()) {
+                place(exchange, request, e -> !progress.tried(e.endpoint().id()));
+        if (chosen.isPresent()) {
+            return attempt(exchange, request, progress, number, chosen.get());
+        }
+        if (!progress.mayHaveRun()) {
             return Uni.createFrom().item(noEndpoint(progress));
         }
-        EndpointView view = chosen.get();
-        return new Attempt(mEngine, mEndpoints, mClock, view.endpoint(), progress)
-                .run(call(exchange, request, progress, number))
+        return Uni.createFrom()
+                .deferred(() -> mTimers.after(PLACEMENT_INTERVAL))
+                .map(v -> place(exchange, request, e -> true))
+                .repeat()
+                .whilst(Optional::isEmpty)
+                .collect()
+                .last()
+                .onItem()
+                .transformToUni(
+                        view -> attempt(exchange, request, progress, number, view.orElseThrow()));
+    }
+
+    private Optional<EndpointView> place(
+            Exchange exchange, InferenceRequest request, Predicate<EndpointView> usable) {
+        Instant now = mClock.instant();
+        ImmutableList<EndpointView> candidates =
+                mEndpoints.engines(exchange.deployment(), request.model(), now).stream()
+                        .filter(usable)
+                        .collect(ImmutableList.toImmutableList());
+        return mPolicy.place(request, candidates, now);
+    }
+
+    private Uni<Outcome> attempt(
+            Exchange exchange,
+            InferenceRequest request,
+            AnswerProgress progress,
+            int number,
+            EndpointView view) {
+        int attempt = progress.startAttempt(view.endpoint().id());
+        return new Attempt(mEngine, mEndpoints, mStalls, mClock, view.endpoint(), progress)
+                .run(call(exchange, request, progress, attempt))
                 .onFailure(CallException.class)
                 .recoverWithUni(
                         e -> failed(exchange, request, progress, number, (CallException) e));
@@ -146,8 +182,4 @@
     private static Outcome callerGone() {
         return Outcome.unknown(Step.RELAY, Reason.CALLER_GONE, "the caller went away", "");
     }
-
-    private static Duration atLeastOneMilli(Duration d) {
-        return d.toMillis() < 1 ? Duration.ofMillis(1) : d;
-    }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/http/HttpAnswerSink.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/HttpAnswerSink.java
@@ -8,6 +8,7 @@
 import io.bilberrygrade.serving.http.CompletionDocuments.CompletionDocument;
 import io.bilberrygrade.serving.json.Mappers;
 import io.bilberrygrade.serving.service.ServiceAnswer;
+import io.smallrye.mutiny.Uni;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerResponse;
 import java.time.Duration;
@@ -28,6 +29,7 @@
     private final List<Runnable> mGoneActions = new ArrayList<>();
     private Optional<ServiceAnswer> mServiceAnswer = Optional.empty();
     private boolean mEnded;
+    private boolean mGone;
 
     HttpAnswerSink(RequestId id, String model, boolean stream, HttpServerResponse response) {
         mId = id;
@@ -57,9 +59,21 @@
         mServiceAnswer = Optional.of(answer);
     }
 
+    @Override
+    public Uni<Void> writable() {
+        if (!mStream || mEnded || !mResponse.writeQueueFull()) {
+            return Uni.createFrom().voidItem();
+        }
+        return Uni.createFrom().emitter(e -> mResponse.drainHandler(v -> e.complete(null)));
+    }
+
     @Override
     public void onCallerGone(Runnable action) {
-        mGoneActions.add(action);
+        if (mGone) {
+            action.run();
+        } else {
+            mGoneActions.add(action);
+        }
     }
 
     /** Writes the outcome and ends the answer. */
@@ -123,6 +137,7 @@
     private void callerGone() {
         if (!mEnded) {
             mEnded = true;
+            mGone = true;
             mGoneActions.forEach(Runnable::run);
         }
     }
--- a/standins/src/test/java/io/bilberrygrade/standins/daemon/RunningDeployment.java
+++ b/standins/src/test/java/io/bilberrygrade/standins/daemon/RunningDeployment.java
@@ -46,8 +46,11 @@
     private final List<StandInEngine> mEngines = new ArrayList<>();
     private final List<EntryDaemon> mDaemons = new ArrayList<>();
     private final StandInService mService;
+    private final PolicySettings mPolicy;
 
-    private RunningDeployment(Path folder, int engines, int daemons) throws IOException {
+    private RunningDeployment(Path folder, int engines, int daemons, PolicySettings policy)
+            throws IOException {
+        mPolicy = policy;
         mCloser.register(() -> mVertx.closeAndAwait());
         for (int i = 0; i < engines; i++) {
             mEngines.add(
@@ -65,7 +68,13 @@
     /** Starts a deployment whose configuration is written to the given folder. */
     public static RunningDeployment start(Path folder, int engines, int daemons)
             throws IOException {
-        return new RunningDeployment(folder, engines, daemons);
+        return start(folder, engines, daemons, PolicySettings.FULL);
+    }
+
+    /** Starts a deployment whose daemons run with the given policy. */
+    public static RunningDeployment start(
+            Path folder, int engines, int daemons, PolicySettings policy) throws IOException {
+        return new RunningDeployment(folder, engines, daemons, policy);
     }
 
     private void startDaemons(Path folder, int count) throws IOException {
@@ -83,7 +92,7 @@
         }
     }
 
-    private static EntryDaemon daemon(int index, int peerPort, Address config, Address instances) {
+    private EntryDaemon daemon(int index, int peerPort, Address config, Address instances) {
         EntrySettings settings =
                 new EntrySettings(
                         new InstanceId("entry-" + index),
@@ -97,7 +106,7 @@
                         MAX_BODY_BYTES,
                         Duration.ofMinutes(1),
                         Duration.ofSeconds(10),
-                        PolicySettings.FULL);
+                        mPolicy);
         return new EntryDaemon(
                 settings, new Incarnation(1), new MonotonicClock(), new JbossEventLog());
     }
