Gossip heartbeats and digests with a few peers in place of pinging all

Cause: the membership controller greeted every published peer each second, which grows with the square of the fleet. Heartbeat counters with the time as an argument decide who is suspected and who is dead; a newer incarnation alone proves that a run has ended. Contributors add leaving marks, class use and the configuration version.

Timeouts of peer calls now end on the event loop: the library's default delay ends them on a worker thread, where state is not owned.

--- /dev/null
+++ b/core/src/main/java/io/bilberrygrade/core/membership/SuspicionPolicy.java
@@ -0,0 +1,32 @@
+package io.bilberrygrade.core.membership;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.time.Duration;
+
+/**
+ * Decides how long a peer may stay silent. A digest holds a bounded number of members, so that in a
+ * larger fleet each member is heard of more rarely and the limits grow with its size.
+ */
+public record SuspicionPolicy(Duration round, int digestMembers) {
+    private static final int BASE_ROUNDS = 4;
+    private static final int TURNS_OF_DIGEST = 3;
+    private static final int DEAD_FACTOR = 2;
+
+    /** Creates the policy; refuses a round or a digest that is not positive. */
+    public SuspicionPolicy {
+        checkArgument(round.isPositive(), "a round must be positive");
+        checkArgument(digestMembers > 0, "a digest must hold members");
+    }
+
+    /** Returns the silence after which a peer of a fleet of {@code members} is suspected. */
+    public Duration suspectAfter(int members) {
+        int turns = (members + digestMembers - 1) / digestMembers;
+        return round.multipliedBy(BASE_ROUNDS + (long) TURNS_OF_DIGEST * (turns - 1));
+    }
+
+    /** Returns the silence after which a peer of a fleet of {@code members} is dead. */
+    public Duration deadAfter(int members) {
+        return suspectAfter(members).multipliedBy(DEAD_FACTOR);
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/GossipDraft.java
@@ -0,0 +1,48 @@
+package io.bilberrygrade.serving.controller;
+
+import io.bilberrygrade.serving.peer.ClassUse;
+import io.bilberrygrade.serving.peer.GossipDigest;
+import io.bilberrygrade.serving.peer.LeavingMark;
+import io.bilberrygrade.serving.peer.MemberEntry;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Digest that is being put together. What exceeds the bound of its list is left out. */
+public final class GossipDraft {
+    private final List<MemberEntry> mMembers = new ArrayList<>();
+    private final List<LeavingMark> mLeaving = new ArrayList<>();
+    private final List<ClassUse> mClassUse = new ArrayList<>();
+    private long mConfigVersion;
+
+    /** Creates an empty draft. */
+    public GossipDraft() {}
+
+    /** Adds a member; returns whether it fitted. */
+    public boolean add(MemberEntry member) {
+        return add(mMembers, member, GossipDigest.MAX_MEMBERS);
+    }
+
+    /** Adds a leaving mark; returns whether it fitted. */
+    public boolean add(LeavingMark mark) {
+        return add(mLeaving, mark, GossipDigest.MAX_LEAVING);
+    }
+
+    /** Adds a class use; returns whether it fitted. */
+    public boolean add(ClassUse use) {
+        return add(mClassUse, use, GossipDigest.MAX_CLASS_USES);
+    }
+
+    /** Sets the version of the configuration in force. */
+    public void configVersion(long version) {
+        mConfigVersion = version;
+    }
+
+    /** Returns the digest. */
+    public GossipDigest build() {
+        return new GossipDigest(mMembers, mConfigVersion, mLeaving, mClassUse);
+    }
+
+    private static <T> boolean add(List<T> list, T item, int max) {
+        return list.size() < max && list.add(item);
+    }
+}
--- a/serving/src/main/java/io/bilberrygrade/serving/controller/MembershipController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/MembershipController.java
@@ -1,49 +1,72 @@
 package io.bilberrygrade.serving.controller;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.identity.InstanceId;
+import io.bilberrygrade.core.membership.Heartbeat;
+import io.bilberrygrade.core.membership.Liveness;
+import io.bilberrygrade.core.membership.MemberTable;
+import io.bilberrygrade.core.membership.SuspicionPolicy;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.event.MembershipEvent;
+import io.bilberrygrade.serving.peer.GossipDigest;
+import io.bilberrygrade.serving.peer.MemberEntry;
 import io.bilberrygrade.serving.peer.PeerIdentity;
-import io.bilberrygrade.serving.peer.PeerMessage;
-import io.bilberrygrade.serving.peer.PeerNetwork;
 import io.bilberrygrade.serving.platform.InstanceSource;
 import io.bilberrygrade.serving.wire.InstanceDocument;
 import io.bilberrygrade.serving.wire.InstanceListDocument;
-import io.smallrye.mutiny.Multi;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
-import java.util.HashMap;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
-import java.util.function.LongSupplier;
+import java.util.Optional;
+import java.util.Set;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * Owns what this daemon knows of the published instances and of its peers. Addresses come from the
+ * published list, liveness from gossiped heartbeats.
+ */
+public final class MembershipController implements GossipContributor {
+    /** Time between two rounds of gossip. */
+    public static final Duration ROUND = Duration.ofSeconds(1);
 
-/** Owns what this daemon knows of the published instances and of its peers. */
-public final class MembershipController {
-    private static final Duration PING_TIMEOUT = Duration.ofMillis(500);
     private static final String ENTRY = "entry";
+    private static final int ROUNDS_PER_RETRY_OF_DEAD = 4;
 
     private final PeerIdentity mSelf;
     private final InstanceSource mInstances;
-    private final PeerNetwork mPeers;
-    private final LongSupplier mConfigVersion;
+    private final UniformRandomProvider mRandom;
     private final EventLog mEvents;
-    private final Map<InstanceId, Incarnation> mAlive = new HashMap<>();
+    private final MemberTable mTable;
+    private final Set<InstanceId> mPresent = new HashSet<>();
     private InstanceListDocument mList = new InstanceListDocument(0, ImmutableList.of());
+    private long mRounds;
 
-    /** Creates the controller; it knows nobody yet. */
+    /** Creates the controller of a run that starts now; it knows nobody yet. */
     public MembershipController(
             PeerIdentity self,
             InstanceSource instances,
-            PeerNetwork peers,
-            LongSupplier configVersion,
-            EventLog events) {
+            UniformRandomProvider random,
+            EventLog events,
+            Instant now) {
         mSelf = self;
         mInstances = instances;
-        mPeers = peers;
-        mConfigVersion = configVersion;
+        mRandom = random;
         mEvents = events;
+        mTable =
+                new MemberTable(
+                        self.instance(),
+                        self.incarnation(),
+                        new SuspicionPolicy(ROUND, GossipDigest.MAX_MEMBERS),
+                        now);
     }
 
     /** Returns the list of instances as last read. */
@@ -51,12 +74,31 @@
         return mList;
     }
 
-    /** Returns the peers that answered last time, with their incarnations. */
-    public Map<InstanceId, Incarnation> alive() {
-        return Map.copyOf(mAlive);
+    /** Returns the peers that are not dead, with their incarnations. */
+    public Map<InstanceId, Incarnation> alive(Instant now) {
+        return mTable.members(now).stream()
+                .collect(ImmutableMap.toImmutableMap(Heartbeat::instance, Heartbeat::incarnation));
+    }
+
+    /** Returns what is believed of a peer. */
+    public Liveness liveness(InstanceId peer, Instant now) {
+        return mTable.liveness(peer, now);
+    }
+
+    /** Returns whether a run has certainly ended, since a later one of its instance was heard. */
+    public boolean ended(InstanceId instance, Incarnation incarnation) {
+        return mTable.ended(instance, incarnation);
     }
 
-    /** Reads the list and greets the peers on it. Failures leave everything as it is. */
+    /** Returns the published address of an instance's daemon. */
+    public Optional<Address> address(InstanceId instance) {
+        return mList.instances().stream()
+                .filter(i -> i.kind().equals(ENTRY) && i.id().equals(instance.value()))
+                .map(i -> new Address(i.host(), i.port()))
+                .findFirst();
+    }
+
+    /** Reads the published list. Failures leave everything as it is. */
     public Uni<Void> refresh() {
         return mInstances
                 .read()
@@ -68,62 +110,86 @@
                                         new MembershipEvent.InstanceListUnavailable(
                                                 "instance list", e.toString())))
                 .onFailure()
-                .recoverWithItem(mList)
-                .onItem()
-                .transformToUni(l -> greetAll());
+                .recoverWithNull()
+                .replaceWithVoid();
+    }
+
+    /** Counts a round of gossip and reports which peers came and went. */
+    void beat(Instant now) {
+        mRounds++;
+        mTable.beat(now);
+        mTable.retain(published(), now);
+        Set<InstanceId> present = alive(now).keySet();
+        for (InstanceId id : List.copyOf(mPresent)) {
+            if (!present.contains(id)) {
+                mPresent.remove(id);
+                mEvents.record(new MembershipEvent.PeerLost(id.value(), "no heartbeat"));
+            }
+        }
+        mPresent.addAll(present);
     }
 
-    /** Answers a peer's ping and notes that the peer is there. */
-    public PeerMessage onPing(PeerMessage.Ping ping) {
-        note(new InstanceId(ping.instance()), new Incarnation(ping.incarnation()), "");
-        return new PeerMessage.Pong(
-                mSelf.instance().value(), mSelf.incarnation().value(), mConfigVersion.getAsLong());
+    /**
+     * Chooses peers to exchange digests with, at random among those that aren't dead. Now and then
+     * a dead one is tried too, so that a partition that has healed is noticed.
+     */
+    ImmutableList<GossipController.Partner> partners(int count, Instant now) {
+        List<GossipController.Partner> candidates = new ArrayList<>();
+        List<GossipController.Partner> dead = new ArrayList<>();
+        for (InstanceDocument peer : mList.instances()) {
+            if (peer.kind().equals(ENTRY) && !peer.id().equals(mSelf.instance().value())) {
+                GossipController.Partner partner = partner(peer);
+                boolean gone = liveness(partner.instance(), now) == Liveness.DEAD;
+                (gone ? dead : candidates).add(partner);
+            }
+        }
+        boolean retry = candidates.isEmpty() || mRounds % ROUNDS_PER_RETRY_OF_DEAD == 0;
+        ImmutableList.Builder<GossipController.Partner> chosen = ImmutableList.builder();
+        chosen.addAll(sample(candidates, count));
+        return chosen.addAll(sample(dead, retry ? 1 : 0)).build();
     }
 
-    private Uni<Void> greetAll() {
-        return Multi.createFrom()
-                .iterable(mList.instances())
-                .filter(i -> i.kind().equals(ENTRY) && !i.id().equals(mSelf.instance().value()))
-                .onItem()
-                .transformToUniAndMerge(this::greet)
-                .collect()
-                .asList()
-                .replaceWithVoid();
+    private List<GossipController.Partner> sample(
+            List<GossipController.Partner> candidates, int count) {
+        int size = Math.min(count, candidates.size());
+        for (int i = 0; i < size; i++) {
+            Collections.swap(candidates, i, i + mRandom.nextInt(candidates.size() - i));
+        }
+        return candidates.subList(0, size);
     }
 
-    private Uni<Void> greet(InstanceDocument peer) {
-        PeerMessage ping =
-                new PeerMessage.Ping(
-                        mSelf.instance().value(),
-                        mSelf.incarnation().value(),
-                        mConfigVersion.getAsLong());
-        InstanceId id = new InstanceId(peer.id());
-        return mPeers.call(new Address(peer.host(), peer.port()), ping, PING_TIMEOUT)
-                .invoke(reply -> onPong(id, reply, peer))
-                .onFailure()
-                .invoke(e -> lost(id, e))
-                .onFailure()
-                .recoverWithNull()
-                .replaceWithVoid();
+    private static GossipController.Partner partner(InstanceDocument peer) {
+        return new GossipController.Partner(
+                new InstanceId(peer.id()), new Address(peer.host(), peer.port()));
     }
 
-    private void onPong(InstanceId id, PeerMessage reply, InstanceDocument peer) {
-        if (reply instanceof PeerMessage.Pong p) {
-            note(id, new Incarnation(p.incarnation()), peer.host() + ":" + peer.port());
+    @Override
+    public void contribute(GossipDraft draft, Instant now) {
+        for (Heartbeat h : mTable.digest(GossipDigest.MAX_MEMBERS, now)) {
+            draft.add(new MemberEntry(h.instance().value(), h.incarnation().value(), h.counter()));
         }
     }
 
-    private void note(InstanceId id, Incarnation incarnation, String address) {
-        Incarnation known = mAlive.put(id, incarnation);
-        if (!incarnation.equals(known)) {
-            mEvents.record(
-                    new MembershipEvent.PeerJoined(id.value(), incarnation.value(), address));
+    @Override
+    public boolean merge(PeerIdentity from, GossipDigest digest, Instant now) {
+        for (MemberEntry entry : digest.members()) {
+            InstanceId id = new InstanceId(entry.instance());
+            Incarnation incarnation = new Incarnation(entry.incarnation());
+            if (mTable.heard(new Heartbeat(id, incarnation, entry.heartbeat()), now)) {
+                mEvents.record(
+                        new MembershipEvent.PeerJoined(
+                                id.value(),
+                                incarnation.value(),
+                                address(id).map(Address::toString).orElse("")));
+            }
         }
+        return false;
     }
 
-    private void lost(InstanceId id, Throwable e) {
-        if (mAlive.remove(id) != null) {
-            mEvents.record(new MembershipEvent.PeerLost(id.value(), e.toString()));
-        }
+    private ImmutableSet<InstanceId> published() {
+        return mList.instances().stream()
+                .filter(i -> i.kind().equals(ENTRY))
+                .map(i -> new InstanceId(i.id()))
+                .collect(ImmutableSet.toImmutableSet());
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
@@ -6,6 +6,7 @@
 import io.bilberrygrade.serving.controller.ConfigController;
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.controller.EndpointController;
+import io.bilberrygrade.serving.controller.GossipController;
 import io.bilberrygrade.serving.controller.MembershipController;
 import io.bilberrygrade.serving.engine.HttpModelEngine;
 import io.bilberrygrade.serving.error.CallException;
@@ -31,6 +32,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.function.Consumer;
+import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 
 /**
@@ -40,17 +42,19 @@
 public final class EntryDaemon extends AbstractVerticle {
     private static final Duration CONFIG_WAIT = Duration.ofSeconds(20);
     private static final Duration CONFIG_PAUSE = Duration.ofMillis(300);
-    private static final Duration MEMBERSHIP_PERIOD = Duration.ofSeconds(1);
+    private static final Duration INSTANCE_LIST_PERIOD = Duration.ofSeconds(2);
 
     private final EntrySettings mSettings;
     private final Incarnation mIncarnation;
     private final InstantSource mClock;
     private final EventLog mEvents;
+    private final UniformRandomProvider mRandom = RandomSource.SPLIT_MIX_64.create();
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final DrainController mDrain = new DrainController();
     private final EndpointController mEndpoints = new EndpointController();
     private ConfigController mConfig;
     private MembershipController mMembership;
+    private GossipController mGossip;
     private HttpCalls mCalls;
     private TcpPeerNetwork mPeers;
     private PeerServer mPeerServer;
@@ -80,14 +84,14 @@
                 new MembershipController(
                         self,
                         new HttpInstanceSource(mCalls, mSettings.instanceList()),
-                        mPeers,
-                        () -> mConfig.current().version(),
-                        mEvents);
+                        mRandom,
+                        mEvents,
+                        mClock.instant());
+        mGossip = new GossipController(mMembership, mPeers, mClock);
         mConfig.onChange(mEndpoints::onDeployment);
         mConfig.onChange(d -> becomeReady());
         mPeerServer =
-                new PeerServer(
-                        vertx, self, mSettings.peerKey(), new PeerCalls(mMembership), mEvents);
+                new PeerServer(vertx, self, mSettings.peerKey(), new PeerCalls(mGossip), mEvents);
         mServer = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true));
         listen(started);
     }
@@ -182,9 +186,10 @@
     }
 
     private void startBackgroundWork() {
-        mTasks = new PeriodicTasks(vertx, RandomSource.SPLIT_MIX_64.create(), mEvents);
+        mTasks = new PeriodicTasks(vertx, mRandom, mEvents);
         mTasks.repeat("config", CONFIG_PAUSE, this::watchConfig);
-        mTasks.repeat("membership", MEMBERSHIP_PERIOD, mMembership::refresh);
+        mTasks.repeat("instance list", INSTANCE_LIST_PERIOD, mMembership::refresh);
+        mTasks.repeat("gossip", MembershipController.ROUND, mGossip::round);
     }
 
     private Uni<Void> watchConfig() {
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/PeerCalls.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/PeerCalls.java
@@ -1,6 +1,6 @@
 package io.bilberrygrade.serving.entry;
 
-import io.bilberrygrade.serving.controller.MembershipController;
+import io.bilberrygrade.serving.controller.GossipController;
 import io.bilberrygrade.serving.peer.PeerHandler;
 import io.bilberrygrade.serving.peer.PeerIdentity;
 import io.bilberrygrade.serving.peer.PeerMessage;
@@ -8,16 +8,16 @@
 
 /** Hands each call of a peer to the controller that owns the state it is about. */
 final class PeerCalls implements PeerHandler {
-    private final MembershipController mMembership;
+    private final GossipController mGossip;
 
-    PeerCalls(MembershipController membership) {
-        mMembership = membership;
+    PeerCalls(GossipController gossip) {
+        mGossip = gossip;
     }
 
     @Override
     public Uni<PeerMessage> handle(PeerIdentity from, PeerMessage message) {
         return switch (message) {
-            case PeerMessage.Ping p -> Uni.createFrom().item(mMembership.onPing(p));
+            case PeerMessage.Gossip g -> Uni.createFrom().item(mGossip.onGossip(from, g));
             default -> unexpected(from);
         };
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/peer/PeerMessage.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/PeerMessage.java
@@ -9,8 +9,10 @@
     @JsonSubTypes.Type(value = PeerMessage.Challenge.class, name = "challenge"),
     @JsonSubTypes.Type(value = PeerMessage.Hello.class, name = "hello"),
     @JsonSubTypes.Type(value = PeerMessage.Welcome.class, name = "welcome"),
-    @JsonSubTypes.Type(value = PeerMessage.Ping.class, name = "ping"),
-    @JsonSubTypes.Type(value = PeerMessage.Pong.class, name = "pong"),
+    @JsonSubTypes.Type(value = PeerMessage.Gossip.class, name = "gossip"),
+    @JsonSubTypes.Type(value = PeerMessage.GossipReply.class, name = "gossip-reply"),
+    @JsonSubTypes.Type(value = PeerMessage.KeyedCall.class, name = "keyed-call"),
+    @JsonSubTypes.Type(value = PeerMessage.KeyedAnswer.class, name = "keyed-answer"),
     @JsonSubTypes.Type(value = PeerMessage.Failure.class, name = "failure")
 })
 public sealed interface PeerMessage {
@@ -24,11 +26,28 @@
     /** Answer of the accepting side to a valid hello: who it is and the signed nonce. */
     record Welcome(String instance, long incarnation, String proof) implements PeerMessage {}
 
-    /** Asks whether a peer is there and which configuration it has in force. */
-    record Ping(String instance, long incarnation, long configVersion) implements PeerMessage {}
+    /** Push half of a round of gossip. */
+    record Gossip(GossipDigest digest) implements PeerMessage {}
 
-    /** Answers a ping. */
-    record Pong(String instance, long incarnation, long configVersion) implements PeerMessage {}
+    /** Pull half of a round of gossip. */
+    record GossipReply(GossipDigest digest) implements PeerMessage {}
+
+    /**
+     * Submission of a call under an idempotency key, on its way to the daemon that made the key.
+     * {@code remainingMillis} is the time that is left until the deadline.
+     */
+    record KeyedCall(
+            String request,
+            String team,
+            String key,
+            String service,
+            String operation,
+            long remainingMillis,
+            Bytes body)
+            implements PeerMessage {}
+
+    /** Outcome of a call under an idempotency key. */
+    record KeyedAnswer(KeyedOutcome outcome) implements PeerMessage {}
 
     /** Says that a call could not be carried out. */
     record Failure(String message) implements PeerMessage {}
--- a/serving/src/main/java/io/bilberrygrade/serving/peer/TcpPeerNetwork.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/TcpPeerNetwork.java
@@ -5,6 +5,8 @@
 import io.bilberrygrade.serving.error.CallException;
 import io.bilberrygrade.serving.error.Delivery;
 import io.bilberrygrade.serving.settings.PeerKey;
+import io.bilberrygrade.serving.time.Timers;
+import io.bilberrygrade.serving.time.VertxTimers;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
@@ -18,6 +20,7 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
     private final Vertx mVertx;
+    private final Timers mTimers;
     private final NetClient mClient;
     private final PeerIdentity mSelf;
     private final PeerAuthenticator mAuthenticator;
@@ -26,6 +29,7 @@
     /** Creates the network of a daemon. */
     public TcpPeerNetwork(Vertx vertx, PeerIdentity self, PeerKey key) {
         mVertx = vertx;
+        mTimers = new VertxTimers(vertx);
         mSelf = self;
         mAuthenticator = new PeerAuthenticator(key);
         mClient =
@@ -40,9 +44,16 @@
         return connection(peer)
                 .onItem()
                 .transformToUni(c -> c.call(message))
-                .ifNoItem()
-                .after(timeout)
-                .failWith(() -> timedOut(peer));
+                .plug(reply -> bounded(reply, peer, timeout));
+    }
+
+    /** Ends the call after its timeout on the event loop, where all state is owned. */
+    private Uni<PeerMessage> bounded(Uni<PeerMessage> reply, Address peer, Duration timeout) {
+        Uni<PeerMessage> late =
+                mTimers.after(timeout)
+                        .onItem()
+                        .transformToUni(v -> Uni.createFrom().failure(timedOut(peer)));
+        return Uni.join().first(reply, late).toTerminate();
     }
 
     private Uni<PeerConnection> connection(Address peer) {
--- a/serving/src/test/java/io/bilberrygrade/serving/peer/TcpPeerNetworkTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/peer/TcpPeerNetworkTest.java
@@ -16,6 +16,7 @@
 import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -52,15 +53,15 @@
 
     @Test
     void answersPeerWithSharedKey() {
-        PeerMessage ping = new PeerMessage.Ping("client", 7, 3);
+        PeerMessage gossip = gossip();
 
         PeerMessage reply =
                 new TcpPeerNetwork(mVertx, identity("client"), KEY)
-                        .call(mServer, ping, TIMEOUT)
+                        .call(mServer, gossip, TIMEOUT)
                         .await()
                         .atMost(TIMEOUT);
 
-        assertThat(reply).isEqualTo(ping);
+        assertThat(reply).isEqualTo(gossip);
     }
 
     @Test
@@ -68,7 +69,7 @@
         PeerKey other = PeerKey.of("wrong".getBytes(StandardCharsets.UTF_8));
         Uni<PeerMessage> call =
                 new TcpPeerNetwork(mVertx, identity("client"), other)
-                        .call(mServer, new PeerMessage.Ping("client", 7, 3), TIMEOUT);
+                        .call(mServer, gossip(), TIMEOUT);
 
         assertThatThrownBy(() -> call.await().atMost(TIMEOUT))
                 .hasCauseInstanceOf(CallException.class)
@@ -93,6 +94,15 @@
                 .isInstanceOf(MembershipEvent.FrameRejected.class);
     }
 
+    private static PeerMessage gossip() {
+        return new PeerMessage.Gossip(
+                new GossipDigest(
+                        List.of(new MemberEntry("client", 7, 3)),
+                        5,
+                        List.of(new LeavingMark("engine-1", 12)),
+                        List.of(new ClassUse("client", 7, "short", 1.5, 4, 9))));
+    }
+
     private static PeerIdentity identity(String name) {
         return new PeerIdentity(new InstanceId(name), new Incarnation(1));
     }
