Take configuration from peers and trust a version at start only above a floor

A starting daemon took whatever version the service had, also a stale one. It now asks peers, or engines when no peer serves, for the version that was in force, and serves nothing below it. The version spreads by gossip, the content from peer to peer. Changed parts alone are read. A version that failed its checks isn't read again and again; watches end after 4 s so that one that hangs on a stale replica can't hold up a change; a service that is down is asked once a second.

--- a/serving/src/main/java/io/bilberrygrade/serving/controller/ConfigController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/ConfigController.java
@@ -1,12 +1,10 @@
 package io.bilberrygrade.serving.controller;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import com.google.common.hash.Hashing;
 import io.bilberrygrade.core.config.Deployment;
 import io.bilberrygrade.core.config.VersionGuard;
-import io.bilberrygrade.core.request.Step;
 import io.bilberrygrade.serving.error.CallException;
-import io.bilberrygrade.serving.error.Delivery;
 import io.bilberrygrade.serving.event.ConfigEvent;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.platform.ConfigParts;
@@ -14,28 +12,41 @@
 import io.bilberrygrade.serving.platform.DeploymentParser;
 import io.bilberrygrade.serving.platform.InvalidConfigException;
 import io.bilberrygrade.serving.wire.ManifestDocument;
-import io.bilberrygrade.serving.wire.PartReference;
-import io.smallrye.mutiny.Multi;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 
-/** Owns the configuration in force: watches the service, fetches the parts and checks them. */
+/**
+ * Owns the configuration in force: watches the service, takes newer versions from peers, checks
+ * them and never goes back.
+ */
 public final class ConfigController {
     private static final String SERVICE = "configuration service";
 
-    private final ConfigSource mSource;
+    private final ConfigSource mService;
+    private final boolean mGuarded;
     private final EventLog mEvents;
     private final List<Consumer<Deployment>> mListeners = new ArrayList<>();
     private Deployment mInForce = Deployment.EMPTY;
+    private ManifestDocument mManifest = new ManifestDocument(0, ImmutableList.of());
+    private ImmutableMap<String, Buffer> mPartsByDigest = ImmutableMap.of();
+    private long mRejected;
+    private long mReportedStale;
+    private boolean mServiceAvailable = true;
 
     /** Creates the controller; nothing is in force yet. */
-    public ConfigController(ConfigSource source, EventLog events) {
-        mSource = source;
+    public ConfigController(ConfigSource service, EventLog events) {
+        this(service, true, events);
+    }
+
+    /** Creates the controller; without the guard, versions may go back. */
+    public ConfigController(ConfigSource service, boolean guarded, EventLog events) {
+        mService = service;
+        mGuarded = guarded;
         mEvents = events;
     }
 
@@ -44,83 +55,97 @@
         return mInForce;
     }
 
+    /** Returns the manifest of the version in force. */
+    public ManifestDocument manifest() {
+        return mManifest;
+    }
+
+    /** Returns the bytes of a part in force by their digest. */
+    public Optional<Buffer> part(String digest) {
+        return Optional.ofNullable(mPartsByDigest.get(digest));
+    }
+
     /** Registers a listener that is told of each configuration that comes into force. */
     public void onChange(Consumer<Deployment> listener) {
         mListeners.add(listener);
     }
 
-    /** Waits for a newer version and brings it into force. Failures leave everything as it is. */
+    /**
+     * Waits for a newer version at the service and brings it into force. Fails with a {@link
+     * CallException}, which leaves everything as it is.
+     */
     public Uni<Void> refresh(Duration wait) {
-        return mSource.watch(mInForce.version(), wait)
-                .onItem()
-                .transformToUni(this::fetch)
+        return refreshFrom(mService, SERVICE, wait)
+                .invoke(() -> mServiceAvailable = true)
                 .onFailure(CallException.class)
-                .invoke(e -> mEvents.record(unavailable(e)));
+                .invoke(this::reportUnavailable);
     }
 
-    private Uni<Void> fetch(ManifestDocument manifest) {
-        if (!VersionGuard.supersedes(manifest.version(), mInForce.version())) {
-            reportStale(manifest.version());
-            return Uni.createFrom().voidItem();
-        }
-        return Multi.createFrom()
-                .iterable(manifest.parts())
-                .onItem()
-                .transformToUniAndConcatenate(this::fetchPart)
-                .collect()
-                .asList()
-                .invoke(parts -> offer(manifest.version(), parts))
-                .replaceWithVoid();
+    /** Brings a peer's version into force if it is newer than this daemon's. */
+    public Uni<Void> refreshFrom(ConfigSource source, String name) {
+        return refreshFrom(source, name, Duration.ZERO);
     }
 
-    private Uni<Map.Entry<String, Buffer>> fetchPart(PartReference reference) {
-        return mSource.read(reference.key())
+    private Uni<Void> refreshFrom(ConfigSource source, String name, Duration wait) {
+        return source.watch(Math.max(mInForce.version(), mRejected), wait)
                 .onItem()
-                .transformToUni(
-                        bytes -> {
-                            String digest = Hashing.sha256().hashBytes(bytes.getBytes()).toString();
-                            if (digest.equals(reference.digest())) {
-                                return Uni.createFrom().item(Map.entry(reference.key(), bytes));
-                            }
-                            return Uni.createFrom().failure(mismatch(reference.key()));
-                        });
+                .transformToUni(manifest -> take(source, name, manifest));
     }
 
-    private void offer(long version, List<Map.Entry<String, Buffer>> parts) {
+    private Uni<Void> take(ConfigSource source, String name, ManifestDocument manifest) {
+        if (!supersedes(manifest.version()) || manifest.version() == mRejected) {
+            reportStale(name, manifest.version());
+            return Uni.createFrom().voidItem();
+        }
+        return new ConfigFetcher(source, name, mPartsByDigest)
+                .fetch(manifest)
+                .invoke(parts -> offer(manifest, parts, name))
+                .replaceWithVoid();
+    }
+
+    private void offer(ManifestDocument manifest, ConfigParts parts, String source) {
+        if (!supersedes(manifest.version())) {
+            return;
+        }
         try {
-            bringIntoForce(
-                    DeploymentParser.parse(new ConfigParts(version, ImmutableMap.copyOf(parts))),
-                    SERVICE);
+            Deployment next = DeploymentParser.parse(parts);
+            mManifest = manifest;
+            mPartsByDigest =
+                    parts.parts().values().stream()
+                            .collect(
+                                    ImmutableMap.toImmutableMap(
+                                            ConfigFetcher::digest, b -> b, (a, b) -> a));
+            bringIntoForce(next, source);
         } catch (InvalidConfigException e) {
-            mEvents.record(new ConfigEvent.Rejected(version, SERVICE, e.getMessage()));
+            mRejected = manifest.version();
+            mEvents.record(new ConfigEvent.Rejected(mRejected, source, e.getMessage()));
         }
     }
 
     private void bringIntoForce(Deployment next, String source) {
-        if (!VersionGuard.supersedes(next.version(), mInForce.version())) {
-            return;
-        }
         Deployment previous = mInForce;
         mInForce = next;
         mEvents.record(new ConfigEvent.InForce(next.version(), previous.version(), source));
         mListeners.forEach(l -> l.accept(next));
     }
 
-    private void reportStale(long offered) {
-        if (offered < mInForce.version()) {
-            mEvents.record(new ConfigEvent.StaleOffer(SERVICE, offered, mInForce.version()));
-        }
+    private boolean supersedes(long offered) {
+        return mGuarded
+                ? VersionGuard.supersedes(offered, mInForce.version())
+                : offered != mInForce.version();
     }
 
-    private static CallException mismatch(String key) {
-        return new CallException(
-                Step.CONFIGURATION,
-                SERVICE,
-                Delivery.REFUSED,
-                "part '" + key + "' changed while it was read");
+    private void reportStale(String name, long offered) {
+        if (offered < mInForce.version() && mReportedStale != mInForce.version()) {
+            mReportedStale = mInForce.version();
+            mEvents.record(new ConfigEvent.StaleOffer(name, offered, mInForce.version()));
+        }
     }
 
-    private static ConfigEvent unavailable(Throwable e) {
-        return new ConfigEvent.SourceUnavailable(SERVICE, e.getMessage());
+    private void reportUnavailable(Throwable e) {
+        if (mServiceAvailable) {
+            mServiceAvailable = false;
+            mEvents.record(new ConfigEvent.SourceUnavailable(SERVICE, e.getMessage()));
+        }
     }
 }
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/ConfigGossip.java
@@ -0,0 +1,93 @@
+package io.bilberrygrade.serving.controller;
+
+import io.bilberrygrade.core.identity.Address;
+import io.bilberrygrade.core.identity.InstanceId;
+import io.bilberrygrade.serving.error.CallException;
+import io.bilberrygrade.serving.peer.GossipDigest;
+import io.bilberrygrade.serving.peer.PeerConfigSource;
+import io.bilberrygrade.serving.peer.PeerIdentity;
+import io.bilberrygrade.serving.peer.PeerMessage;
+import io.bilberrygrade.serving.peer.PeerNetwork;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+
+/**
+ * Spreads the version of the configuration by gossip and its content between peers. A daemon that
+ * doesn't serve yet announces no version, since it may have read a stale one.
+ */
+public final class ConfigGossip implements GossipContributor {
+    private final ConfigController mConfig;
+    private final PeerNetwork mPeers;
+    private final Function<InstanceId, Optional<Address>> mAddresses;
+    private final BooleanSupplier mServing;
+    private final Map<InstanceId, Long> mAnswers = new HashMap<>();
+    private boolean mFetching;
+
+    /** Creates the part of the gossip that is about the configuration. */
+    public ConfigGossip(
+            ConfigController config,
+            PeerNetwork peers,
+            Function<InstanceId, Optional<Address>> addresses,
+            BooleanSupplier serving) {
+        mConfig = config;
+        mPeers = peers;
+        mAddresses = addresses;
+        mServing = serving;
+    }
+
+    @Override
+    public void contribute(GossipDraft draft, Instant now) {
+        draft.configVersion(mServing.getAsBoolean() ? mConfig.current().version() : 0);
+    }
+
+    @Override
+    public boolean merge(PeerIdentity from, GossipDigest digest, Instant now) {
+        mAnswers.merge(from.instance(), digest.configVersion(), Math::max);
+        if (digest.configVersion() > mConfig.current().version()) {
+            mAddresses.apply(from.instance()).ifPresent(this::fetch);
+        }
+        return false;
+    }
+
+    private void fetch(Address peer) {
+        if (mFetching) {
+            return;
+        }
+        mFetching = true;
+        mConfig.refreshFrom(new PeerConfigSource(mPeers, peer), peer.toString())
+                .onFailure(CallException.class)
+                .recoverWithItem((Void) null)
+                .onTermination()
+                .invoke(() -> mFetching = false)
+                .subscribe()
+                .with(v -> {}, e -> {});
+    }
+
+    /** Returns the number of peers that have told their version or that they have none. */
+    public int answeredPeers() {
+        return mAnswers.size();
+    }
+
+    /** Returns the highest version that a serving peer has told. */
+    public OptionalLong highestPeerVersion() {
+        return mAnswers.values().stream().mapToLong(v -> v).filter(v -> v > 0).max();
+    }
+
+    /** Answers a peer that asks for the manifest of the version in force. */
+    public PeerMessage onManifestRequest(PeerMessage.ManifestRequest request) {
+        return new PeerMessage.ManifestReply(
+                mConfig.manifest().version(), mConfig.manifest().parts());
+    }
+
+    /** Answers a peer that asks for a part. */
+    public PeerMessage onPartRequest(PeerMessage.PartRequest request) {
+        return mConfig.part(String.valueOf(request.digest()))
+                .<PeerMessage>map(b -> new PeerMessage.PartReply(b.toString()))
+                .orElseGet(() -> new PeerMessage.Failure("no part with this digest is in force"));
+    }
+}
--- a/serving/src/main/java/io/bilberrygrade/serving/controller/DrainController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/DrainController.java
@@ -19,6 +19,11 @@
         mReady = true;
     }
 
+    /** Returns whether the daemon has taken requests since it started. */
+    public boolean serving() {
+        return mReady;
+    }
+
     /** Returns whether new requests are taken. */
     public boolean accepting() {
         return mReady && !mDraining;
--- a/serving/src/main/java/io/bilberrygrade/serving/controller/MembershipController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/MembershipController.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.identity.InstanceId;
@@ -27,6 +28,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 
@@ -98,6 +100,13 @@
                 .findFirst();
     }
 
+    /** Returns the number of other daemons on the list; empty before it was read. */
+    public OptionalInt publishedPeers() {
+        return mList.version() == 0
+                ? OptionalInt.empty()
+                : OptionalInt.of(Sets.difference(published(), Set.of(mSelf.instance())).size());
+    }
+
     /** Reads the published list. Failures leave everything as it is. */
     public Uni<Void> refresh() {
         return mInstances
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
@@ -4,11 +4,14 @@
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.identity.RequestId;
 import io.bilberrygrade.serving.controller.ConfigController;
+import io.bilberrygrade.serving.controller.ConfigGossip;
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.controller.EndpointController;
 import io.bilberrygrade.serving.controller.GossipController;
 import io.bilberrygrade.serving.controller.MembershipController;
+import io.bilberrygrade.serving.controller.StartupController;
 import io.bilberrygrade.serving.engine.HttpModelEngine;
+import io.bilberrygrade.serving.engine.ModelEngine;
 import io.bilberrygrade.serving.error.CallException;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.event.LifecycleEvent;
@@ -23,6 +26,7 @@
 import io.bilberrygrade.serving.platform.HttpInstanceSource;
 import io.bilberrygrade.serving.service.HttpPlainService;
 import io.bilberrygrade.serving.settings.EntrySettings;
+import io.bilberrygrade.serving.settings.Mechanism;
 import io.bilberrygrade.serving.timer.Timers;
 import io.bilberrygrade.serving.timer.VertxTimers;
 import io.smallrye.mutiny.Uni;
@@ -42,7 +46,9 @@
  * lock.
  */
 public final class EntryDaemon extends AbstractVerticle {
-    private static final Duration CONFIG_WAIT = Duration.ofSeconds(20);
+    private static final Duration CONFIG_WAIT = Duration.ofSeconds(4);
+    private static final Duration CONFIG_RETRY = Duration.ofSeconds(1);
+    private static final Duration STARTUP_PAUSE = Duration.ofMillis(100);
     private static final Duration CONFIG_PAUSE = Duration.ofMillis(300);
     private static final Duration INSTANCE_LIST_PERIOD = Duration.ofSeconds(2);
 
@@ -62,6 +68,9 @@
     private PeerServer mPeerServer;
     private HttpServer mServer;
     private Timers mTimers;
+    private ModelEngine mEngine;
+    private ConfigGossip mConfigGossip;
+    private StartupController mStartup;
     private long mNextRequest;
     private PeriodicTasks mTasks;
 
@@ -81,9 +90,25 @@
         mTimers = new VertxTimers(vertx);
         mCalls = new HttpCalls(mutinyVertx);
         mPeers = new TcpPeerNetwork(vertx, self, mSettings.peerKey());
+        mEngine = new HttpModelEngine(mCalls, mClock);
+        createControllers(self);
+        mPeerServer =
+                new PeerServer(
+                        vertx,
+                        self,
+                        mSettings.peerKey(),
+                        new PeerCalls(mGossip, mConfigGossip),
+                        mEvents);
+        mServer = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true));
+        listen(started);
+    }
+
+    private void createControllers(PeerIdentity self) {
         mConfig =
                 new ConfigController(
-                        new HttpConfigSource(mCalls, mSettings.configurationService()), mEvents);
+                        new HttpConfigSource(mCalls, mSettings.configurationService()),
+                        mSettings.policy().enabled(Mechanism.VERSION_GUARD),
+                        mEvents);
         mMembership =
                 new MembershipController(
                         self,
@@ -92,12 +117,18 @@
                         mEvents,
                         mClock.instant());
         mGossip = new GossipController(mMembership, mPeers, mClock);
+        mConfigGossip = new ConfigGossip(mConfig, mPeers, mMembership::address, mDrain::serving);
+        mGossip.register(mConfigGossip);
+        mStartup =
+                new StartupController(
+                        mConfig,
+                        mConfigGossip,
+                        mMembership::publishedPeers,
+                        mEngine,
+                        mClock,
+                        mEvents);
         mConfig.onChange(mEndpoints::onDeployment);
-        mConfig.onChange(d -> becomeReady());
-        mPeerServer =
-                new PeerServer(vertx, self, mSettings.peerKey(), new PeerCalls(mGossip), mEvents);
-        mServer = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true));
-        listen(started);
+        mConfig.onChange(d -> mGossip.spreadNews());
     }
 
     private void listen(Promise<Void> started) {
@@ -161,7 +192,7 @@
                 new CallerApi(
                         path.chain(
                                 mIncarnation,
-                                new HttpModelEngine(mCalls, mClock),
+                                mEngine,
                                 new HttpPlainService(mCalls),
                                 mEndpoints,
                                 mDrain),
@@ -181,8 +212,12 @@
         return new RequestId(id);
     }
 
+    private Uni<Void> advanceStartup() {
+        return mStartup.advance(mGossip::spreadNews).invoke(this::becomeReady);
+    }
+
     private void becomeReady() {
-        if (!mDrain.accepting() && !mDrain.draining()) {
+        if (mStartup.done() && !mDrain.serving()) {
             mDrain.becomeReady();
             mEvents.record(new LifecycleEvent.Ready(mConfig.current().version()));
         }
@@ -192,12 +227,13 @@
         mTasks = new PeriodicTasks(vertx, mRandom, mEvents);
         mTasks.repeat("config", CONFIG_PAUSE, this::watchConfig);
         mTasks.repeat("instance list", INSTANCE_LIST_PERIOD, mMembership::refresh);
+        mTasks.repeatUntil("startup", STARTUP_PAUSE, this::advanceStartup, mStartup::done);
         mTasks.repeat("gossip", MembershipController.ROUND, mGossip::round);
     }
 
     private Uni<Void> watchConfig() {
         return mConfig.refresh(CONFIG_WAIT)
                 .onFailure(CallException.class)
-                .recoverWithItem((Void) null);
+                .recoverWithUni(() -> mTimers.after(CONFIG_RETRY));
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/PeerCalls.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/PeerCalls.java
@@ -1,5 +1,6 @@
 package io.bilberrygrade.serving.entry;
 
+import io.bilberrygrade.serving.controller.ConfigGossip;
 import io.bilberrygrade.serving.controller.GossipController;
 import io.bilberrygrade.serving.peer.PeerHandler;
 import io.bilberrygrade.serving.peer.PeerIdentity;
@@ -9,15 +10,20 @@
 /** Hands each call of a peer to the controller that owns the state it is about. */
 final class PeerCalls implements PeerHandler {
     private final GossipController mGossip;
+    private final ConfigGossip mConfig;
 
-    PeerCalls(GossipController gossip) {
+    PeerCalls(GossipController gossip, ConfigGossip config) {
         mGossip = gossip;
+        mConfig = config;
     }
 
     @Override
     public Uni<PeerMessage> handle(PeerIdentity from, PeerMessage message) {
         return switch (message) {
             case PeerMessage.Gossip g -> Uni.createFrom().item(mGossip.onGossip(from, g));
+            case PeerMessage.ManifestRequest m ->
+                    Uni.createFrom().item(mConfig.onManifestRequest(m));
+            case PeerMessage.PartRequest p -> Uni.createFrom().item(mConfig.onPartRequest(p));
             default -> unexpected(from);
         };
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/PeriodicTasks.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/PeriodicTasks.java
@@ -5,6 +5,7 @@
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
 import java.time.Duration;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
 
@@ -30,12 +31,20 @@
      * Runs the work now and then again after each pause. A failure is logged and changes nothing.
      */
     void repeat(String name, Duration pause, Supplier<Uni<Void>> work) {
-        if (mClosed) {
+        repeatUntil(name, pause, work, () -> false);
+    }
+
+    /** Runs the work as {@link #repeat} does, until it is done. */
+    void repeatUntil(String name, Duration pause, Supplier<Uni<Void>> work, BooleanSupplier done) {
+        if (mClosed || done.getAsBoolean()) {
             return;
         }
         work.get()
                 .onTermination()
-                .invoke(() -> mVertx.setTimer(jittered(pause), t -> repeat(name, pause, work)))
+                .invoke(
+                        () ->
+                                mVertx.setTimer(
+                                        jittered(pause), t -> repeatUntil(name, pause, work, done)))
                 .subscribe()
                 .with(
                         v -> {},
--- a/serving/src/main/java/io/bilberrygrade/serving/event/ConfigEvent.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/ConfigEvent.java
@@ -17,4 +17,11 @@
     /** A source offered an older version than the one in force; it was ignored. */
     @EventInfo(number = 2004, level = EventLevel.WARN)
     record StaleOffer(String source, long offeredVersion, long version) implements ConfigEvent {}
+
+    /**
+     * A starting daemon doesn't serve, since the only version that it can read is older than one
+     * that peers have in force or engines have seen.
+     */
+    @EventInfo(number = 2005, level = EventLevel.ERROR)
+    record BelowFloor(long version, long floor) implements ConfigEvent {}
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/Attempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/Attempt.java
@@ -1,6 +1,7 @@
 package io.bilberrygrade.serving.filter;
 
 import io.bilberrygrade.core.config.Endpoint;
+import io.bilberrygrade.core.request.InferenceRequest;
 import io.bilberrygrade.core.request.Outcome;
 import io.bilberrygrade.core.request.Step;
 import io.bilberrygrade.serving.controller.EndpointController;
@@ -10,10 +11,14 @@
 import io.bilberrygrade.serving.error.CallException;
 import io.bilberrygrade.serving.error.Delivery;
 import io.smallrye.mutiny.Uni;
+import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 
 /** One attempt to run a completion on one engine. */
 final class Attempt {
+    private static final Duration MIN_REMAINING = Duration.ofMillis(20);
+
     private final ModelEngine mEngine;
     private final EndpointController mEndpoints;
     private final StallGuard mStalls;
@@ -40,6 +45,14 @@
         mHeartbeat = new Heartbeat(clock.instant());
     }
 
+    /**
+     * Returns whether no attempt can succeed any more. Engines keep the deadline by their own
+     * clocks and may end a request a few milliseconds early.
+     */
+    static boolean tooLate(InferenceRequest request, Instant now) {
+        return request.remaining(now).compareTo(MIN_REMAINING) < 0;
+    }
+
     Uni<Outcome> run(GenerateCall call) {
         mNumber = call.attempt();
         mQueuedTokens = call.request().prompt().tokens();
@@ -55,7 +68,7 @@
                         .switchTo(() -> broken("the stream ended early"));
         return mStalls.guard(mEndpoint, mHeartbeat, answer)
                 .onFailure(CallException.class)
-                .invoke(e -> failed((CallException) e))
+                .invoke(e -> failed(call.request(), (CallException) e))
                 .onTermination()
                 .invoke(this::left);
     }
@@ -102,12 +115,12 @@
                                 message));
     }
 
-    private void failed(CallException e) {
+    private void failed(InferenceRequest request, CallException e) {
         if (e.delivery() == Delivery.MAY_HAVE_RUN) {
             mProgress.markMayHaveRun();
         }
         mProgress.endAttempt();
-        if (e.delivery() != Delivery.REFUSED) {
+        if (e.delivery() != Delivery.REFUSED && !tooLate(request, mClock.instant())) {
             mEndpoints.failed(mEndpoint.id(), mClock.instant());
         }
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
@@ -150,7 +150,10 @@
                         e.peer(),
                         progress.nextOffset(),
                         e.getMessage()));
-        if (number == MAX_ATTEMPTS || !request.remaining(mClock.instant()).isPositive()) {
+        if (Attempt.tooLate(request, mClock.instant())) {
+            return Uni.createFrom().item(deadlinePast(progress));
+        }
+        if (number == MAX_ATTEMPTS) {
             return Uni.createFrom().item(exhausted(progress, e));
         }
         return attempt(exchange, request, progress, number + 1);
--- a/serving/src/main/java/io/bilberrygrade/serving/peer/PeerMessage.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/PeerMessage.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import io.bilberrygrade.serving.wire.PartReference;
+import java.util.List;
 
 /** Message between entry daemons. Nonces and proofs are in lower-case hexadecimal. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
@@ -13,6 +15,10 @@
     @JsonSubTypes.Type(value = PeerMessage.GossipReply.class, name = "gossip-reply"),
     @JsonSubTypes.Type(value = PeerMessage.KeyedCall.class, name = "keyed-call"),
     @JsonSubTypes.Type(value = PeerMessage.KeyedAnswer.class, name = "keyed-answer"),
+    @JsonSubTypes.Type(value = PeerMessage.ManifestRequest.class, name = "manifest-request"),
+    @JsonSubTypes.Type(value = PeerMessage.ManifestReply.class, name = "manifest-reply"),
+    @JsonSubTypes.Type(value = PeerMessage.PartRequest.class, name = "part-request"),
+    @JsonSubTypes.Type(value = PeerMessage.PartReply.class, name = "part-reply"),
     @JsonSubTypes.Type(value = PeerMessage.Failure.class, name = "failure")
 })
 public sealed interface PeerMessage {
@@ -49,6 +55,20 @@
     /** Outcome of a call under an idempotency key. */
     record KeyedAnswer(KeyedOutcome outcome) implements PeerMessage {}
 
+    /**
+     * Asks for the manifest of the configuration in force; {@code after} is the asker's version.
+     */
+    record ManifestRequest(long after) implements PeerMessage {}
+
+    /** Manifest of the configuration in force at a peer. */
+    record ManifestReply(long version, List<PartReference> parts) implements PeerMessage {}
+
+    /** Asks for the part of the configuration in force that has the given digest. */
+    record PartRequest(String digest) implements PeerMessage {}
+
+    /** Text of a part of the configuration. */
+    record PartReply(String text) implements PeerMessage {}
+
     /** Says that a call could not be carried out. */
     record Failure(String message) implements PeerMessage {}
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/platform/HttpConfigSource.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/platform/HttpConfigSource.java
@@ -6,6 +6,7 @@
 import io.bilberrygrade.serving.http.HttpAnswer;
 import io.bilberrygrade.serving.http.HttpCalls;
 import io.bilberrygrade.serving.wire.ManifestDocument;
+import io.bilberrygrade.serving.wire.PartReference;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
@@ -33,8 +34,8 @@
     }
 
     @Override
-    public Uni<Buffer> read(String key) {
-        String path = "/v1/parts/" + UrlEscapers.urlPathSegmentEscaper().escape(key);
+    public Uni<Buffer> read(PartReference part) {
+        String path = "/v1/parts/" + UrlEscapers.urlPathSegmentEscaper().escape(part.key());
         return mCalls.to(mService, Step.CONFIGURATION)
                 .send(HttpMethod.GET, path, TIMEOUT)
                 .map(HttpAnswer::body);
--- a/standins/src/test/java/io/bilberrygrade/standins/daemon/WholeAnswerTest.java
+++ b/standins/src/test/java/io/bilberrygrade/standins/daemon/WholeAnswerTest.java
@@ -80,6 +80,7 @@
     @Test
     void saysUnknownOfRequestsHeldByFrozenEngines() throws Exception {
         try (RunningDeployment d = RunningDeployment.start(mFolder, 1, 1)) {
+            awaitReady(d);
             HttpCalls.send(
                     "POST", d.engine(0).controlPort(), "/faults", "{\"freezeMillis\":60000}");
             String answer =
@@ -102,12 +103,16 @@
     }
 
     private static StreamedAnswer open(RunningDeployment d, Duration timeout) throws Exception {
-        Await.until(
-                () -> HttpCalls.send("GET", d.entry(0).port(), "/ready", "").statusCode() == 200);
+        awaitReady(d);
         String prompt = "a lantern that does not light";
         return StreamedAnswer.open("127.0.0.1", d.entry(0).port(), prompt, TOKENS, timeout);
     }
 
+    private static void awaitReady(RunningDeployment d) throws Exception {
+        Await.until(
+                () -> HttpCalls.send("GET", d.entry(0).port(), "/ready", "").statusCode() == 200);
+    }
+
     private static void injectIntoBusyEngine(RunningDeployment d, String faults) throws Exception {
         int busy = sessions(d, 0) > 0 ? 0 : 1;
         HttpCalls.send("POST", d.engine(busy).controlPort(), "/faults", faults);
