Return placements with their predicted time to first token

Admission and dispatch need the same decision: where a request would run, how soon its first token would come and at what priority. Policies take the engines as a fleet whose views are made one by one, so that a decision need not look at every engine.

--- a/core/src/main/java/io/bilberrygrade/core/routing/RoundRobinPolicy.java
+++ b/core/src/main/java/io/bilberrygrade/core/routing/RoundRobinPolicy.java
@@ -10,16 +10,16 @@
     private int mNext;
 
     @Override
-    public Optional<EndpointView> place(
-            InferenceRequest request, ImmutableList<EndpointView> candidates, Instant now) {
+    public Optional<Placement> place(InferenceRequest request, EngineFleet fleet, Instant now) {
         ImmutableList<EndpointView> available =
-                candidates.stream()
+                fleet.engines().stream()
+                        .map(e -> fleet.view(e, now))
                         .filter(EndpointView::available)
                         .collect(ImmutableList.toImmutableList());
         if (available.isEmpty()) {
             return Optional.empty();
         }
         mNext = (mNext + 1) % available.size();
-        return Optional.of(available.get(mNext));
+        return Optional.of(Placement.unpredicted(available.get(mNext)));
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/controller/EndpointController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/EndpointController.java
@@ -7,6 +7,7 @@
 import io.bilberrygrade.core.identity.ModelId;
 import io.bilberrygrade.core.routing.EndpointLoad;
 import io.bilberrygrade.core.routing.EndpointView;
+import io.bilberrygrade.core.routing.EngineFleet;
 import io.bilberrygrade.serving.wire.LoadDocument;
 import java.time.Duration;
 import java.time.Instant;
@@ -25,11 +26,9 @@
         mStates.keySet().retainAll(deployment.endpoints().keySet());
     }
 
-    /** Returns the views of all engines that serve a model. */
-    public ImmutableList<EndpointView> engines(Deployment deployment, ModelId model, Instant now) {
-        return deployment.enginesOf(model).stream()
-                .map(e -> view(e, now))
-                .collect(ImmutableList.toImmutableList());
+    /** Returns the engines that serve a model, as this daemon sees them. */
+    public EngineFleet fleet(Deployment deployment, ModelId model) {
+        return new ModelFleet(deployment.enginesOf(model));
     }
 
     /** Returns the view of one endpoint. */
@@ -79,6 +78,24 @@
         return mStates.computeIfAbsent(id, i -> new State());
     }
 
+    private final class ModelFleet implements EngineFleet {
+        private final ImmutableList<Endpoint> mEngines;
+
+        ModelFleet(ImmutableList<Endpoint> engines) {
+            mEngines = engines;
+        }
+
+        @Override
+        public ImmutableList<Endpoint> engines() {
+            return mEngines;
+        }
+
+        @Override
+        public EndpointView view(Endpoint engine, Instant now) {
+            return EndpointController.this.view(engine, now);
+        }
+    }
+
     private static final class State {
         private Optional<EndpointLoad> mLoad = Optional.empty();
         private int mOwnRequests;
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/RequestPath.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/RequestPath.java
@@ -7,6 +7,7 @@
 import io.bilberrygrade.core.routing.RoundRobinPolicy;
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.controller.EndpointController;
+import io.bilberrygrade.serving.controller.PlacementController;
 import io.bilberrygrade.serving.engine.ModelEngine;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.filter.ClassifyFilter;
@@ -41,7 +42,12 @@
             DrainController drain) {
         CompletionDispatcher dispatcher =
                 new CompletionDispatcher(
-                        engine, endpoints, placement(), incarnation, mClock, mEvents);
+                        engine,
+                        endpoints,
+                        new PlacementController(endpoints, policy()),
+                        incarnation,
+                        mClock,
+                        mEvents);
         return new FilterChain(
                 ImmutableList.of(
                         new ReadinessFilter(drain),
@@ -52,7 +58,7 @@
                         new ServiceFilter(service, endpoints, mClock)));
     }
 
-    private PlacementPolicy placement() {
+    private PlacementPolicy policy() {
         return switch (mSettings.policy().placement()) {
             case ROUND_ROBIN -> new RoundRobinPolicy();
             case LEAST_OUTSTANDING, PREDICTIVE -> new LeastOutstandingPolicy();
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
@@ -1,14 +1,15 @@
 package io.bilberrygrade.serving.filter;
 
 import com.google.common.collect.ImmutableList;
+import io.bilberrygrade.core.config.Endpoint;
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.request.InferenceRequest;
 import io.bilberrygrade.core.request.Outcome;
 import io.bilberrygrade.core.request.Reason;
 import io.bilberrygrade.core.request.Step;
-import io.bilberrygrade.core.routing.EndpointView;
-import io.bilberrygrade.core.routing.PlacementPolicy;
+import io.bilberrygrade.core.routing.Placement;
 import io.bilberrygrade.serving.controller.EndpointController;
+import io.bilberrygrade.serving.controller.PlacementController;
 import io.bilberrygrade.serving.engine.GenerateCall;
 import io.bilberrygrade.serving.engine.ModelEngine;
 import io.bilberrygrade.serving.error.CallException;
@@ -25,12 +26,11 @@
  */
 public final class CompletionDispatcher {
     private static final int MAX_ATTEMPTS = 4;
-    private static final int DEFAULT_PRIORITY = 1;
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
     private final ModelEngine mEngine;
     private final EndpointController mEndpoints;
-    private final PlacementPolicy mPolicy;
+    private final PlacementController mPlacement;
     private final Incarnation mIncarnation;
     private final InstantSource mClock;
     private final EventLog mEvents;
@@ -39,13 +39,13 @@
     public CompletionDispatcher(
             ModelEngine engine,
             EndpointController endpoints,
-            PlacementPolicy policy,
+            PlacementController placement,
             Incarnation incarnation,
             InstantSource clock,
             EventLog events) {
         mEngine = engine;
         mEndpoints = endpoints;
-        mPolicy = policy;
+        mPlacement = placement;
         mIncarnation = incarnation;
         mClock = clock;
         mEvents = events;
@@ -70,30 +70,31 @@
 
     private Uni<Outcome> attempt(
             Exchange exchange, InferenceRequest request, AnswerProgress progress, int number) {
-        Optional<EndpointView> chosen =
-                mPolicy.place(
-                        request,
-                        mEndpoints.engines(
-                                exchange.deployment(), request.model(), mClock.instant()),
-                        mClock.instant());
+        Optional<Placement> chosen =
+                mPlacement.place(exchange.deployment(), request, mClock.instant());
         if (chosen.isEmpty()) {
             return Uni.createFrom().item(noEndpoint(progress));
         }
-        EndpointView view = chosen.get();
-        return new Attempt(mEngine, mEndpoints, mClock, view.endpoint(), progress)
-                .run(call(exchange, request, progress, number))
+        Placement placement = chosen.get();
+        Endpoint endpoint = placement.endpoint().endpoint();
+        return new Attempt(mEngine, mEndpoints, mClock, endpoint, progress)
+                .run(call(exchange, request, progress, number, placement.priority()))
                 .onFailure(CallException.class)
                 .recoverWithUni(
                         e -> failed(exchange, request, progress, number, (CallException) e));
     }
 
     private GenerateCall call(
-            Exchange exchange, InferenceRequest request, AnswerProgress progress, int number) {
+            Exchange exchange,
+            InferenceRequest request,
+            AnswerProgress progress,
+            int number,
+            int priority) {
         return new GenerateCall(
                 request,
                 number,
                 mIncarnation,
-                DEFAULT_PRIORITY,
+                priority,
                 request.remaining(mClock.instant()),
                 progress.nextOffset(),
                 Optional.empty(),
