Run calls under a key at most once, at the run that issued the key

Cause: a service call took any Idempotency-Key that the caller made up and nothing remembered it, so that a repeated submission through the same or another daemon ran again (demo keys were made by the caller).

POST /v1/keys issues a key that names the issuing run (instance, incarnation, issue time, serial) under a code with the peer key, bound to the team. Only that run executes the call or says not-run of it; other daemons forward over the peer protocol; a run that has ended leaves the outcome unknown. Refusals by anyone but the home become unknown. The completion deadline's timer now ends on the event loop, through the same interface that virtual time can replace.

--- a/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
@@ -1,8 +1,12 @@
 package io.bilberrygrade.serving.entry;
 
 import com.codahale.metrics.MetricRegistry;
+import io.bilberrygrade.core.atmostonce.KeyAuthority;
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.identity.RequestId;
+import io.bilberrygrade.serving.atmostonce.AtMostOnceController;
+import io.bilberrygrade.serving.atmostonce.KeyRouter;
+import io.bilberrygrade.serving.atmostonce.PlainServiceDispatch;
 import io.bilberrygrade.serving.controller.ConfigController;
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.controller.EndpointController;
@@ -14,6 +18,7 @@
 import io.bilberrygrade.serving.event.LifecycleEvent;
 import io.bilberrygrade.serving.http.CallerApi;
 import io.bilberrygrade.serving.http.HttpCalls;
+import io.bilberrygrade.serving.http.KeysApi;
 import io.bilberrygrade.serving.http.OperationsApi;
 import io.bilberrygrade.serving.metrics.RequestMetrics;
 import io.bilberrygrade.serving.peer.PeerIdentity;
@@ -23,6 +28,7 @@
 import io.bilberrygrade.serving.platform.HttpInstanceSource;
 import io.bilberrygrade.serving.service.HttpPlainService;
 import io.bilberrygrade.serving.settings.EntrySettings;
+import io.bilberrygrade.serving.time.VertxTimers;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.AbstractVerticle;
 import io.vertx.core.Promise;
@@ -55,6 +61,8 @@
     private ConfigController mConfig;
     private MembershipController mMembership;
     private GossipController mGossip;
+    private AtMostOnceController mKeys;
+    private KeyRouter mKeyRouter;
     private HttpCalls mCalls;
     private TcpPeerNetwork mPeers;
     private PeerServer mPeerServer;
@@ -88,14 +96,35 @@
                         mEvents,
                         mClock.instant());
         mGossip = new GossipController(mMembership, mPeers, mClock);
+        createKeys(self);
         mConfig.onChange(mEndpoints::onDeployment);
         mConfig.onChange(d -> becomeReady());
         mPeerServer =
-                new PeerServer(vertx, self, mSettings.peerKey(), new PeerCalls(mGossip), mEvents);
+                new PeerServer(
+                        vertx,
+                        self,
+                        mSettings.peerKey(),
+                        new PeerCalls(mGossip, mKeyRouter),
+                        mEvents);
         mServer = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true));
         listen(started);
     }
 
+    private void createKeys(PeerIdentity self) {
+        KeyAuthority authority = new KeyAuthority(mSettings.peerKey().bytes());
+        mKeys =
+                new AtMostOnceController(
+                        self,
+                        authority,
+                        mDrain,
+                        new PlainServiceDispatch(
+                                new HttpPlainService(mCalls), mEndpoints, mConfig::current, mClock),
+                        new VertxTimers(vertx),
+                        mSettings.policy(),
+                        mClock);
+        mKeyRouter = new KeyRouter(authority, mKeys, mMembership, mPeers, mClock);
+    }
+
     private void listen(Promise<Void> started) {
         mServer.requestHandler(router())
                 .listen(mSettings.callerPort(), mSettings.host())
@@ -159,9 +188,10 @@
                         path.chain(
                                 mIncarnation,
                                 new HttpModelEngine(mCalls),
-                                new HttpPlainService(mCalls),
+                                mKeyRouter,
                                 mEndpoints,
-                                mDrain),
+                                mDrain,
+                                new VertxTimers(vertx)),
                         mConfig::current,
                         this::nextRequestId,
                         mClock,
@@ -169,6 +199,7 @@
                         mEvents);
         Router router = Router.router(vertx);
         api.mount(router, mSettings.maxBodyBytes());
+        new KeysApi(mKeys, mConfig::current, this::nextRequestId, mDrain).mount(router);
         new OperationsApi(mDrain, mMetrics).mount(router);
         return router;
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/PeerCalls.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/PeerCalls.java
@@ -1,5 +1,6 @@
 package io.bilberrygrade.serving.entry;
 
+import io.bilberrygrade.serving.atmostonce.KeyRouter;
 import io.bilberrygrade.serving.controller.GossipController;
 import io.bilberrygrade.serving.peer.PeerHandler;
 import io.bilberrygrade.serving.peer.PeerIdentity;
@@ -9,15 +10,18 @@
 /** Hands each call of a peer to the controller that owns the state it is about. */
 final class PeerCalls implements PeerHandler {
     private final GossipController mGossip;
+    private final KeyRouter mKeys;
 
-    PeerCalls(GossipController gossip) {
+    PeerCalls(GossipController gossip, KeyRouter keys) {
         mGossip = gossip;
+        mKeys = keys;
     }
 
     @Override
     public Uni<PeerMessage> handle(PeerIdentity from, PeerMessage message) {
         return switch (message) {
             case PeerMessage.Gossip g -> Uni.createFrom().item(mGossip.onGossip(from, g));
+            case PeerMessage.KeyedCall k -> mKeys.onKeyedCall(k);
             default -> unexpected(from);
         };
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/RequestPath.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/RequestPath.java
@@ -5,6 +5,8 @@
 import io.bilberrygrade.core.routing.LeastOutstandingPolicy;
 import io.bilberrygrade.core.routing.PlacementPolicy;
 import io.bilberrygrade.core.routing.RoundRobinPolicy;
+import io.bilberrygrade.serving.atmostonce.AtMostOnceFilter;
+import io.bilberrygrade.serving.atmostonce.KeyRouter;
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.controller.EndpointController;
 import io.bilberrygrade.serving.engine.ModelEngine;
@@ -15,10 +17,10 @@
 import io.bilberrygrade.serving.filter.DeadlineFilter;
 import io.bilberrygrade.serving.filter.FilterChain;
 import io.bilberrygrade.serving.filter.IdentifyFilter;
+import io.bilberrygrade.serving.filter.KeyGuardFilter;
 import io.bilberrygrade.serving.filter.ReadinessFilter;
-import io.bilberrygrade.serving.filter.ServiceFilter;
-import io.bilberrygrade.serving.service.PlainService;
 import io.bilberrygrade.serving.settings.EntrySettings;
+import io.bilberrygrade.serving.time.Timers;
 import java.time.InstantSource;
 
 /** Puts the filter chain together, in the order in which requests pass through it. */
@@ -36,20 +38,22 @@
     FilterChain chain(
             Incarnation incarnation,
             ModelEngine engine,
-            PlainService service,
+            KeyRouter keys,
             EndpointController endpoints,
-            DrainController drain) {
+            DrainController drain,
+            Timers timers) {
         CompletionDispatcher dispatcher =
                 new CompletionDispatcher(
-                        engine, endpoints, placement(), incarnation, mClock, mEvents);
+                        engine, endpoints, placement(), incarnation, timers, mClock, mEvents);
         return new FilterChain(
                 ImmutableList.of(
+                        new KeyGuardFilter(),
                         new ReadinessFilter(drain),
                         new IdentifyFilter(),
                         new DeadlineFilter(mClock, mSettings.maxDeadline()),
                         new ClassifyFilter(),
                         new CompletionFilter(dispatcher),
-                        new ServiceFilter(service, endpoints, mClock)));
+                        new AtMostOnceFilter(keys)));
     }
 
     private PlacementPolicy placement() {
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
@@ -14,6 +14,7 @@
 import io.bilberrygrade.serving.error.CallException;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.event.RequestEvent;
+import io.bilberrygrade.serving.time.Timers;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
 import java.time.InstantSource;
@@ -32,6 +33,7 @@
     private final EndpointController mEndpoints;
     private final PlacementPolicy mPolicy;
     private final Incarnation mIncarnation;
+    private final Timers mTimers;
     private final InstantSource mClock;
     private final EventLog mEvents;
 
@@ -41,12 +43,14 @@
             EndpointController endpoints,
             PlacementPolicy policy,
             Incarnation incarnation,
+            Timers timers,
             InstantSource clock,
             EventLog events) {
         mEngine = engine;
         mEndpoints = endpoints;
         mPolicy = policy;
         mIncarnation = incarnation;
+        mTimers = timers;
         mClock = clock;
         mEvents = events;
     }
@@ -55,11 +59,7 @@
     public Uni<Outcome> dispatch(Exchange exchange, InferenceRequest request) {
         AnswerProgress progress = new AnswerProgress(exchange.sink());
         Uni<Outcome> deadline =
-                Uni.createFrom()
-                        .item(() -> deadlinePast(progress))
-                        .onItem()
-                        .delayIt()
-                        .by(atLeastOneMilli(request.remaining(mClock.instant())));
+                mTimers.after(request.remaining(mClock.instant())).map(v -> deadlinePast(progress));
         Uni<Outcome> gone =
                 Uni.createFrom()
                         .emitter(e -> exchange.sink().onCallerGone(() -> e.complete(callerGone())));
@@ -146,8 +146,4 @@
     private static Outcome callerGone() {
         return Outcome.unknown(Step.RELAY, Reason.CALLER_GONE, "the caller went away", "");
     }
-
-    private static Duration atLeastOneMilli(Duration d) {
-        return d.toMillis() < 1 ? Duration.ofMillis(1) : d;
-    }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/Exchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/Exchange.java
@@ -23,6 +23,7 @@
     private Optional<Team> mTeam = Optional.empty();
     private Optional<WorkClass> mWorkClass = Optional.empty();
     private Optional<Instant> mDeadline = Optional.empty();
+    private boolean mNotRunConfirmed;
 
     /** Creates the exchange of a request that has just arrived. */
     public Exchange(
@@ -102,6 +103,16 @@
         mWorkClass = Optional.of(workClass);
     }
 
+    /** Returns whether a refusal was said by the one who alone may run the request. */
+    public boolean notRunConfirmed() {
+        return mNotRunConfirmed;
+    }
+
+    /** States that a refusal is final: nobody has run the request or ever will. */
+    public void confirmNotRun() {
+        mNotRunConfirmed = true;
+    }
+
     /** Returns the deadline, once known. */
     public Instant deadline() {
         return mDeadline.orElseThrow();
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/IdentifyFilter.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/IdentifyFilter.java
@@ -1,6 +1,7 @@
 package io.bilberrygrade.serving.filter;
 
 import com.google.common.hash.Hashing;
+import io.bilberrygrade.core.config.Deployment;
 import io.bilberrygrade.core.config.Team;
 import io.bilberrygrade.core.request.Outcome;
 import io.bilberrygrade.core.request.Reason;
@@ -13,11 +14,7 @@
 public final class IdentifyFilter implements RequestFilter {
     @Override
     public Uni<Outcome> handle(Exchange exchange, FilterChain next) {
-        Optional<Team> team =
-                exchange.headers()
-                        .credential()
-                        .map(IdentifyFilter::digest)
-                        .flatMap(exchange.deployment()::teamByCredentialDigest);
+        Optional<Team> team = team(exchange.deployment(), exchange.headers().credential());
         if (team.isEmpty()) {
             return Uni.createFrom()
                     .item(
@@ -30,6 +27,11 @@
         return next.proceed(exchange);
     }
 
+    /** Returns the team that a credential belongs to. */
+    public static Optional<Team> team(Deployment deployment, Optional<String> credential) {
+        return credential.map(IdentifyFilter::digest).flatMap(deployment::teamByCredentialDigest);
+    }
+
     private static String digest(String credential) {
         return Hashing.sha256().hashString(credential, StandardCharsets.UTF_8).toString();
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/ReadinessFilter.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/ReadinessFilter.java
@@ -20,7 +20,7 @@
 
     @Override
     public Uni<Outcome> handle(Exchange exchange, FilterChain next) {
-        if (!mDrain.accepting()) {
+        if (!mDrain.accepting() && !(mDrain.draining() && keyed(exchange))) {
             Reason reason = mDrain.draining() ? Reason.DRAINING : Reason.NOT_READY;
             return Uni.createFrom()
                     .item(
@@ -33,4 +33,13 @@
         mDrain.started();
         return next.proceed(exchange).onTermination().invoke(mDrain::finished);
     }
+
+    /**
+     * Returns whether the call is under a key. The key's home alone can tell whether it is new, and
+     * refuses new ones itself while it is draining.
+     */
+    private static boolean keyed(Exchange exchange) {
+        return exchange.call() instanceof Call.Service
+                && exchange.headers().idempotencyKey().isPresent();
+    }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/http/CallerApi.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/CallerApi.java
@@ -21,6 +21,7 @@
 
 /** The callers' interface: reads requests, passes them through the chain and writes answers. */
 public final class CallerApi {
+    private static final String SERVICES = "/v1/services/";
     private static final int HTTP_TOO_LARGE = 413;
 
     private final FilterChain mChain;
@@ -50,7 +51,7 @@
     public void mount(Router router, long maxBodyBytes) {
         BodyHandler bodies = BodyHandler.create(false).setBodyLimit(maxBodyBytes);
         router.post("/v1/completions").handler(bodies).handler(this::completion);
-        router.post("/v1/services/:service/:operation").handler(bodies).handler(this::service);
+        router.post(SERVICES + ":service/:operation").handler(bodies).handler(this::service);
         router.errorHandler(HTTP_TOO_LARGE, this::tooLarge);
     }
 
@@ -113,11 +114,20 @@
     }
 
     private void refuse(RoutingContext context, RequestId id, Reason reason, String detail) {
-        Outcome outcome = Outcome.notRun(Step.PARSE, reason, detail);
+        Outcome outcome =
+                mayHaveRun(context)
+                        ? Outcome.unknown(Step.PARSE, reason, detail, "")
+                        : Outcome.notRun(Step.PARSE, reason, detail);
         mObserver.refused(id, outcome);
         new HttpAnswerSink(id, "", false, context.response()).end(outcome);
     }
 
+    /** Returns whether an earlier submission under the same key may have run. */
+    private static boolean mayHaveRun(RoutingContext context) {
+        return context.request().path().startsWith(SERVICES)
+                && context.request().getHeader(CallerHeaderReader.IDEMPOTENCY_KEY) != null;
+    }
+
     private static Buffer body(RoutingContext context) {
         Buffer body = context.body().buffer();
         return body == null ? Buffer.buffer() : body;
--- a/serving/src/main/java/io/bilberrygrade/serving/http/CallerHeaderReader.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/CallerHeaderReader.java
@@ -24,9 +24,7 @@
     /** Reads the headers; throws {@link IllegalArgumentException} on a malformed value. */
     static CallerHeaders read(MultiMap headers) {
         return new CallerHeaders(
-                get(headers, "Authorization")
-                        .filter(a -> a.startsWith(BEARER))
-                        .map(a -> a.substring(BEARER.length())),
+                credential(headers),
                 get(headers, WORK_CLASS),
                 get(headers, DEADLINE).map(CallerHeaderReader::instant),
                 get(headers, TIMEOUT_MILLIS).map(t -> Duration.ofMillis(Long.parseLong(t))),
@@ -34,6 +32,13 @@
                 get(headers, IDEMPOTENCY_KEY));
     }
 
+    /** Returns the credential that the caller states. */
+    static Optional<String> credential(MultiMap headers) {
+        return get(headers, "Authorization")
+                .filter(a -> a.startsWith(BEARER))
+                .map(a -> a.substring(BEARER.length()));
+    }
+
     private static Optional<String> get(MultiMap headers, String name) {
         return Optional.ofNullable(headers.get(name));
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/http/StatusCodes.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/StatusCodes.java
@@ -15,8 +15,15 @@
         return switch (outcome) {
             case Outcome.Done d -> OK;
             case Outcome.NotRun n -> ofRefusal(n.reason());
-            case Outcome.Unknown u ->
-                    u.reason() == Reason.DEADLINE_PAST ? GATEWAY_TIMEOUT : BAD_GATEWAY;
+            case Outcome.Unknown u -> ofUnknown(u.reason());
+        };
+    }
+
+    private static int ofUnknown(Reason reason) {
+        return switch (reason) {
+            case DEADLINE_PAST, DEADLINE_UNREACHABLE -> GATEWAY_TIMEOUT;
+            case NO_ENDPOINT, ENDPOINT_REFUSED, ENDPOINT_FAILED, CALLER_GONE -> BAD_GATEWAY;
+            default -> ofRefusal(reason);
         };
     }
 
@@ -26,12 +33,14 @@
                     DEADLINE_MISSING,
                     DEADLINE_PAST,
                     KEY_MISSING,
+                    KEY_INVALID,
                     UNKNOWN_CLASS,
                     UNKNOWN_MODEL ->
                     400;
             case BAD_CREDENTIALS -> 401;
             case UNKNOWN_SERVICE -> 404;
-            case KEY_EXPIRED -> 410;
+            case KEY_EXPIRED, KEY_ANSWER_NOT_KEPT -> 410;
+            case KEY_REUSED -> 422;
             case TOO_LARGE -> 413;
             case CLASS_OVER_SHARE, OVERLOADED, DEADLINE_UNREACHABLE -> 429;
             case NOT_READY,
--- a/standins/src/main/java/io/bilberrygrade/standins/load/CallerClient.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/CallerClient.java
@@ -5,19 +5,24 @@
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.serving.json.Mappers;
 import io.smallrye.mutiny.Uni;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
+import java.util.Optional;
 
 /** Sends requests to entry daemons as a caller does and checks each token of the answers. */
 public final class CallerClient {
     private static final int MAX_CONNECTIONS = 2_000;
+    private static final int HTTP_CREATED = 201;
+    private static final Duration KEY_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration GRACE = Duration.ofSeconds(2);
 
     private final HttpClient mClient;
@@ -32,6 +37,34 @@
         mCredential = credential;
     }
 
+    /** Asks one entry daemon for an idempotency key; empty when it issues none. */
+    public Uni<Optional<String>> issueKey(Address entry) {
+        RequestOptions options =
+                new RequestOptions()
+                        .setMethod(HttpMethod.POST)
+                        .setHost(entry.host())
+                        .setPort(entry.port())
+                        .setURI("/v1/keys")
+                        .setTimeout(KEY_TIMEOUT.toMillis())
+                        .putHeader("Authorization", "Bearer " + mCredential);
+        return Uni.createFrom()
+                .completionStage(
+                        () ->
+                                mClient.request(options)
+                                        .compose(HttpClientRequest::send)
+                                        .compose(CallerClient::key)
+                                        .toCompletionStage())
+                .onFailure()
+                .recoverWithItem(Optional.empty());
+    }
+
+    private static Future<Optional<String>> key(HttpClientResponse response) {
+        if (response.statusCode() != HTTP_CREATED) {
+            return Future.succeededFuture(Optional.empty());
+        }
+        return response.body().map(b -> Optional.of(b.toJsonObject().getString("key")));
+    }
+
     /** Sends a request to one entry daemon; never fails, a lost connection is a result too. */
     public Uni<CallerResult> send(Address entry, CallerRequest request) {
         return Uni.createFrom()
--- a/standins/src/main/java/io/bilberrygrade/standins/load/CallerRequest.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/CallerRequest.java
@@ -29,5 +29,10 @@
             String operation,
             Optional<String> key,
             String body)
-            implements CallerRequest {}
+            implements CallerRequest {
+        /** Returns the same call under another key. */
+        public ServiceCall withKey(Optional<String> newKey) {
+            return new ServiceCall(workClass, timeout, service, operation, newKey, body);
+        }
+    }
 }
--- a/standins/src/main/java/io/bilberrygrade/standins/load/DemoCommand.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/DemoCommand.java
@@ -84,7 +84,7 @@
                             TIMEOUT,
                             mSettings.service(),
                             mSettings.operation(),
-                            Optional.of("demo-" + i),
+                            Optional.empty(),
                             "{\"amount\":5}"));
         }
         return requests.build();
@@ -94,24 +94,43 @@
         return attempt(index, request, mSettings.entries().size());
     }
 
-    /** Sends to the next entry when the request can't have run or may run twice. */
+    /** Sends to the next entry when the request has no answer yet. */
     private Uni<CallerResult> attempt(int index, CallerRequest request, int attemptsLeft) {
         Address entry = mSettings.entries().get(index % mSettings.entries().size());
-        return mClient.send(entry, request)
-                .invoke(r -> print(request, r))
+        return withKey(entry, request)
                 .onItem()
                 .transformToUni(
-                        r ->
-                                attemptsLeft > 1 && mayRepeat(request, r)
-                                        ? attempt(index + 1, request, attemptsLeft - 1)
-                                        : Uni.createFrom().item(r));
+                        keyed ->
+                                mClient.send(entry, keyed)
+                                        .invoke(r -> print(keyed, r))
+                                        .onItem()
+                                        .transformToUni(r -> next(index, keyed, r, attemptsLeft)));
     }
 
-    private static boolean mayRepeat(CallerRequest request, CallerResult result) {
-        return switch (result.outcome()) {
-            case DONE -> false;
-            case NOT_RUN -> true;
-            case UNKNOWN -> request instanceof CallerRequest.Completion;
+    private Uni<CallerResult> next(
+            int index, CallerRequest request, CallerResult result, int attemptsLeft) {
+        if (attemptsLeft == 1 || result.outcome() == CallerOutcome.DONE) {
+            return Uni.createFrom().item(result);
+        }
+        return attempt(index + 1, repeated(request, result), attemptsLeft - 1);
+    }
+
+    /** A call that did not run needs a new key; one that may have run keeps its own. */
+    private static CallerRequest repeated(CallerRequest request, CallerResult result) {
+        return switch (request) {
+            case CallerRequest.Completion c -> c;
+            case CallerRequest.ServiceCall s ->
+                    result.outcome() == CallerOutcome.NOT_RUN ? s.withKey(Optional.empty()) : s;
+        };
+    }
+
+    private Uni<CallerRequest> withKey(Address entry, CallerRequest request) {
+        return switch (request) {
+            case CallerRequest.Completion c -> Uni.createFrom().item(c);
+            case CallerRequest.ServiceCall s ->
+                    s.key().isPresent()
+                            ? Uni.createFrom().item(s)
+                            : mClient.issueKey(entry).map(s::withKey);
         };
     }
 
