--- a/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
@@ -1,11 +1,16 @@
 package io.bilberrygrade.serving.entry;
 
 import com.codahale.metrics.MetricRegistry;
+import io.bilberrygrade.core.atmostonce.KeyAuthority;
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.identity.RequestId;
+import io.bilberrygrade.serving.atmostonce.AtMostOnceController;
+import io.bilberrygrade.serving.atmostonce.KeyRouter;
+import io.bilberrygrade.serving.atmostonce.PlainServiceDispatch;
 import io.bilberrygrade.serving.controller.ConfigController;
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.controller.EndpointController;
+import io.bilberrygrade.serving.controller.GossipController;
 import io.bilberrygrade.serving.controller.MembershipController;
 import io.bilberrygrade.serving.engine.HttpModelEngine;
 import io.bilberrygrade.serving.error.CallException;
@@ -13,6 +18,7 @@
 import io.bilberrygrade.serving.event.LifecycleEvent;
 import io.bilberrygrade.serving.http.CallerApi;
 import io.bilberrygrade.serving.http.HttpCalls;
+import io.bilberrygrade.serving.http.KeysApi;
 import io.bilberrygrade.serving.http.OperationsApi;
 import io.bilberrygrade.serving.metrics.RequestMetrics;
 import io.bilberrygrade.serving.peer.PeerIdentity;
@@ -22,6 +28,7 @@
 import io.bilberrygrade.serving.platform.HttpInstanceSource;
 import io.bilberrygrade.serving.service.HttpPlainService;
 import io.bilberrygrade.serving.settings.EntrySettings;
+import io.bilberrygrade.serving.time.VertxTimers;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.AbstractVerticle;
 import io.vertx.core.Promise;
@@ -31,6 +38,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.function.Consumer;
+import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 
 /**
@@ -40,17 +48,21 @@
 public final class EntryDaemon extends AbstractVerticle {
     private static final Duration CONFIG_WAIT = Duration.ofSeconds(20);
     private static final Duration CONFIG_PAUSE = Duration.ofMillis(300);
-    private static final Duration MEMBERSHIP_PERIOD = Duration.ofSeconds(1);
+    private static final Duration INSTANCE_LIST_PERIOD = Duration.ofSeconds(2);
 
     private final EntrySettings mSettings;
     private final Incarnation mIncarnation;
     private final InstantSource mClock;
     private final EventLog mEvents;
+    private final UniformRandomProvider mRandom = RandomSource.SPLIT_MIX_64.create();
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final DrainController mDrain = new DrainController();
     private final EndpointController mEndpoints = new EndpointController();
     private ConfigController mConfig;
     private MembershipController mMembership;
+    private GossipController mGossip;
+    private AtMostOnceController mKeys;
+    private KeyRouter mKeyRouter;
     private HttpCalls mCalls;
     private TcpPeerNetwork mPeers;
     private PeerServer mPeerServer;
@@ -80,18 +92,39 @@
                 new MembershipController(
                         self,
                         new HttpInstanceSource(mCalls, mSettings.instanceList()),
-                        mPeers,
-                        () -> mConfig.current().version(),
-                        mEvents);
+                        mRandom,
+                        mEvents,
+                        mClock.instant());
+        mGossip = new GossipController(mMembership, mPeers, mClock);
+        createKeys(self);
         mConfig.onChange(mEndpoints::onDeployment);
         mConfig.onChange(d -> becomeReady());
         mPeerServer =
                 new PeerServer(
-                        vertx, self, mSettings.peerKey(), new PeerCalls(mMembership), mEvents);
+                        vertx,
+                        self,
+                        mSettings.peerKey(),
+                        new PeerCalls(mGossip, mKeyRouter),
+                        mEvents);
         mServer = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true));
         listen(started);
     }
 
+    private void createKeys(PeerIdentity self) {
+        KeyAuthority authority = new KeyAuthority(mSettings.peerKey().bytes());
+        mKeys =
+                new AtMostOnceController(
+                        self,
+                        authority,
+                        mDrain,
+                        new PlainServiceDispatch(
+                                new HttpPlainService(mCalls), mEndpoints, mConfig::current, mClock),
+                        new VertxTimers(vertx),
+                        mSettings.policy(),
+                        mClock);
+        mKeyRouter = new KeyRouter(authority, mKeys, mMembership, mPeers, mClock);
+    }
+
     private void listen(Promise<Void> started) {
         mServer.requestHandler(router())
                 .listen(mSettings.callerPort(), mSettings.host())
@@ -155,9 +188,10 @@
                         path.chain(
                                 mIncarnation,
                                 new HttpModelEngine(mCalls),
-                                new HttpPlainService(mCalls),
+                                mKeyRouter,
                                 mEndpoints,
-                                mDrain),
+                                mDrain,
+                                new VertxTimers(vertx)),
                         mConfig::current,
                         this::nextRequestId,
                         mClock,
@@ -165,6 +199,7 @@
                         mEvents);
         Router router = Router.router(vertx);
         api.mount(router, mSettings.maxBodyBytes());
+        new KeysApi(mKeys, mConfig::current, this::nextRequestId, mDrain).mount(router);
         new OperationsApi(mDrain, mMetrics).mount(router);
         return router;
     }
@@ -182,9 +217,10 @@
     }
 
     private void startBackgroundWork() {
-        mTasks = new PeriodicTasks(vertx, RandomSource.SPLIT_MIX_64.create(), mEvents);
+        mTasks = new PeriodicTasks(vertx, mRandom, mEvents);
         mTasks.repeat("config", CONFIG_PAUSE, this::watchConfig);
-        mTasks.repeat("membership", MEMBERSHIP_PERIOD, mMembership::refresh);
+        mTasks.repeat("instance list", INSTANCE_LIST_PERIOD, mMembership::refresh);
+        mTasks.repeat("gossip", MembershipController.ROUND, mGossip::round);
     }
 
     private Uni<Void> watchConfig() {
