--- a/serving/src/main/java/io/bilberrygrade/serving/engine/EngineProbes.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/engine/EngineProbes.java
@@ -3,7 +3,7 @@
 import io.bilberrygrade.core.config.Endpoint;
 import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.serving.error.CallException;
-import io.bilberrygrade.serving.timer.Timers;
+import io.bilberrygrade.serving.time.Timers;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
 import java.time.Instant;
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
@@ -1,8 +1,12 @@
 package io.bilberrygrade.serving.entry;
 
 import com.codahale.metrics.MetricRegistry;
+import io.bilberrygrade.core.atmostonce.KeyAuthority;
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.identity.RequestId;
+import io.bilberrygrade.serving.atmostonce.AtMostOnceController;
+import io.bilberrygrade.serving.atmostonce.KeyRouter;
+import io.bilberrygrade.serving.atmostonce.PlainServiceDispatch;
 import io.bilberrygrade.serving.controller.ConfigController;
 import io.bilberrygrade.serving.controller.ConfigGossip;
 import io.bilberrygrade.serving.controller.DrainController;
@@ -17,6 +21,7 @@
 import io.bilberrygrade.serving.event.LifecycleEvent;
 import io.bilberrygrade.serving.http.CallerApi;
 import io.bilberrygrade.serving.http.HttpCalls;
+import io.bilberrygrade.serving.http.KeysApi;
 import io.bilberrygrade.serving.http.OperationsApi;
 import io.bilberrygrade.serving.metrics.RequestMetrics;
 import io.bilberrygrade.serving.peer.PeerIdentity;
@@ -27,8 +32,8 @@
 import io.bilberrygrade.serving.service.HttpPlainService;
 import io.bilberrygrade.serving.settings.EntrySettings;
 import io.bilberrygrade.serving.settings.Mechanism;
-import io.bilberrygrade.serving.timer.Timers;
-import io.bilberrygrade.serving.timer.VertxTimers;
+import io.bilberrygrade.serving.time.Timers;
+import io.bilberrygrade.serving.time.VertxTimers;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.AbstractVerticle;
 import io.vertx.core.Promise;
@@ -63,6 +68,8 @@
     private ConfigController mConfig;
     private MembershipController mMembership;
     private GossipController mGossip;
+    private AtMostOnceController mKeys;
+    private KeyRouter mKeyRouter;
     private HttpCalls mCalls;
     private TcpPeerNetwork mPeers;
     private PeerServer mPeerServer;
@@ -97,7 +104,7 @@
                         vertx,
                         self,
                         mSettings.peerKey(),
-                        new PeerCalls(mGossip, mConfigGossip),
+                        new PeerCalls(mGossip, mKeyRouter, mConfigGossip),
                         mEvents);
         mServer = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true));
         listen(started);
@@ -129,6 +136,22 @@
                         mEvents);
         mConfig.onChange(mEndpoints::onDeployment);
         mConfig.onChange(d -> mGossip.spreadNews());
+        createKeys(self);
+    }
+
+    private void createKeys(PeerIdentity self) {
+        KeyAuthority authority = new KeyAuthority(mSettings.peerKey().bytes());
+        mKeys =
+                new AtMostOnceController(
+                        self,
+                        authority,
+                        mDrain,
+                        new PlainServiceDispatch(
+                                new HttpPlainService(mCalls), mEndpoints, mConfig::current, mClock),
+                        mTimers,
+                        mSettings.policy(),
+                        mClock);
+        mKeyRouter = new KeyRouter(authority, mKeys, mMembership, mPeers, mClock);
     }
 
     private void listen(Promise<Void> started) {
@@ -187,15 +210,10 @@
 
     private Router router() {
         RequestMetrics observer = new RequestMetrics(mMetrics, mEvents);
-        RequestPath path = new RequestPath(mSettings, mClock, mEvents, mTimers);
+        RequestPath path = new RequestPath(mSettings, mClock, mEvents);
         CallerApi api =
                 new CallerApi(
-                        path.chain(
-                                mIncarnation,
-                                mEngine,
-                                new HttpPlainService(mCalls),
-                                mEndpoints,
-                                mDrain),
+                        path.chain(mIncarnation, mEngine, mKeyRouter, mEndpoints, mDrain, mTimers),
                         mConfig::current,
                         this::nextRequestId,
                         mClock,
@@ -203,6 +221,7 @@
                         mEvents);
         Router router = Router.router(vertx);
         api.mount(router, mSettings.maxBodyBytes());
+        new KeysApi(mKeys, mConfig::current, this::nextRequestId, mDrain).mount(router);
         new OperationsApi(mDrain, mMetrics).mount(router);
         return router;
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/PeerCalls.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/PeerCalls.java
@@ -1,5 +1,6 @@
 package io.bilberrygrade.serving.entry;
 
+import io.bilberrygrade.serving.atmostonce.KeyRouter;
 import io.bilberrygrade.serving.controller.ConfigGossip;
 import io.bilberrygrade.serving.controller.GossipController;
 import io.bilberrygrade.serving.peer.PeerHandler;
@@ -10,10 +11,12 @@
 /** Hands each call of a peer to the controller that owns the state it is about. */
 final class PeerCalls implements PeerHandler {
     private final GossipController mGossip;
+    private final KeyRouter mKeys;
     private final ConfigGossip mConfig;
 
-    PeerCalls(GossipController gossip, ConfigGossip config) {
+    PeerCalls(GossipController gossip, KeyRouter keys, ConfigGossip config) {
         mGossip = gossip;
+        mKeys = keys;
         mConfig = config;
     }
 
@@ -24,6 +27,7 @@
             case PeerMessage.ManifestRequest m ->
                     Uni.createFrom().item(mConfig.onManifestRequest(m));
             case PeerMessage.PartRequest p -> Uni.createFrom().item(mConfig.onPartRequest(p));
+            case PeerMessage.KeyedCall k -> mKeys.onKeyedCall(k);
             default -> unexpected(from);
         };
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/RequestPath.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/RequestPath.java
@@ -5,8 +5,11 @@
 import io.bilberrygrade.core.routing.LeastOutstandingPolicy;
 import io.bilberrygrade.core.routing.PlacementPolicy;
 import io.bilberrygrade.core.routing.RoundRobinPolicy;
+import io.bilberrygrade.serving.atmostonce.AtMostOnceFilter;
+import io.bilberrygrade.serving.atmostonce.KeyRouter;
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.controller.EndpointController;
+import io.bilberrygrade.serving.controller.PlacementController;
 import io.bilberrygrade.serving.engine.ModelEngine;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.filter.ClassifyFilter;
@@ -15,12 +18,11 @@
 import io.bilberrygrade.serving.filter.DeadlineFilter;
 import io.bilberrygrade.serving.filter.FilterChain;
 import io.bilberrygrade.serving.filter.IdentifyFilter;
+import io.bilberrygrade.serving.filter.KeyGuardFilter;
 import io.bilberrygrade.serving.filter.ReadinessFilter;
-import io.bilberrygrade.serving.filter.ServiceFilter;
-import io.bilberrygrade.serving.service.PlainService;
 import io.bilberrygrade.serving.settings.EntrySettings;
 import io.bilberrygrade.serving.settings.Mechanism;
-import io.bilberrygrade.serving.timer.Timers;
+import io.bilberrygrade.serving.time.Timers;
 import java.time.InstantSource;
 
 /** Puts the filter chain together, in the order in which requests pass through it. */
@@ -28,42 +30,42 @@
     private final EntrySettings mSettings;
     private final InstantSource mClock;
     private final EventLog mEvents;
-    private final Timers mTimers;
 
-    RequestPath(EntrySettings settings, InstantSource clock, EventLog events, Timers timers) {
+    RequestPath(EntrySettings settings, InstantSource clock, EventLog events) {
         mSettings = settings;
         mClock = clock;
         mEvents = events;
-        mTimers = timers;
     }
 
     FilterChain chain(
             Incarnation incarnation,
             ModelEngine engine,
-            PlainService service,
+            KeyRouter keys,
             EndpointController endpoints,
-            DrainController drain) {
+            DrainController drain,
+            Timers timers) {
         CompletionDispatcher dispatcher =
                 new CompletionDispatcher(
                         engine,
                         endpoints,
-                        placement(),
+                        new PlacementController(endpoints, policy()),
                         incarnation,
+                        timers,
                         mClock,
                         mEvents,
-                        mTimers,
                         mSettings.policy().enabled(Mechanism.RESUME));
         return new FilterChain(
                 ImmutableList.of(
+                        new KeyGuardFilter(),
                         new ReadinessFilter(drain),
                         new IdentifyFilter(),
                         new DeadlineFilter(mClock, mSettings.maxDeadline()),
                         new ClassifyFilter(),
                         new CompletionFilter(dispatcher),
-                        new ServiceFilter(service, endpoints, mClock)));
+                        new AtMostOnceFilter(keys)));
     }
 
-    private PlacementPolicy placement() {
+    private PlacementPolicy policy() {
         return switch (mSettings.policy().placement()) {
             case ROUND_ROBIN -> new RoundRobinPolicy();
             case LEAST_OUTSTANDING, PREDICTIVE -> new LeastOutstandingPolicy();
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/AnswerProgress.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/AnswerProgress.java
@@ -1,10 +1,7 @@
 package io.bilberrygrade.serving.filter;
 
-import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.serving.engine.EngineEvent;
 import io.smallrye.mutiny.Uni;
-import java.util.HashSet;
-import java.util.Set;
 
 /**
  * How far an answer has been relayed. Tokens that were relayed already and tokens of an earlier
@@ -13,7 +10,6 @@
 public final class AnswerProgress {
     private final AnswerSink mSink;
     private final boolean mResumes;
-    private final Set<EndpointId> mTried = new HashSet<>();
     private int mNextOffset;
     private int mAttempt;
     private boolean mAttemptUndecided;
@@ -46,8 +42,7 @@
     }
 
     /** Starts the next attempt and returns its number, from 1; earlier ones count no more. */
-    public int startAttempt(EndpointId engine) {
-        mTried.add(engine);
+    public int startAttempt() {
         mAttempt++;
         mAttemptUndecided = true;
         mNextOffset = mResumes ? mNextOffset : 0;
@@ -59,11 +54,6 @@
         mAttemptUndecided = false;
     }
 
-    /** Returns whether an engine has been tried for this request. */
-    public boolean tried(EndpointId engine) {
-        return mTried.contains(engine);
-    }
-
     /** Relays tokens of an attempt; returns false when they would leave a gap. */
     public boolean accept(int attempt, EngineEvent.Tokens tokens) {
         if (attempt != mAttempt) {
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
@@ -1,27 +1,26 @@
 package io.bilberrygrade.serving.filter;
 
 import com.google.common.collect.ImmutableList;
+import io.bilberrygrade.core.config.Endpoint;
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.request.InferenceRequest;
 import io.bilberrygrade.core.request.Outcome;
 import io.bilberrygrade.core.request.Reason;
 import io.bilberrygrade.core.request.Step;
-import io.bilberrygrade.core.routing.EndpointView;
-import io.bilberrygrade.core.routing.PlacementPolicy;
+import io.bilberrygrade.core.routing.Placement;
 import io.bilberrygrade.serving.controller.EndpointController;
+import io.bilberrygrade.serving.controller.PlacementController;
 import io.bilberrygrade.serving.engine.EngineProbes;
 import io.bilberrygrade.serving.engine.GenerateCall;
 import io.bilberrygrade.serving.engine.ModelEngine;
 import io.bilberrygrade.serving.error.CallException;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.event.RequestEvent;
-import io.bilberrygrade.serving.timer.Timers;
+import io.bilberrygrade.serving.time.Timers;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
-import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Optional;
-import java.util.function.Predicate;
 
 /**
  * Runs a completion on an engine and, when an engine fails in the middle, resumes the answer at its
@@ -29,17 +28,16 @@
  */
 public final class CompletionDispatcher {
     private static final int MAX_ATTEMPTS = 4;
-    private static final int DEFAULT_PRIORITY = 1;
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
     private static final Duration PLACEMENT_INTERVAL = Duration.ofMillis(100);
 
     private final ModelEngine mEngine;
     private final EndpointController mEndpoints;
-    private final PlacementPolicy mPolicy;
+    private final PlacementController mPlacement;
     private final Incarnation mIncarnation;
+    private final Timers mTimers;
     private final InstantSource mClock;
     private final EventLog mEvents;
-    private final Timers mTimers;
     private final StallGuard mStalls;
     private final boolean mResumes;
 
@@ -47,19 +45,19 @@
     public CompletionDispatcher(
             ModelEngine engine,
             EndpointController endpoints,
-            PlacementPolicy policy,
+            PlacementController placement,
             Incarnation incarnation,
+            Timers timers,
             InstantSource clock,
             EventLog events,
-            Timers timers,
             boolean resumes) {
         mEngine = engine;
         mEndpoints = endpoints;
-        mPolicy = policy;
+        mPlacement = placement;
         mIncarnation = incarnation;
+        mTimers = timers;
         mClock = clock;
         mEvents = events;
-        mTimers = timers;
         mStalls = new StallGuard(new EngineProbes(engine, timers), timers, clock);
         mResumes = resumes;
     }
@@ -72,64 +70,58 @@
         Uni<Outcome> gone =
                 Uni.createFrom()
                         .emitter(e -> exchange.sink().onCallerGone(() -> e.complete(callerGone())));
-        return Uni.join()
-                .first(attempt(exchange, request, progress, 1), deadline, gone)
-                .toTerminate();
+        return Uni.join().first(attempt(exchange, request, progress), deadline, gone).toTerminate();
     }
 
     private Uni<Outcome> attempt(
-            Exchange exchange, InferenceRequest request, AnswerProgress progress, int number) {
-        Optional<EndpointView> chosen =
-                place(exchange, request, e -> !progress.tried(e.endpoint().id()));
+            Exchange exchange, InferenceRequest request, AnswerProgress progress) {
+        Optional<Placement> chosen = place(exchange, request);
         if (chosen.isPresent()) {
-            return attempt(exchange, request, progress, number, chosen.get());
+            return attempt(exchange, request, progress, chosen.get());
         }
         if (!progress.mayHaveRun()) {
             return Uni.createFrom().item(noEndpoint(progress));
         }
         return Uni.createFrom()
                 .deferred(() -> mTimers.after(PLACEMENT_INTERVAL))
-                .map(v -> place(exchange, request, e -> true))
+                .map(v -> place(exchange, request))
                 .repeat()
                 .whilst(Optional::isEmpty)
                 .collect()
                 .last()
                 .onItem()
-                .transformToUni(
-                        view -> attempt(exchange, request, progress, number, view.orElseThrow()));
+                .transformToUni(p -> attempt(exchange, request, progress, p.orElseThrow()));
     }
 
-    private Optional<EndpointView> place(
-            Exchange exchange, InferenceRequest request, Predicate<EndpointView> usable) {
-        Instant now = mClock.instant();
-        ImmutableList<EndpointView> candidates =
-                mEndpoints.engines(exchange.deployment(), request.model(), now).stream()
-                        .filter(usable)
-                        .collect(ImmutableList.toImmutableList());
-        return mPolicy.place(request, candidates, now);
+    private Optional<Placement> place(Exchange exchange, InferenceRequest request) {
+        return mPlacement.place(exchange.deployment(), request, mClock.instant());
     }
 
     private Uni<Outcome> attempt(
             Exchange exchange,
             InferenceRequest request,
             AnswerProgress progress,
-            int number,
-            EndpointView view) {
-        int attempt = progress.startAttempt(view.endpoint().id());
-        return new Attempt(mEngine, mEndpoints, mStalls, mClock, view.endpoint(), progress)
-                .run(call(exchange, request, progress, attempt))
+            Placement placement) {
+        Endpoint endpoint = placement.endpoint().endpoint();
+        int number = progress.startAttempt();
+        return new Attempt(mEngine, mEndpoints, mStalls, mClock, endpoint, progress)
+                .run(call(exchange, request, progress, number, placement.priority()))
                 .onFailure(CallException.class)
                 .recoverWithUni(
                         e -> failed(exchange, request, progress, number, (CallException) e));
     }
 
     private GenerateCall call(
-            Exchange exchange, InferenceRequest request, AnswerProgress progress, int number) {
+            Exchange exchange,
+            InferenceRequest request,
+            AnswerProgress progress,
+            int number,
+            int priority) {
         return new GenerateCall(
                 request,
                 number,
                 mIncarnation,
-                DEFAULT_PRIORITY,
+                priority,
                 request.remaining(mClock.instant()),
                 progress.nextOffset(),
                 Optional.empty(),
@@ -156,7 +148,7 @@
         if (number == MAX_ATTEMPTS) {
             return Uni.createFrom().item(exhausted(progress, e));
         }
-        return attempt(exchange, request, progress, number + 1);
+        return attempt(exchange, request, progress);
     }
 
     private static Outcome noEndpoint(AnswerProgress progress) {
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/StallGuard.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/StallGuard.java
@@ -5,7 +5,7 @@
 import io.bilberrygrade.serving.engine.EngineProbes;
 import io.bilberrygrade.serving.error.CallException;
 import io.bilberrygrade.serving.error.Delivery;
-import io.bilberrygrade.serving.timer.Timers;
+import io.bilberrygrade.serving.time.Timers;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
 import java.time.InstantSource;
