Check settings and published configuration with line and key

Documents are read into records whose components carry their meaning, default and bounds; unknown, missing, malformed and out-of-range keys are gathered in one go.

--- a/bin/lib/processes.sh
+++ b/bin/lib/processes.sh
@@ -36,6 +36,7 @@
     trap stop_all EXIT
     cp -r "$ROOT/examples/$1/." "$RUN_DIR"
     head -c 32 /dev/urandom >"$RUN_DIR/peer.key"
+    head -c 32 /dev/urandom | od -An -tx1 | tr -d " \n" >"$RUN_DIR/operator.key"
     find "$RUN_DIR" -name '*.yaml' -exec sed -i "s/127\.0\.0\.1:/$2:/g; s/host: 127\.0\.0\.1/host: $2/" {} +
 }
 
--- /dev/null
+++ b/daemon/src/main/java/io/bilberrygrade/daemon/LogSetup.java
@@ -0,0 +1,50 @@
+package io.bilberrygrade.daemon;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.encoder.JsonEncoder;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.ConsoleAppender;
+import io.bilberrygrade.daemon.settings.DaemonSettings;
+import io.bilberrygrade.daemon.settings.LogFormat;
+import io.bilberrygrade.serving.event.EventLog;
+import io.bilberrygrade.serving.event.JbossEventLog;
+import io.bilberrygrade.serving.event.StructuredEventLog;
+import org.slf4j.LoggerFactory;
+
+/** Sets the log stream up as the settings say. */
+public final class LogSetup {
+    private LogSetup() {}
+
+    /** Applies format and level and returns where events go. */
+    public static EventLog apply(DaemonSettings settings) {
+        LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+        Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+        root.setLevel(Level.toLevel(settings.logLevel().name()));
+        if (settings.logFormat() == LogFormat.PLAIN) {
+            return new JbossEventLog();
+        }
+        root.detachAndStopAllAppenders();
+        root.addAppender(jsonAppender(context));
+        return new StructuredEventLog(new JbossEventLog());
+    }
+
+    private static ConsoleAppender<ILoggingEvent> jsonAppender(LoggerContext context) {
+        JsonEncoder encoder = new JsonEncoder();
+        encoder.setContext(context);
+        encoder.setWithContext(false);
+        encoder.setWithArguments(false);
+        encoder.setWithMessage(false);
+        encoder.setWithSequenceNumber(false);
+        encoder.setWithNanoseconds(false);
+        encoder.setWithFormattedMessage(true);
+        encoder.start();
+        ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
+        appender.setContext(context);
+        appender.setTarget("System.err");
+        appender.setEncoder(encoder);
+        appender.start();
+        return appender;
+    }
+}
--- a/daemon/src/main/java/io/bilberrygrade/daemon/command/EntryCommand.java
+++ b/daemon/src/main/java/io/bilberrygrade/daemon/command/EntryCommand.java
@@ -1,41 +1,45 @@
 package io.bilberrygrade.daemon.command;
 
 import io.bilberrygrade.core.identity.Incarnation;
+import io.bilberrygrade.daemon.LogSetup;
 import io.bilberrygrade.daemon.MonotonicClock;
+import io.bilberrygrade.daemon.settings.DaemonSettings;
 import io.bilberrygrade.daemon.settings.InvalidSettingsException;
 import io.bilberrygrade.daemon.settings.SettingsReader;
 import io.bilberrygrade.serving.entry.EntryDaemon;
 import io.bilberrygrade.serving.event.EventLog;
-import io.bilberrygrade.serving.event.JbossEventLog;
-import io.bilberrygrade.serving.settings.EntrySettings;
 import io.vertx.core.Vertx;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
 
 /** Runs an entry daemon until it is told to stop. */
 public final class EntryCommand {
-    private static final int EXIT_OK = 0;
-    private static final int EXIT_FAILED = 1;
-    private static final int EXIT_SETTINGS = 3;
-
     private EntryCommand() {}
 
-    /** Runs the daemon and returns the exit code. */
-    public static int run(Path settingsFile) {
+    static void register(Subparsers commands) {
+        Subparser entry = commands.addParser("entry").help("run an entry daemon");
+        entry.addArgument("--settings").required(true).metavar("FILE").help("settings file");
+        entry.setDefault(Command.HANDLER, (Command) EntryCommand::run);
+    }
+
+    private static int run(Namespace arguments) {
         try {
-            return run(SettingsReader.read(settingsFile));
+            return run(SettingsReader.read(Path.of(arguments.getString("settings"))));
         } catch (InvalidSettingsException e) {
             System.err.println(e.getMessage());
-            return EXIT_SETTINGS;
+            return ExitCodes.INVALID;
         }
     }
 
-    private static int run(EntrySettings settings) {
-        EventLog events = new JbossEventLog();
+    private static int run(DaemonSettings settings) {
+        EventLog events = LogSetup.apply(settings);
         MonotonicClock clock = new MonotonicClock();
         Incarnation incarnation = new Incarnation(clock.instant().toEpochMilli());
         Vertx vertx = Vertx.vertx();
-        EntryDaemon daemon = new EntryDaemon(settings, incarnation, clock, events);
+        EntryDaemon daemon = new EntryDaemon(settings.entry(), incarnation, clock, events);
         CountDownLatch stopped = new CountDownLatch(1);
         Thread hook = new Thread(() -> drain(daemon, vertx), "drain");
         vertx.deployVerticle(daemon)
@@ -45,7 +49,7 @@
                             System.err.println("bilberrygrade: " + e.getMessage());
                             stopped.countDown();
                         });
-        return await(stopped) ? EXIT_FAILED : EXIT_OK;
+        return await(stopped) ? ExitCodes.FAILED : ExitCodes.OK;
     }
 
     private static void drain(EntryDaemon daemon, Vertx vertx) {
--- a/serving/src/main/java/io/bilberrygrade/serving/event/EventFormat.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/EventFormat.java
@@ -1,6 +1,7 @@
 package io.bilberrygrade.serving.event;
 
 import com.google.common.base.CaseFormat;
+import com.google.common.collect.ImmutableMap;
 import java.lang.reflect.RecordComponent;
 import java.util.Arrays;
 import java.util.stream.Collectors;
@@ -12,10 +13,10 @@
     /** Returns the line of an event, such as {@code BG2001 in-force version=4 source=...}. */
     public static String describe(Event event) {
         String fields =
-                Arrays.stream(event.getClass().getRecordComponents())
-                        .map(c -> " " + c.getName() + "=" + value(event, c))
+                fields(event).entrySet().stream()
+                        .map(f -> " " + f.getKey() + "=" + f.getValue())
                         .collect(Collectors.joining());
-        return String.format("BG%04d %s%s", info(event.getClass()).number(), name(event), fields);
+        return number(event) + " " + name(event.getClass()) + fields;
     }
 
     /** Returns the number and level of an event type. */
@@ -23,13 +24,32 @@
         return type.getAnnotation(EventInfo.class);
     }
 
-    private static String name(Event event) {
-        return CaseFormat.UPPER_CAMEL.to(CaseFormat.LOWER_HYPHEN, event.getClass().getSimpleName());
+    /** Returns an event's number, such as {@code BG2001}. */
+    public static String number(Event event) {
+        return number(event.getClass());
     }
 
-    private static Object value(Event event, RecordComponent component) {
+    /** Returns the number of an event type, such as {@code BG2001}. */
+    public static String number(Class<? extends Event> type) {
+        return "BG" + info(type).number();
+    }
+
+    /** Returns the name of an event type, such as {@code in-force}. */
+    public static String name(Class<? extends Event> type) {
+        return CaseFormat.UPPER_CAMEL.to(CaseFormat.LOWER_HYPHEN, type.getSimpleName());
+    }
+
+    /** Returns the fields of an event in their order. */
+    public static ImmutableMap<String, String> fields(Event event) {
+        return Arrays.stream(event.getClass().getRecordComponents())
+                .collect(
+                        ImmutableMap.toImmutableMap(
+                                RecordComponent::getName, c -> value(event, c)));
+    }
+
+    private static String value(Event event, RecordComponent component) {
         try {
-            return component.getAccessor().invoke(event);
+            return String.valueOf(component.getAccessor().invoke(event));
         } catch (ReflectiveOperationException e) {
             throw new IllegalStateException(e);
         }
--- a/serving/src/main/java/io/bilberrygrade/serving/platform/DeploymentDocuments.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/platform/DeploymentDocuments.java
@@ -1,44 +1,93 @@
 package io.bilberrygrade.serving.platform;
 
-import com.fasterxml.jackson.annotation.JsonProperty;
+import io.bilberrygrade.serving.document.KeyInfo;
+import jakarta.validation.Valid;
+import jakarta.validation.constraints.DecimalMax;
+import jakarta.validation.constraints.DecimalMin;
+import jakarta.validation.constraints.Min;
+import jakarta.validation.constraints.Pattern;
+import jakarta.validation.constraints.Size;
+import java.time.Duration;
 import java.util.List;
+import org.hibernate.validator.constraints.time.DurationMax;
+import org.hibernate.validator.constraints.time.DurationMin;
 
 /** Forms of the published configuration parts, as operators and the platform write them. */
 public final class DeploymentDocuments {
+    private static final int MAX_ID_CHARS = 128;
+    private static final int MAX_CLASSES = 64;
+    private static final String DIGEST = "[0-9a-fA-F]{64}";
+    private static final String ADDRESS = ".+:[0-9]{1,5}";
+
     private DeploymentDocuments() {}
 
     /** Part {@code classes}. */
-    public record Classes(List<ClassDocument> classes) {}
+    public record Classes(
+            @KeyInfo("the classes of work; their shares add up to at most 1")
+                    @Valid
+                    @Size(min = 1, max = MAX_CLASSES)
+                    List<ClassDocument> classes) {}
 
     /** A class of work: time to first token with its unit, share from 0 to 1. */
     public record ClassDocument(
-            String id,
-            @JsonProperty("time_to_first_token") String timeToFirstToken,
-            Double share) {}
+            @KeyInfo("name that callers state in `X-Work-Class`") @Size(min = 1, max = MAX_ID_CHARS)
+                    String id,
+            @KeyInfo("target for the time from a request's arrival to its first token")
+                    @DurationMin(millis = 1)
+                    @DurationMax(minutes = 60)
+                    Duration timeToFirstToken,
+            @KeyInfo("part of the fleet's work that the class may claim; what is unclaimed is lent")
+                    @DecimalMin("0")
+                    @DecimalMax("1")
+                    Double share) {}
 
     /** Parts whose key starts with {@code teams}. */
-    public record Teams(List<TeamDocument> teams) {}
+    public record Teams(
+            @KeyInfo("the teams; more parts may follow, each with a name that starts with `teams`")
+                    @Valid
+                    List<TeamDocument> teams) {}
 
     /** A team with the SHA-256 digest of its credential in hexadecimal. */
     public record TeamDocument(
-            String id, @JsonProperty("credential_sha256") String credentialSha256) {}
+            @KeyInfo("name of the team") @Size(min = 1, max = MAX_ID_CHARS) String id,
+            @KeyInfo("SHA-256 of the team's credential")
+                    @Pattern(regexp = DIGEST, message = "must be 64 hexadecimal digits")
+                    String credentialSha256) {}
 
     /** Part {@code models}. */
-    public record Models(List<ModelDocument> models) {}
+    public record Models(
+            @KeyInfo("the models that engines are to have loaded") @Valid
+                    List<ModelDocument> models) {}
 
     /** A model with the version and adapters that engines are to have loaded. */
-    public record ModelDocument(String id, Long version, List<String> adapters) {}
+    public record ModelDocument(
+            @KeyInfo("name that callers state as `model`") @Size(min = 1, max = MAX_ID_CHARS)
+                    String id,
+            @KeyInfo("version of the weights") @Min(1) Long version,
+            @KeyInfo(value = "names of the adapters", optional = true) List<String> adapters) {}
 
     /** Part {@code endpoints}. */
-    public record Endpoints(List<EndpointDocument> endpoints) {}
+    public record Endpoints(
+            @KeyInfo("the model engines and the instances of plain services") @Valid
+                    List<EndpointDocument> endpoints) {}
 
     /** An endpoint; a model engine has {@code models}, an instance of a service has a service. */
     public record EndpointDocument(
-            String id,
-            @JsonProperty("data_centre") String dataCentre,
-            String address,
-            List<String> models,
-            @JsonProperty("memory_tokens") Long memoryTokens,
-            @JsonProperty("checks_fencing") Boolean checksFencing,
-            String service) {}
+            @KeyInfo("name of the endpoint") @Size(min = 1, max = MAX_ID_CHARS) String id,
+            @KeyInfo("data centre in which it runs") @Size(min = 1, max = MAX_ID_CHARS)
+                    String dataCentre,
+            @KeyInfo("where it listens") @Pattern(regexp = ADDRESS, message = "must be IP:port")
+                    String address,
+            @KeyInfo(value = "models that a model engine serves", optional = true)
+                    List<String> models,
+            @KeyInfo(value = "KV memory of a model engine in tokens", optional = true) @Min(1)
+                    Long memoryTokens,
+            @KeyInfo(
+                            value =
+                                    "whether a model engine refuses an order with an old fencing"
+                                            + " token",
+                            defaultValue = "false")
+                    Boolean checksFencing,
+            @KeyInfo(value = "plain service that it is an instance of", optional = true)
+                    String service) {}
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/platform/DeploymentParser.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/platform/DeploymentParser.java
@@ -17,7 +17,9 @@
 import io.bilberrygrade.core.identity.ServiceId;
 import io.bilberrygrade.core.identity.TeamId;
 import io.bilberrygrade.core.identity.WorkClassId;
-import io.bilberrygrade.serving.json.Mappers;
+import io.bilberrygrade.serving.document.Document;
+import io.bilberrygrade.serving.document.DocumentReader;
+import io.bilberrygrade.serving.document.Fault;
 import io.bilberrygrade.serving.platform.DeploymentDocuments.ClassDocument;
 import io.bilberrygrade.serving.platform.DeploymentDocuments.Classes;
 import io.bilberrygrade.serving.platform.DeploymentDocuments.EndpointDocument;
@@ -26,22 +28,25 @@
 import io.bilberrygrade.serving.platform.DeploymentDocuments.Models;
 import io.bilberrygrade.serving.platform.DeploymentDocuments.TeamDocument;
 import io.bilberrygrade.serving.platform.DeploymentDocuments.Teams;
-import io.bilberrygrade.serving.settings.Units;
 import io.vertx.core.buffer.Buffer;
-import java.io.IOException;
-import java.util.HashSet;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Function;
 
 /** Turns the published parts into a checked {@link Deployment}, gathering all faults. */
 public final class DeploymentParser {
-    private static final String TEAMS_PREFIX = "teams";
+    private static final String CLASSES = "classes";
+    private static final String TEAMS = "teams";
+    private static final String MODELS = "models";
+    private static final String ENDPOINTS = "endpoints";
+    private static final int MAX_PART_BYTES = 1_000_000;
+    private static final double SHARE_TOLERANCE = 1e-9;
 
     private final ConfigParts mSource;
-    private final ImmutableList.Builder<String> mFaults = ImmutableList.builder();
+    private final List<Fault> mFaults = new ArrayList<>();
 
     private DeploymentParser(ConfigParts source) {
         mSource = source;
@@ -53,119 +58,139 @@
     }
 
     private Deployment build() throws InvalidConfigException {
-        ImmutableMap<WorkClassId, WorkClass> classes =
-                index("classes", read("classes", Classes.class, Classes::classes), this::workClass);
-        ImmutableMap<String, Team> teams = index(TEAMS_PREFIX, teamDocuments(), this::team);
-        ImmutableMap<ModelId, Model> models =
-                index("models", read("models", Models.class, Models::models), this::model);
-        ImmutableMap<EndpointId, Endpoint> endpoints =
-                index(
-                        "endpoints",
-                        read("endpoints", Endpoints.class, Endpoints::endpoints),
-                        this::endpoint);
-        ImmutableList<String> faults = mFaults.build();
-        if (!faults.isEmpty()) {
-            throw new InvalidConfigException(faults);
+        ImmutableMap<WorkClassId, WorkClass> classes = classes();
+        ImmutableMap<String, Team> teams = teams();
+        Optional<ImmutableMap<ModelId, Model>> models = models();
+        ImmutableMap<EndpointId, Endpoint> endpoints = endpoints(models.map(Map::keySet));
+        if (!mFaults.isEmpty()) {
+            throw new InvalidConfigException(ImmutableList.copyOf(mFaults));
         }
-        return new Deployment(mSource.version(), classes, teams, models, endpoints);
+        return new Deployment(mSource.version(), classes, teams, models.orElseThrow(), endpoints);
     }
 
-    private ImmutableList<TeamDocument> teamDocuments() {
-        return mSource.parts().keySet().stream()
-                .filter(k -> k.startsWith(TEAMS_PREFIX))
-                .flatMap(k -> read(k, Teams.class, Teams::teams).stream())
-                .collect(ImmutableList.toImmutableList());
-    }
-
-    private <D, T> List<T> read(String key, Class<D> type, Function<D, List<T>> list) {
-        Buffer bytes = mSource.parts().get(key);
-        if (bytes == null) {
-            mFaults.add(key + ": the part is missing");
-            return ImmutableList.of();
+    private ImmutableMap<WorkClassId, WorkClass> classes() {
+        Optional<Document<Classes>> part = read(CLASSES, Classes.class);
+        if (part.isEmpty()) {
+            return ImmutableMap.of();
         }
-        try {
-            List<T> items = list.apply(Mappers.YAML.readValue(bytes.getBytes(), type));
-            if (items != null) {
-                return items;
-            }
-            mFaults.add(key + ": the list is missing");
-        } catch (IOException e) {
-            mFaults.add(key + ": " + e.getMessage().lines().findFirst().orElse(""));
+        UniqueIndex<WorkClassId, WorkClass> index = new UniqueIndex<>(part.get(), mFaults::add);
+        double shares = 0;
+        for (ClassDocument d : part.get().value().classes()) {
+            WorkClassId id = new WorkClassId(d.id());
+            shares += d.share();
+            index.add("/classes", id, new WorkClass(id, d.timeToFirstToken(), d.share()));
         }
-        return ImmutableList.of();
-    }
-
-    private <T, K, V> ImmutableMap<K, V> index(
-            String part, List<T> items, Function<T, Entry<K, V>> convert) {
-        ImmutableMap.Builder<K, V> result = ImmutableMap.builder();
-        Set<K> seen = new HashSet<>();
-        for (int i = 0; i < items.size(); i++) {
-            Optional<Entry<K, V>> entry = tryConvert(part + "[" + i + "]", items.get(i), convert);
-            if (entry.isPresent() && !seen.add(entry.get().key())) {
-                mFaults.add(part + "[" + i + "]: a second " + entry.get().key());
-            } else {
-                entry.ifPresent(e -> result.put(e.key(), e.value()));
-            }
+        if (shares > 1 + SHARE_TOLERANCE) {
+            String message =
+                    String.format(Locale.ROOT, "the shares add up to %.3f, over 1", shares);
+            mFaults.add(part.get().fault("/classes", message));
         }
-        return result.buildOrThrow();
+        return index.build();
     }
 
-    private <T, E> Optional<E> tryConvert(String where, T item, Function<T, E> convert) {
-        try {
-            return Optional.of(convert.apply(item));
-        } catch (IllegalArgumentException e) {
-            mFaults.add(where + ": " + e.getMessage());
-            return Optional.empty();
+    private ImmutableMap<String, Team> teams() {
+        UniqueIndex<String, Team> byDigest = new UniqueIndex<>(mFaults::add);
+        UniqueIndex<TeamId, Team> byId = new UniqueIndex<>(mFaults::add);
+        ImmutableList<String> keys =
+                mSource.parts().keySet().stream()
+                        .filter(k -> k.startsWith(TEAMS))
+                        .collect(ImmutableList.toImmutableList());
+        if (keys.isEmpty()) {
+            mFaults.add(missing(TEAMS));
         }
+        for (String key : keys) {
+            Optional<Document<Teams>> part = read(key, Teams.class);
+            part.ifPresent(byDigest::in);
+            part.ifPresent(byId::in);
+            for (TeamDocument d : part.map(p -> p.value().teams()).orElse(ImmutableList.of())) {
+                String digest = d.credentialSha256().toLowerCase(Locale.ROOT);
+                Team team = new Team(new TeamId(d.id()), digest);
+                byId.add("/teams", team.id(), team);
+                byDigest.add("/teams", digest, team);
+            }
+        }
+        return byDigest.build();
     }
 
-    private Entry<WorkClassId, WorkClass> workClass(ClassDocument d) {
-        WorkClassId id = new WorkClassId(required("id", d.id()));
-        double share = required("share", d.share());
-        String target = required("time_to_first_token", d.timeToFirstToken());
-        return new Entry<>(id, new WorkClass(id, Units.duration(target), share));
-    }
-
-    private Entry<String, Team> team(TeamDocument d) {
-        String digest =
-                required("credential_sha256", d.credentialSha256()).toLowerCase(Locale.ROOT);
-        return new Entry<>(digest, new Team(new TeamId(required("id", d.id())), digest));
+    private Optional<ImmutableMap<ModelId, Model>> models() {
+        return read(MODELS, Models.class).map(this::models);
     }
 
-    private Entry<ModelId, Model> model(ModelDocument d) {
-        ModelId id = new ModelId(required("id", d.id()));
-        ImmutableSet<String> adapters =
-                d.adapters() == null ? ImmutableSet.of() : ImmutableSet.copyOf(d.adapters());
-        return new Entry<>(id, new Model(id, required("version", d.version()), adapters));
+    private ImmutableMap<ModelId, Model> models(Document<Models> part) {
+        UniqueIndex<ModelId, Model> index = new UniqueIndex<>(part, mFaults::add);
+        for (ModelDocument d : part.value().models()) {
+            ModelId id = new ModelId(d.id());
+            ImmutableSet<String> adapters =
+                    d.adapters() == null ? ImmutableSet.of() : ImmutableSet.copyOf(d.adapters());
+            index.add("/models", id, new Model(id, d.version(), adapters));
+        }
+        return index.build();
     }
 
-    private Entry<EndpointId, Endpoint> endpoint(EndpointDocument d) {
-        EndpointId id = new EndpointId(required("id", d.id()));
-        DataCentreId dataCentre = new DataCentreId(required("data_centre", d.dataCentre()));
-        Address address = Address.parse(required("address", d.address()));
-        return new Entry<>(id, new Endpoint(id, dataCentre, address, kind(d)));
+    private ImmutableMap<EndpointId, Endpoint> endpoints(Optional<Set<ModelId>> models) {
+        Optional<Document<Endpoints>> part = read(ENDPOINTS, Endpoints.class);
+        if (part.isEmpty()) {
+            return ImmutableMap.of();
+        }
+        UniqueIndex<EndpointId, Endpoint> index = new UniqueIndex<>(part.get(), mFaults::add);
+        List<EndpointDocument> items = part.get().value().endpoints();
+        for (int i = 0; i < items.size(); i++) {
+            EndpointDocument d = items.get(i);
+            String pointer = "/endpoints/" + i;
+            EndpointId id = new EndpointId(d.id());
+            try {
+                Endpoint endpoint =
+                        new Endpoint(
+                                id,
+                                new DataCentreId(d.dataCentre()),
+                                Address.parse(d.address()),
+                                kind(d, models));
+                index.add("/endpoints", id, endpoint);
+            } catch (IllegalArgumentException e) {
+                index.skip();
+                mFaults.add(part.get().fault(pointer, e.getMessage()));
+            }
+        }
+        return index.build();
     }
 
-    private static EndpointKind kind(EndpointDocument d) {
-        if (!Strings.isNullOrEmpty(d.service())) {
+    private static EndpointKind kind(EndpointDocument d, Optional<Set<ModelId>> models) {
+        boolean engine = d.models() != null && !d.models().isEmpty();
+        boolean service = !Strings.isNullOrEmpty(d.service());
+        if (engine == service) {
+            throw new IllegalArgumentException("either models or service must be given");
+        }
+        if (service) {
             return new EndpointKind.Service(new ServiceId(d.service()));
         }
-        ImmutableSet<ModelId> models =
-                required("models", d.models()).stream()
-                        .map(ModelId::new)
-                        .collect(ImmutableSet.toImmutableSet());
-        return new EndpointKind.Engine(
-                models,
-                required("memory_tokens", d.memoryTokens()),
-                Boolean.TRUE.equals(d.checksFencing()));
+        if (d.memoryTokens() == null) {
+            throw new IllegalArgumentException("a model engine needs memory_tokens");
+        }
+        ImmutableSet<ModelId> served =
+                d.models().stream().map(ModelId::new).collect(ImmutableSet.toImmutableSet());
+        for (ModelId model : served) {
+            if (models.isPresent() && !models.get().contains(model)) {
+                throw new IllegalArgumentException("part models has no '" + model + "'");
+            }
+        }
+        return new EndpointKind.Engine(served, d.memoryTokens(), d.checksFencing());
     }
 
-    private static <T> T required(String key, T value) {
-        if (value == null) {
-            throw new IllegalArgumentException(key + " is missing");
+    private <T> Optional<Document<T>> read(String key, Class<T> type) {
+        Buffer bytes = mSource.parts().get(key);
+        if (bytes == null) {
+            mFaults.add(missing(key));
+            return Optional.empty();
         }
-        return value;
+        if (bytes.length() > MAX_PART_BYTES) {
+            String message = "the part has " + bytes.length() + " bytes, over " + MAX_PART_BYTES;
+            mFaults.add(new Fault(key, 1, "", message));
+            return Optional.empty();
+        }
+        return DocumentReader.read(key, bytes.getBytes(), type, mFaults::add);
     }
 
-    private record Entry<K, V>(K key, V value) {}
+    private static Fault missing(String key) {
+        return new Fault(key, 1, "", "the part is missing");
+    }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/settings/EntrySettings.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/settings/EntrySettings.java
@@ -4,10 +4,12 @@
 import io.bilberrygrade.core.identity.DataCentreId;
 import io.bilberrygrade.core.identity.InstanceId;
 import java.time.Duration;
+import java.util.Optional;
 
 /**
  * Settings of one entry daemon. {@code peerKey} is the key that all daemons of a deployment share;
- * {@code maxBodyBytes} bounds a caller's request body.
+ * {@code maxBodyBytes} bounds a caller's request body; without an operator credential the
+ * operators' interface is closed.
  */
 public record EntrySettings(
         InstanceId instance,
@@ -21,4 +23,5 @@
         long maxBodyBytes,
         Duration maxDeadline,
         Duration drainTimeout,
-        PolicySettings policy) {}
+        PolicySettings policy,
+        Optional<OperatorCredential> operatorCredential) {}
--- a/standins/src/test/java/io/bilberrygrade/standins/daemon/RunningDeployment.java
+++ b/standins/src/test/java/io/bilberrygrade/standins/daemon/RunningDeployment.java
@@ -10,6 +10,7 @@
 import io.bilberrygrade.serving.entry.EntryDaemon;
 import io.bilberrygrade.serving.event.JbossEventLog;
 import io.bilberrygrade.serving.settings.EntrySettings;
+import io.bilberrygrade.serving.settings.OperatorCredential;
 import io.bilberrygrade.serving.settings.PeerKey;
 import io.bilberrygrade.serving.settings.PolicySettings;
 import io.bilberrygrade.standins.configservice.StandInConfigService;
@@ -26,12 +27,16 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /** A whole deployment within the test's JVM: stand-ins and entry daemons on loopback. */
 public final class RunningDeployment implements AutoCloseable {
     /** Credential of the only team. */
     public static final String CREDENTIAL = "test-secret";
 
+    /** Credential of operators. */
+    public static final String OPERATOR_CREDENTIAL = "test-operator";
+
     /** Name of the only model. */
     public static final String MODEL = "test-model";
 
@@ -97,7 +102,8 @@
                         MAX_BODY_BYTES,
                         Duration.ofMinutes(1),
                         Duration.ofSeconds(10),
-                        PolicySettings.FULL);
+                        PolicySettings.FULL,
+                        Optional.of(OperatorCredential.of(OPERATOR_CREDENTIAL)));
         return new EntryDaemon(
                 settings, new Incarnation(1), new MonotonicClock(), new JbossEventLog());
     }
