Count a request as running until its answer is written, test failures of real processes

The drain ended as soon as the last request had its outcome, before the answer's end was written, and the port closed at once on connections that were still open. A drained daemon now refuses for two seconds more and has connections closed.

--- a/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
@@ -40,6 +40,7 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.function.Consumer;
@@ -51,6 +52,9 @@
  * lock.
  */
 public final class EntryDaemon extends AbstractVerticle {
+    /** Time for which an idle daemon goes on refusing, for connections that are still open. */
+    private static final Duration DRAIN_LINGER = Duration.ofSeconds(2);
+
     private static final Duration CONFIG_WAIT = Duration.ofSeconds(4);
     private static final Duration CONFIG_RETRY = Duration.ofSeconds(1);
     private static final Duration STARTUP_PAUSE = Duration.ofMillis(100);
@@ -193,8 +197,9 @@
 
     private void drainOnContext(Consumer<Void> done) {
         mEvents.record(new LifecycleEvent.DrainStarted(mDrain.running()));
+        Uni<Void> idle = mDrain.drain().call(() -> mTimers.after(DRAIN_LINGER));
         Uni.join()
-                .first(mDrain.drain(), mTimers.after(mSettings.drainTimeout()))
+                .first(idle, mTimers.after(mSettings.drainTimeout()))
                 .toTerminate()
                 .subscribe()
                 .with(v -> done.accept(null));
@@ -220,12 +225,21 @@
                         observer,
                         mEvents);
         Router router = Router.router(vertx);
+        router.route().handler(this::closeConnectionsOfDrain);
         api.mount(router, mSettings.maxBodyBytes());
         new KeysApi(mKeys, mConfig::current, this::nextRequestId, mDrain).mount(router);
         new OperationsApi(mDrain, mMetrics).mount(router);
         return router;
     }
 
+    /** Has callers open their next connection elsewhere. */
+    private void closeConnectionsOfDrain(RoutingContext call) {
+        if (mDrain.draining()) {
+            call.response().putHeader("Connection", "close");
+        }
+        call.next();
+    }
+
     private RequestId nextRequestId() {
         String id = mSettings.instance() + "-" + mIncarnation.value() + "-" + mNextRequest++;
         return new RequestId(id);
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/AnswerSink.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/AnswerSink.java
@@ -19,6 +19,9 @@
         return Uni.createFrom().voidItem();
     }
 
+    /** Registers what is to be done once the whole answer is written or the caller has gone. */
+    void onWritten(Runnable action);
+
     /** Registers what is to be done when the caller goes away; done at once if it has gone. */
     void onCallerGone(Runnable action);
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/ReadinessFilter.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/ReadinessFilter.java
@@ -7,7 +7,10 @@
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
 
-/** Refuses requests while the daemon is starting or draining, and counts those that run. */
+/**
+ * Refuses requests while the daemon is starting or draining, and counts those that run. A request
+ * runs until its answer is written, so that a shutdown doesn't cut off its end.
+ */
 public final class ReadinessFilter implements RequestFilter {
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
@@ -31,7 +34,8 @@
                                     RETRY_AFTER));
         }
         mDrain.started();
-        return next.proceed(exchange).onTermination().invoke(mDrain::finished);
+        exchange.sink().onWritten(mDrain::finished);
+        return next.proceed(exchange);
     }
 
     /**
--- a/serving/src/main/java/io/bilberrygrade/serving/http/HttpAnswerSink.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/HttpAnswerSink.java
@@ -30,6 +30,7 @@
     private Optional<ServiceAnswer> mServiceAnswer = Optional.empty();
     private boolean mEnded;
     private boolean mGone;
+    private Optional<Runnable> mWrittenAction = Optional.empty();
 
     HttpAnswerSink(RequestId id, String model, boolean stream, HttpServerResponse response) {
         mId = id;
@@ -67,6 +68,11 @@
         return Uni.createFrom().emitter(e -> mResponse.drainHandler(v -> e.complete(null)));
     }
 
+    @Override
+    public void onWritten(Runnable action) {
+        mWrittenAction = Optional.of(action);
+    }
+
     @Override
     public void onCallerGone(Runnable action) {
         if (mGone) {
@@ -80,6 +86,7 @@
     void end(Outcome outcome) {
         mEnded = true;
         if (mResponse.ended() || mResponse.closed()) {
+            written();
             return;
         }
         switch (outcome) {
@@ -131,7 +138,12 @@
     }
 
     private void finish(Buffer last) {
-        mResponse.end(last).onFailure(e -> callerGone());
+        mResponse.end(last).onComplete(written -> written());
+    }
+
+    private void written() {
+        mWrittenAction.ifPresent(Runnable::run);
+        mWrittenAction = Optional.empty();
     }
 
     private void callerGone() {
--- /dev/null
+++ b/standins/src/test/java/io/bilberrygrade/standins/failure/ProcessDeployment.java
@@ -0,0 +1,152 @@
+package io.bilberrygrade.standins.failure;
+
+import com.google.common.hash.Hashing;
+import io.bilberrygrade.serving.json.Mappers;
+import io.bilberrygrade.standins.HttpCalls;
+import io.bilberrygrade.standins.StreamedAnswer;
+import io.bilberrygrade.standins.configservice.StandInConfigService;
+import io.bilberrygrade.standins.control.Address;
+import io.bilberrygrade.standins.engine.EngineSettings;
+import io.bilberrygrade.standins.engine.StandInEngine;
+import io.bilberrygrade.standins.instances.StandInInstances;
+import io.vertx.mutiny.core.Vertx;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Entry daemons as processes, with the stand-ins of everything else in the test's JVM. */
+final class ProcessDeployment implements AutoCloseable {
+    static final String MODEL = "test-model";
+
+    private static final Duration BOUND = Duration.ofSeconds(20);
+    private static final int DEAD_PORT = 1;
+
+    private final Vertx mVertx = Vertx.vertx();
+    private final Path mFolder;
+    private final List<StandInEngine> mEngines = new ArrayList<>();
+    private final List<EntryProcess> mEntries = new ArrayList<>();
+    private final StandInConfigService mConfig;
+    private final StandInInstances mInstances;
+
+    ProcessDeployment(Path folder, int engines, int entries) throws IOException {
+        mFolder = folder;
+        for (int i = 0; i < engines; i++) {
+            mEngines.add(
+                    StandInEngine.start(mVertx, EngineSettings.defaults(MODEL))
+                            .await()
+                            .atMost(BOUND));
+        }
+        for (int i = 0; i < entries; i++) {
+            mEntries.add(EntryProcess.create(folder.resolve("entries"), "entry-" + i));
+        }
+        mConfig =
+                StandInConfigService.start(mVertx, Address.free(), configuration())
+                        .await()
+                        .atMost(BOUND);
+        mInstances =
+                StandInInstances.start(mVertx, Address.free(), instances(), Duration.ZERO)
+                        .await()
+                        .atMost(BOUND);
+    }
+
+    private Path configuration() throws IOException {
+        Path parts = Files.createDirectories(mFolder.resolve("configuration"));
+        String digest =
+                Hashing.sha256().hashString("test-secret", StandardCharsets.UTF_8).toString();
+        Files.writeString(parts.resolve("classes.yaml"), classes(1));
+        Files.writeString(
+                parts.resolve("teams.yaml"),
+                "teams: [{id: test-team, credential_sha256: \"" + digest + "\"}]");
+        Files.writeString(
+                parts.resolve("models.yaml"),
+                "models: [{id: " + MODEL + ", version: 1, adapters: []}]");
+        StringBuilder endpoints = new StringBuilder("endpoints:\n");
+        for (int i = 0; i < mEngines.size(); i++) {
+            endpoints.append(
+                    ("- {id: engine-%d, data_centre: dc-1, address: \"127.0.0.1:%d\", models: [%s],"
+                                    + " memory_tokens: 400000, checks_fencing: true}%n")
+                            .formatted(i, mEngines.get(i).port(), MODEL));
+        }
+        Files.writeString(parts.resolve("endpoints.yaml"), endpoints.toString());
+        return parts;
+    }
+
+    private Path instances() throws IOException {
+        StringBuilder text = new StringBuilder("version: 1\ninstances:\n");
+        for (EntryProcess e : mEntries) {
+            text.append(
+                    ("- {id: %s, dataCentre: dc-1, host: 127.0.0.1, port: %d,"
+                                    + " kind: entry, state: live}%n")
+                            .formatted(e.id(), e.peerPort()));
+        }
+        return Files.writeString(mFolder.resolve("instances.yaml"), text);
+    }
+
+    /** Returns part {@code classes} with one class whose target is the given time in seconds. */
+    static String classes(int targetSeconds) {
+        return "classes: [{id: short, time_to_first_token: " + targetSeconds + "s, share: 1.0}]";
+    }
+
+    /** Starts a daemon. */
+    EntryProcess start(int index) throws IOException {
+        return start(index, "");
+    }
+
+    /** Starts a daemon with mechanisms switched off. */
+    EntryProcess start(int index, String disabled) throws IOException {
+        return mEntries.get(index).start(mConfig.port(), mInstances.port(), disabled);
+    }
+
+    /** Starts a daemon that can't reach the configuration service. */
+    EntryProcess startWithoutService(int index) throws IOException {
+        return mEntries.get(index).start(DEAD_PORT, mInstances.port(), "");
+    }
+
+    EntryProcess entry(int index) {
+        return mEntries.get(index);
+    }
+
+    StandInEngine engine(int index) {
+        return mEngines.get(index);
+    }
+
+    /** Publishes a part as the next version. */
+    void publish(String part, String text) throws IOException, InterruptedException {
+        HttpCalls.send("PUT", mConfig.controlPort(), "/parts/" + part, text);
+    }
+
+    /** Changes the fault switches of the configuration service. */
+    void configFaults(String faults) throws IOException, InterruptedException {
+        HttpCalls.send("POST", mConfig.controlPort(), "/faults", faults);
+    }
+
+    /** Returns the calls that the configuration service has counted. */
+    String configCalls() throws IOException, InterruptedException {
+        return HttpCalls.send("GET", mConfig.controlPort(), "/calls", "").body();
+    }
+
+    /** Returns the number of requests that an engine holds. */
+    int sessions(int engine) throws IOException, InterruptedException {
+        String state = HttpCalls.send("GET", mEngines.get(engine).port(), "/v1/state", "").body();
+        return Mappers.JSON.readTree(state).path("sessions").size();
+    }
+
+    /** Sends a completion call to a daemon. */
+    StreamedAnswer ask(int entry, int tokens, Duration timeout)
+            throws IOException, InterruptedException {
+        return StreamedAnswer.open(
+                "127.0.0.1", mEntries.get(entry).callerPort(), "good day", tokens, timeout);
+    }
+
+    @Override
+    public void close() {
+        for (EntryProcess e : mEntries) {
+            e.close();
+        }
+        mVertx.closeAndAwait();
+    }
+}
