--- /dev/null
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/measure/BoundedPareto.java
@@ -0,0 +1,22 @@
+package io.bilberrygrade.standins.load.measure;
+
+import org.apache.commons.rng.UniformRandomProvider;
+
+/** Pareto distribution cut off at both ends, by which prompt lengths are heavy-tailed. */
+record BoundedPareto(double low, double high, double shape) {
+    /** Returns the next value. */
+    double sample(UniformRandomProvider random) {
+        double tail = 1 - Math.pow(low / high, shape);
+        return low / Math.pow(1 - random.nextDouble() * tail, 1 / shape);
+    }
+
+    /** Returns the mean; the shape must not be 1. */
+    double mean() {
+        double ratio = low / high;
+        return shape
+                / (shape - 1)
+                * low
+                * (1 - Math.pow(ratio, shape - 1))
+                / (1 - Math.pow(ratio, shape));
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/measure/CellStatistics.java
@@ -0,0 +1,149 @@
+package io.bilberrygrade.standins.load.measure;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.bilberrygrade.core.identity.TeamId;
+import io.bilberrygrade.core.identity.WorkClassId;
+import io.bilberrygrade.standins.load.CallerOutcome;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.HdrHistogram.Histogram;
+
+/** Sums up the samples of one cell. */
+final class CellStatistics {
+    private static final Duration HIGHEST = Duration.ofMinutes(10);
+    private static final int DIGITS = 3;
+    private static final double MICROS_PER_MILLI = 1e3;
+
+    private final CellSettings mSettings;
+    private final ImmutableList<Sample> mSamples;
+
+    CellStatistics(CellSettings settings, ImmutableList<Sample> samples) {
+        mSettings = settings;
+        mSamples = samples;
+    }
+
+    CellReport report() {
+        return new CellReport(
+                mSettings.policy(),
+                mSettings.workload().load(),
+                mSettings.fault(),
+                mSettings.withLong(),
+                mSettings.workload().seed(),
+                mSettings.workload().duration().toMillis() / 1e3,
+                mSamples.size(),
+                count(s -> is(s, CallerOutcome.DONE)),
+                count(s -> is(s, CallerOutcome.NOT_RUN)),
+                reasons(CallerOutcome.NOT_RUN),
+                count(s -> is(s, CallerOutcome.UNKNOWN)),
+                reasons(CallerOutcome.UNKNOWN),
+                count(s -> admitted(s) && !(is(s, CallerOutcome.DONE) && s.inTime())),
+                count(s -> !s.result().correct()),
+                worth(s -> true),
+                worth(s -> is(s, CallerOutcome.DONE) && s.result().correct() && s.inTime()),
+                sendDelayP99(),
+                Arrays.stream(LengthBand.values())
+                        .map(this::band)
+                        .collect(ImmutableList.toImmutableList()),
+                mSettings.targets().keySet().stream()
+                        .map(this::classResult)
+                        .collect(ImmutableList.toImmutableList()),
+                Workload.teams().stream()
+                        .map(this::teamResult)
+                        .collect(ImmutableList.toImmutableList()));
+    }
+
+    private ImmutableMap<String, Long> reasons(CallerOutcome outcome) {
+        return ImmutableMap.copyOf(
+                mSamples.stream()
+                        .filter(s -> is(s, outcome))
+                        .collect(
+                                Collectors.groupingBy(
+                                        s -> s.result().reason(), Collectors.counting())));
+    }
+
+    private double worth(Predicate<Sample> counted) {
+        return mSamples.stream().filter(counted).mapToDouble(s -> s.arrival().worth()).sum();
+    }
+
+    private double sendDelayP99() {
+        Histogram delays = histogram();
+        mSamples.forEach(s -> delays.recordValue(micros(s.sendDelay())));
+        return delays.getValueAtPercentile(99) / MICROS_PER_MILLI;
+    }
+
+    private CellReport.Band band(LengthBand band) {
+        ImmutableList<Sample> samples = only(s -> LengthBand.of(s.arrival().tokens()) == band);
+        Histogram times = histogram();
+        samples.stream()
+                .flatMap(s -> s.timeToFirstToken().stream())
+                .forEach(t -> times.recordValue(Math.min(micros(t), micros(HIGHEST))));
+        return new CellReport.Band(
+                band.label(),
+                samples.size(),
+                times.getTotalCount(),
+                millis(times, 50),
+                millis(times, 95),
+                millis(times, 99));
+    }
+
+    private CellReport.ClassResult classResult(WorkClassId workClass) {
+        ImmutableList<Sample> samples = only(s -> s.arrival().workClass().equals(workClass));
+        double refused = tokens(samples.stream().filter(s -> !admitted(s)));
+        double offered = Math.max(tokens(samples.stream()), 1);
+        return new CellReport.ClassResult(
+                workClass.value(),
+                samples.size(),
+                samples.stream().filter(CellStatistics::admitted).count(),
+                samples.stream().filter(this::insideTarget).count(),
+                samples.stream().filter(s -> !admitted(s)).count(),
+                refused / offered);
+    }
+
+    private CellReport.TeamResult teamResult(TeamId team) {
+        ImmutableList<Sample> samples = only(s -> s.arrival().team().equals(team));
+        return new CellReport.TeamResult(
+                team.value(), samples.size(), samples.stream().filter(this::insideTarget).count());
+    }
+
+    private boolean insideTarget(Sample sample) {
+        Duration target = mSettings.targets().get(sample.arrival().workClass());
+        return admitted(sample)
+                && sample.timeToFirstToken().filter(t -> t.compareTo(target) <= 0).isPresent();
+    }
+
+    private ImmutableList<Sample> only(Predicate<Sample> wanted) {
+        return mSamples.stream().filter(wanted).collect(ImmutableList.toImmutableList());
+    }
+
+    private long count(Predicate<Sample> counted) {
+        return mSamples.stream().filter(counted).count();
+    }
+
+    private static double tokens(Stream<Sample> samples) {
+        return samples.mapToLong(s -> s.arrival().tokens()).sum();
+    }
+
+    private static boolean admitted(Sample sample) {
+        return !is(sample, CallerOutcome.NOT_RUN);
+    }
+
+    private static boolean is(Sample sample, CallerOutcome outcome) {
+        return sample.result().outcome() == outcome;
+    }
+
+    private static Histogram histogram() {
+        return new Histogram(micros(HIGHEST), DIGITS);
+    }
+
+    private static double millis(Histogram times, double percentile) {
+        return times.getValueAtPercentile(percentile) / MICROS_PER_MILLI;
+    }
+
+    private static long micros(Duration d) {
+        return d.toNanos() / 1_000;
+    }
+}
