--- a/serving/src/main/java/io/bilberrygrade/serving/entry/RequestPath.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/RequestPath.java
@@ -9,6 +9,7 @@
 import io.bilberrygrade.serving.atmostonce.KeyRouter;
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.controller.EndpointController;
+import io.bilberrygrade.serving.controller.PlacementController;
 import io.bilberrygrade.serving.engine.ModelEngine;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.filter.ClassifyFilter;
@@ -44,7 +45,13 @@
             Timers timers) {
         CompletionDispatcher dispatcher =
                 new CompletionDispatcher(
-                        engine, endpoints, placement(), incarnation, timers, mClock, mEvents);
+                        engine,
+                        endpoints,
+                        new PlacementController(endpoints, policy()),
+                        incarnation,
+                        timers,
+                        mClock,
+                        mEvents);
         return new FilterChain(
                 ImmutableList.of(
                         new KeyGuardFilter(),
@@ -56,7 +63,7 @@
                         new AtMostOnceFilter(keys)));
     }
 
-    private PlacementPolicy placement() {
+    private PlacementPolicy policy() {
         return switch (mSettings.policy().placement()) {
             case ROUND_ROBIN -> new RoundRobinPolicy();
             case LEAST_OUTSTANDING, PREDICTIVE -> new LeastOutstandingPolicy();
