Give orders, reclaim memory and spread leaving marks

Orders are a pure function of the published configuration and the engine's report; the issuer is the first daemon alive in the engine's rank, the token is the version, and loads wait for the engine's slot so that the weight store's limit holds without agreement. Memory of requests past their deadline or of ended runs is released from the engines' own lists. Endpoints that refuse as leaving are left out at once, by all daemons through gossip.

--- a/core/src/main/java/io/bilberrygrade/core/config/Deployment.java
+++ b/core/src/main/java/io/bilberrygrade/core/config/Deployment.java
@@ -10,19 +10,34 @@
 
 /**
  * One version of the published configuration, checked and ready for use. {@code teams} is keyed by
- * the digest of the team's credential.
+ * the digest of the team's credential; {@code weightReadsPerSecond} is the weight store's limit
+ * over the whole fleet.
  */
 public record Deployment(
         long version,
         ImmutableMap<WorkClassId, WorkClass> classes,
         ImmutableMap<String, Team> teams,
         ImmutableMap<ModelId, Model> models,
-        ImmutableMap<EndpointId, Endpoint> endpoints) {
+        ImmutableMap<EndpointId, Endpoint> endpoints,
+        double weightReadsPerSecond) {
+    /** Limit of the weight store where none is published. */
+    public static final double DEFAULT_WEIGHT_READS_PER_SECOND = 1;
+
     /** The configuration of a daemon that has not read any yet. */
     public static final Deployment EMPTY =
             new Deployment(
                     0, ImmutableMap.of(), ImmutableMap.of(), ImmutableMap.of(), ImmutableMap.of());
 
+    /** Creates a configuration without a published limit of the weight store. */
+    public Deployment(
+            long version,
+            ImmutableMap<WorkClassId, WorkClass> classes,
+            ImmutableMap<String, Team> teams,
+            ImmutableMap<ModelId, Model> models,
+            ImmutableMap<EndpointId, Endpoint> endpoints) {
+        this(version, classes, teams, models, endpoints, DEFAULT_WEIGHT_READS_PER_SECOND);
+    }
+
     /** Returns the team whose credential has the given SHA-256 digest in hexadecimal. */
     public Optional<Team> teamByCredentialDigest(String digest) {
         return Optional.ofNullable(teams.get(digest));
--- a/core/src/main/java/io/bilberrygrade/core/config/EndpointKind.java
+++ b/core/src/main/java/io/bilberrygrade/core/config/EndpointKind.java
@@ -10,8 +10,17 @@
      * Model engine. {@code memoryTokens} is its KV memory in tokens; {@code checksFencing} says
      * whether it refuses orders that carry an old fencing token.
      */
-    record Engine(ImmutableSet<ModelId> models, long memoryTokens, boolean checksFencing)
-            implements EndpointKind {}
+    record Engine(
+            ImmutableSet<ModelId> models, long memoryTokens, boolean checksFencing, String role)
+            implements EndpointKind {
+        /** Role of an engine that both prefills and decodes. */
+        public static final String MIXED = "mixed";
+
+        /** Creates an engine that both prefills and decodes. */
+        public Engine(ImmutableSet<ModelId> models, long memoryTokens, boolean checksFencing) {
+            this(models, memoryTokens, checksFencing, MIXED);
+        }
+    }
 
     /** Instance of a plain service. */
     record Service(ServiceId service) implements EndpointKind {}
--- /dev/null
+++ b/core/src/main/java/io/bilberrygrade/core/reclaim/Holding.java
@@ -0,0 +1,28 @@
+package io.bilberrygrade.core.reclaim;
+
+import io.bilberrygrade.core.identity.Incarnation;
+import io.bilberrygrade.core.identity.InstanceId;
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * Memory that an engine holds for a request: whose it is and how much time the request has left,
+ * negative once its deadline has passed. The instance is empty when the request's identifier
+ * doesn't name it.
+ */
+public record Holding(Optional<InstanceId> instance, Incarnation incarnation, Duration remaining) {
+    private static final char SEPARATOR = '-';
+
+    /**
+     * Returns the holding of a request whose identifier is {@code instance-incarnation-number}, as
+     * daemons make them.
+     */
+    public static Holding of(String requestId, long incarnation, Duration remaining) {
+        int end = requestId.lastIndexOf(SEPARATOR + Long.toString(incarnation) + SEPARATOR);
+        Optional<InstanceId> instance =
+                end > 0
+                        ? Optional.of(new InstanceId(requestId.substring(0, end)))
+                        : Optional.empty();
+        return new Holding(instance, new Incarnation(incarnation), remaining);
+    }
+}
--- a/serving/src/main/java/io/bilberrygrade/serving/atmostonce/PlainServiceDispatch.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/atmostonce/PlainServiceDispatch.java
@@ -110,6 +110,7 @@
             ImmutableList<Endpoint> instances,
             Endpoint endpoint,
             CallException e) {
+        mEndpoints.refused(endpoint.id(), e, mClock.instant());
         if (e.delivery() != Delivery.REFUSED) {
             mEndpoints.failed(endpoint.id(), mClock.instant());
         }
--- a/serving/src/main/java/io/bilberrygrade/serving/controller/EndpointController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/EndpointController.java
@@ -8,6 +8,7 @@
 import io.bilberrygrade.core.routing.EndpointLoad;
 import io.bilberrygrade.core.routing.EndpointView;
 import io.bilberrygrade.core.routing.EngineFleet;
+import io.bilberrygrade.serving.error.CallException;
 import io.bilberrygrade.serving.wire.LoadDocument;
 import java.time.Duration;
 import java.time.Instant;
@@ -20,6 +21,21 @@
     private static final Duration EJECTION = Duration.ofSeconds(2);
 
     private final Map<EndpointId, State> mStates = new HashMap<>();
+    private Optional<LeavingController> mLeaving = Optional.empty();
+
+    /** Leaves out endpoints that are leaving, which their refusals tell. */
+    public void attach(LeavingController leaving) {
+        mLeaving = Optional.of(leaving);
+    }
+
+    private boolean leaving(EndpointId endpoint, Instant now) {
+        return mLeaving.map(l -> l.leaving(endpoint, now)).orElse(false);
+    }
+
+    /** Passes on why an endpoint has refused a call, if it gave a reason. */
+    public void refused(EndpointId endpoint, CallException refusal, Instant now) {
+        refusal.refusal().ifPresent(r -> mLeaving.ifPresent(l -> l.refused(endpoint, r, now)));
+    }
 
     /** Drops what is known of endpoints that a new configuration no longer has. */
     public void onDeployment(Deployment deployment) {
@@ -34,7 +50,7 @@
     /** Returns the view of one endpoint. */
     public EndpointView view(Endpoint endpoint, Instant now) {
         State state = state(endpoint.id());
-        boolean available = !now.isBefore(state.mEjectedUntil);
+        boolean available = !now.isBefore(state.mEjectedUntil) && !leaving(endpoint.id(), now);
         return new EndpointView(
                 endpoint, state.mLoad, state.mOwnRequests, state.mOwnQueuedTokens, available);
     }
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/LeavingController.java
@@ -0,0 +1,85 @@
+package io.bilberrygrade.serving.controller;
+
+import com.google.common.collect.ImmutableSet;
+import io.bilberrygrade.core.identity.EndpointId;
+import io.bilberrygrade.core.leaving.LeavingMarks;
+import io.bilberrygrade.serving.event.EventLog;
+import io.bilberrygrade.serving.event.MembershipEvent;
+import io.bilberrygrade.serving.peer.GossipDigest;
+import io.bilberrygrade.serving.peer.LeavingMark;
+import io.bilberrygrade.serving.peer.PeerIdentity;
+import io.bilberrygrade.serving.wire.InstanceListDocument;
+import java.time.Duration;
+import java.time.Instant;
+
+/**
+ * Owns which endpoints are leaving: learns it from their refusals, from peers and from the
+ * published list, which lags, and tells peers.
+ */
+public final class LeavingController implements GossipContributor {
+    private static final String ENDPOINT = "endpoint";
+    private static final String LEAVING = "leaving";
+
+    private final LeavingMarks mMarks = new LeavingMarks();
+    private final boolean mGossips;
+    private final Runnable mSpreadNews;
+    private final EventLog mEvents;
+
+    /** Creates the controller; unless it gossips, the published list alone counts. */
+    public LeavingController(boolean gossips, Runnable spreadNews, EventLog events) {
+        mGossips = gossips;
+        mSpreadNews = spreadNews;
+        mEvents = events;
+    }
+
+    /** Returns whether an endpoint is to get no new work. */
+    public boolean leaving(EndpointId endpoint, Instant now) {
+        return mMarks.leaving(endpoint, now);
+    }
+
+    /** Notes the reason for which an endpoint has refused a call. */
+    public void refused(EndpointId endpoint, String reason, Instant now) {
+        if (mGossips && reason.equals(LEAVING) && mark(endpoint, now, now, endpoint.value())) {
+            mSpreadNews.run();
+        }
+    }
+
+    /** Takes over the published list. */
+    public void published(InstanceListDocument list) {
+        mMarks.published(
+                list.instances().stream()
+                        .filter(i -> i.kind().equals(ENDPOINT) && i.state().equals(LEAVING))
+                        .map(i -> new EndpointId(i.id()))
+                        .collect(ImmutableSet.toImmutableSet()));
+    }
+
+    @Override
+    public void contribute(GossipDraft draft, Instant now) {
+        if (mGossips) {
+            mMarks.newest(GossipDigest.MAX_LEAVING, now)
+                    .forEach(
+                            m ->
+                                    draft.add(
+                                            new LeavingMark(
+                                                    m.endpoint().value(), m.age().toMillis())));
+        }
+    }
+
+    @Override
+    public boolean merge(PeerIdentity from, GossipDigest digest, Instant now) {
+        boolean news = false;
+        for (LeavingMark m : digest.leaving()) {
+            Instant seenAt = now.minus(Duration.ofMillis(Math.max(0, m.ageMillis())));
+            news |= mGossips && mark(new EndpointId(m.endpoint()), seenAt, now, from.toString());
+        }
+        return news;
+    }
+
+    private boolean mark(EndpointId endpoint, Instant seenAt, Instant now, String source) {
+        boolean fresh = mMarks.mark(endpoint, seenAt, now);
+        if (fresh) {
+            mEvents.record(new MembershipEvent.EndpointLeaving(endpoint.value(), source));
+        }
+        return fresh;
+    }
+}
--- a/serving/src/main/java/io/bilberrygrade/serving/controller/MembershipController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/MembershipController.java
@@ -4,7 +4,9 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
+import io.bilberrygrade.core.fencing.IssuerRank;
 import io.bilberrygrade.core.identity.Address;
+import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.identity.InstanceId;
 import io.bilberrygrade.core.membership.Heartbeat;
@@ -100,6 +102,12 @@
                 .findFirst();
     }
 
+    /** Returns the first daemon alive in the rank that gives an engine its orders. */
+    public Optional<InstanceId> firstAlive(EndpointId engine, Instant now) {
+        return IssuerRank.issuer(
+                engine, published(), i -> i.equals(mSelf.instance()) || alive(now).containsKey(i));
+    }
+
     /** Returns the number of other daemons on the list; empty before it was read. */
     public OptionalInt publishedPeers() {
         return mList.version() == 0
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/OrderController.java
@@ -0,0 +1,218 @@
+package io.bilberrygrade.serving.controller;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSortedSet;
+import io.bilberrygrade.core.config.Deployment;
+import io.bilberrygrade.core.config.Endpoint;
+import io.bilberrygrade.core.config.EndpointKind;
+import io.bilberrygrade.core.fencing.EngineReport;
+import io.bilberrygrade.core.fencing.LoadSlots;
+import io.bilberrygrade.core.fencing.Order;
+import io.bilberrygrade.core.fencing.OrderPlan;
+import io.bilberrygrade.core.identity.EndpointId;
+import io.bilberrygrade.core.identity.ModelId;
+import io.bilberrygrade.serving.engine.ModelEngine;
+import io.bilberrygrade.serving.error.CallException;
+import io.bilberrygrade.serving.event.EventLog;
+import io.bilberrygrade.serving.event.OrderEvent;
+import io.bilberrygrade.serving.time.Timers;
+import io.bilberrygrade.serving.wire.EngineStateDocument;
+import io.bilberrygrade.serving.wire.OrderDocument;
+import io.bilberrygrade.serving.wire.OrderKind;
+import io.bilberrygrade.serving.wire.OrderResultDocument;
+import io.smallrye.mutiny.Multi;
+import io.smallrye.mutiny.Uni;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+
+/**
+ * Brings engines to what is published: reads their state, gives the orders that are missing and
+ * reads back. Before each order the configuration, the issuer and the time are read again, since
+ * the process may have been paused meanwhile. An engine that ignores the fencing token and got a
+ * late order is brought back in the next round.
+ */
+public final class OrderController {
+    /** Time between two rounds. */
+    public static final Duration PERIOD = Duration.ofSeconds(2);
+
+    private static final Duration LOAD_PATIENCE = Duration.ofMinutes(2);
+    private static final int CONCURRENT_ENGINES = 8;
+
+    private final ModelEngine mEngine;
+    private final Supplier<Deployment> mDeployment;
+    private final Predicate<EndpointId> mIssues;
+    private final boolean mFenced;
+    private final Timers mTimers;
+    private final InstantSource mClock;
+    private final EventLog mEvents;
+    private final Map<EndpointId, PendingLoad> mLoads = new HashMap<>();
+
+    /** Creates the controller; {@code issues} tells whether this daemon orders an engine. */
+    public OrderController(
+            ModelEngine engine,
+            Supplier<Deployment> deployment,
+            Predicate<EndpointId> issues,
+            boolean fenced,
+            Timers timers,
+            InstantSource clock,
+            EventLog events) {
+        mEngine = engine;
+        mDeployment = deployment;
+        mIssues = issues;
+        mFenced = fenced;
+        mTimers = timers;
+        mClock = clock;
+        mEvents = events;
+    }
+
+    /** Brings the engines of this daemon one step further. Failures leave everything as it is. */
+    public Uni<Void> round() {
+        Deployment deployment = mDeployment.get();
+        mLoads.keySet().retainAll(deployment.endpoints().keySet());
+        return Multi.createFrom()
+                .iterable(deployment.endpoints().values())
+                .filter(e -> e.kind() instanceof EndpointKind.Engine && mIssues.test(e.id()))
+                .onItem()
+                .transformToUni(this::converge)
+                .merge(CONCURRENT_ENGINES)
+                .collect()
+                .asList()
+                .replaceWithVoid();
+    }
+
+    private Uni<Void> converge(Endpoint engine) {
+        return mEngine.state(engine)
+                .onItem()
+                .transformToUni(state -> give(engine, state))
+                .onFailure(CallException.class)
+                .recoverWithItem((Void) null);
+    }
+
+    private Uni<Void> give(Endpoint engine, EngineStateDocument state) {
+        Deployment planned = mDeployment.get();
+        EngineReport report = report(state);
+        if (mFenced && report.highestToken() > planned.version()) {
+            return Uni.createFrom().voidItem();
+        }
+        ImmutableList<Order> orders =
+                OrderPlan.missing(planned, (EndpointKind.Engine) engine.kind(), report);
+        dropFinishedLoad(engine.id(), orders);
+        return Multi.createFrom()
+                .iterable(orders)
+                .filter(order -> !awaited(engine.id(), order))
+                .onItem()
+                .transformToUniAndConcatenate(order -> give(engine, order, planned, report))
+                .collect()
+                .asList()
+                .replaceWithVoid();
+    }
+
+    private Uni<Void> give(Endpoint engine, Order order, Deployment planned, EngineReport report) {
+        if (!order.readsWeights()) {
+            return send(engine, order, planned, report);
+        }
+        return mTimers.after(untilSlot(engine.id(), planned))
+                .onItem()
+                .transformToUni(
+                        v ->
+                                untilSlot(engine.id(), planned).isZero()
+                                        ? send(engine, order, planned, report)
+                                        : Uni.createFrom().voidItem());
+    }
+
+    private Duration untilSlot(EndpointId engine, Deployment deployment) {
+        ImmutableSortedSet<EndpointId> engines =
+                deployment.endpoints().values().stream()
+                        .filter(e -> e.kind() instanceof EndpointKind.Engine)
+                        .map(Endpoint::id)
+                        .collect(
+                                ImmutableSortedSet.toImmutableSortedSet(
+                                        Comparator.comparing(EndpointId::value)));
+        return new LoadSlots(engines, deployment.weightReadsPerSecond())
+                .untilOpen(engine, mClock.instant());
+    }
+
+    private Uni<Void> send(Endpoint engine, Order order, Deployment planned, EngineReport report) {
+        boolean outdated = mDeployment.get().version() != planned.version();
+        if (mFenced && (outdated || !mIssues.test(engine.id()))) {
+            return Uni.createFrom().voidItem();
+        }
+        if (order.readsWeights()) {
+            mLoads.put(engine.id(), new PendingLoad(order, mClock.instant()));
+        }
+        long token =
+                mFenced ? planned.version() : Math.max(report.highestToken(), planned.version());
+        return mEngine.order(engine, document(order, token))
+                .invoke(result -> report(engine, order, token, result))
+                .replaceWithVoid();
+    }
+
+    private void report(Endpoint engine, Order order, long token, OrderResultDocument result) {
+        String id = engine.id().value();
+        if (result.accepted()) {
+            mEvents.record(new OrderEvent.Accepted(id, order.toString(), token));
+        } else {
+            mLoads.remove(engine.id());
+            mEvents.record(new OrderEvent.Refused(id, order.toString(), token, result.reason()));
+        }
+    }
+
+    private void dropFinishedLoad(EndpointId engine, ImmutableList<Order> missing) {
+        PendingLoad load = mLoads.get(engine);
+        if (load != null && !missing.contains(load.order())) {
+            mLoads.remove(engine);
+        }
+    }
+
+    /** Returns whether an order must wait, since the engine is reading the weight store already. */
+    private boolean awaited(EndpointId engine, Order order) {
+        PendingLoad load = mLoads.get(engine);
+        return order.readsWeights()
+                && load != null
+                && mClock.instant().isBefore(load.since().plus(LOAD_PATIENCE));
+    }
+
+    private static EngineReport report(EngineStateDocument state) {
+        ImmutableSet<EngineReport.Loaded> loaded =
+                state.models().stream()
+                        .map(
+                                m ->
+                                        new EngineReport.Loaded(
+                                                new ModelId(m.model()),
+                                                Optional.ofNullable(m.adapter()),
+                                                m.version()))
+                        .collect(ImmutableSet.toImmutableSet());
+        return new EngineReport(loaded, state.role(), state.highestFencingToken());
+    }
+
+    private static OrderDocument document(Order order, long token) {
+        return switch (order) {
+            case Order.LoadModel l ->
+                    new OrderDocument(
+                            OrderKind.LOAD_MODEL, l.model().value(), null, l.version(), "", token);
+            case Order.LoadAdapter l ->
+                    new OrderDocument(
+                            OrderKind.LOAD_ADAPTER,
+                            l.model().value(),
+                            l.adapter(),
+                            l.version(),
+                            "",
+                            token);
+            case Order.UnloadModel u ->
+                    new OrderDocument(
+                            OrderKind.UNLOAD_MODEL, u.model().value(), null, 0, "", token);
+            case Order.SetRole r ->
+                    new OrderDocument(OrderKind.SET_ROLE, null, null, 0, r.role(), token);
+        };
+    }
+
+    private record PendingLoad(Order order, Instant since) {}
+}
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.bilberrygrade.core.atmostonce.KeyAuthority;
+import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.identity.RequestId;
 import io.bilberrygrade.serving.atmostonce.AtMostOnceController;
@@ -12,7 +13,10 @@
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.controller.EndpointController;
 import io.bilberrygrade.serving.controller.GossipController;
+import io.bilberrygrade.serving.controller.LeavingController;
 import io.bilberrygrade.serving.controller.MembershipController;
+import io.bilberrygrade.serving.controller.OrderController;
+import io.bilberrygrade.serving.controller.ReclaimController;
 import io.bilberrygrade.serving.controller.StartupController;
 import io.bilberrygrade.serving.engine.HttpModelEngine;
 import io.bilberrygrade.serving.engine.ModelEngine;
@@ -43,6 +47,7 @@
 import io.vertx.ext.web.RoutingContext;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -82,6 +87,9 @@
     private ModelEngine mEngine;
     private ConfigGossip mConfigGossip;
     private StartupController mStartup;
+    private LeavingController mLeaving;
+    private ReclaimController mReclaim;
+    private OrderController mOrders;
     private long mNextRequest;
     private PeriodicTasks mTasks;
 
@@ -141,6 +149,41 @@
         mConfig.onChange(mEndpoints::onDeployment);
         mConfig.onChange(d -> mGossip.spreadNews());
         createKeys(self);
+        createEndpointControllers();
+    }
+
+    private void createEndpointControllers() {
+        mLeaving =
+                new LeavingController(
+                        mSettings.policy().enabled(Mechanism.LEAVING_GOSSIP),
+                        mGossip::spreadNews,
+                        mEvents);
+        mGossip.register(mLeaving);
+        mEndpoints.attach(mLeaving);
+        mReclaim =
+                new ReclaimController(
+                        mSettings.instance(),
+                        mEngine,
+                        mMembership,
+                        mConfig::current,
+                        mClock,
+                        mEvents);
+        mOrders =
+                new OrderController(
+                        mEngine,
+                        mConfig::current,
+                        this::issuesOrders,
+                        mSettings.policy().enabled(Mechanism.FENCING),
+                        mTimers,
+                        mClock,
+                        mEvents);
+    }
+
+    private boolean issuesOrders(EndpointId engine) {
+        return mDrain.serving()
+                && mMembership
+                        .firstAlive(engine, mClock.instant())
+                        .equals(Optional.of(mSettings.instance()));
     }
 
     private void createKeys(PeerIdentity self) {
@@ -259,11 +302,19 @@
     private void startBackgroundWork() {
         mTasks = new PeriodicTasks(vertx, mRandom, mEvents);
         mTasks.repeat("config", CONFIG_PAUSE, this::watchConfig);
-        mTasks.repeat("instance list", INSTANCE_LIST_PERIOD, mMembership::refresh);
+        mTasks.repeat("instance list", INSTANCE_LIST_PERIOD, this::refreshInstances);
+        mTasks.repeat("orders", OrderController.PERIOD, mOrders::round);
+        if (mSettings.policy().enabled(Mechanism.RECLAIM)) {
+            mTasks.repeat("reclaim", ReclaimController.PERIOD, mReclaim::sweep);
+        }
         mTasks.repeatUntil("startup", STARTUP_PAUSE, this::advanceStartup, mStartup::done);
         mTasks.repeat("gossip", MembershipController.ROUND, mGossip::round);
     }
 
+    private Uni<Void> refreshInstances() {
+        return mMembership.refresh().invoke(() -> mLeaving.published(mMembership.instances()));
+    }
+
     private Uni<Void> watchConfig() {
         return mConfig.refresh(CONFIG_WAIT)
                 .onFailure(CallException.class)
--- a/serving/src/main/java/io/bilberrygrade/serving/event/MembershipEvent.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/MembershipEvent.java
@@ -18,4 +18,8 @@
     /** The list of instances could not be read. */
     @EventInfo(number = 3004, level = EventLevel.WARN)
     record InstanceListUnavailable(String peer, String error) implements MembershipEvent {}
+
+    /** An endpoint said that it is leaving, or a peer passed that on; it gets no new work. */
+    @EventInfo(number = 3010, level = EventLevel.INFO, audited = true)
+    record EndpointLeaving(String endpoint, String source) implements MembershipEvent {}
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/event/OrderEvent.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/OrderEvent.java
@@ -10,4 +10,9 @@
     @EventInfo(number = 4002, level = EventLevel.WARN)
     record Refused(String endpoint, String order, long fencingToken, String reason)
             implements OrderEvent {}
+
+    /** Memory that an engine held for a request of a daemon that is gone was released. */
+    @EventInfo(number = 4003, level = EventLevel.INFO, audited = true)
+    record Reclaimed(String endpoint, String request, long tokens, String reason)
+            implements OrderEvent {}
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/Attempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/Attempt.java
@@ -120,6 +120,7 @@
             mProgress.markMayHaveRun();
         }
         mProgress.endAttempt();
+        mEndpoints.refused(mEndpoint.id(), e, mClock.instant());
         if (e.delivery() != Delivery.REFUSED && !tooLate(request, mClock.instant())) {
             mEndpoints.failed(mEndpoint.id(), mClock.instant());
         }
--- a/serving/src/main/java/io/bilberrygrade/serving/http/HttpAnswer.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/HttpAnswer.java
@@ -1,6 +1,7 @@
 package io.bilberrygrade.serving.http;
 
 import io.bilberrygrade.serving.json.Mappers;
+import io.bilberrygrade.serving.wire.RefusalDocument;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.mutiny.ext.web.client.HttpResponse;
 import java.io.IOException;
@@ -19,6 +20,16 @@
                 body);
     }
 
+    /** Returns the reason that a refusal gives. */
+    String refusal() {
+        try {
+            String reason = Mappers.JSON.readValue(body.getBytes(), RefusalDocument.class).reason();
+            return reason == null ? "unspecified" : reason;
+        } catch (IOException e) {
+            return "unspecified";
+        }
+    }
+
     /** Reads the body as JSON. */
     public <T> T as(Class<T> type) {
         try {
--- a/serving/src/main/java/io/bilberrygrade/serving/http/HttpCall.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/HttpCall.java
@@ -99,10 +99,14 @@
         if (successful || status == mAcceptedStatus || (mAcceptsAnyStatus && !refused)) {
             return Uni.createFrom().item(HttpAnswer.of(response));
         }
-        Delivery delivery = refused ? Delivery.REFUSED : Delivery.MAY_HAVE_RUN;
+        if (refused) {
+            String reason = HttpAnswer.of(response).refusal();
+            return Uni.createFrom().failure(CallException.refused(mStep, mPeer.toString(), reason));
+        }
         String message = "status " + status + " " + response.bodyAsString();
         return Uni.createFrom()
-                .failure(new CallException(mStep, mPeer.toString(), delivery, message));
+                .failure(
+                        new CallException(mStep, mPeer.toString(), Delivery.MAY_HAVE_RUN, message));
     }
 
     private CallException failure(Delivery delivery, Throwable cause) {
--- a/serving/src/main/java/io/bilberrygrade/serving/platform/DeploymentDocuments.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/platform/DeploymentDocuments.java
@@ -57,7 +57,13 @@
     /** Part {@code models}. */
     public record Models(
             @KeyInfo("the models that engines are to have loaded") @Valid
-                    List<ModelDocument> models) {}
+                    List<ModelDocument> models,
+            @KeyInfo(
+                            value = "reads a second that the weight store takes from all engines",
+                            defaultValue = "1")
+                    @DecimalMin("0.01")
+                    @DecimalMax("1000")
+                    Double weightReadsPerSecond) {}
 
     /** A model with the version and adapters that engines are to have loaded. */
     public record ModelDocument(
@@ -88,6 +94,9 @@
                                             + " token",
                             defaultValue = "false")
                     Boolean checksFencing,
+            @KeyInfo(value = "role that a model engine is to take", defaultValue = "mixed")
+                    @Size(min = 1, max = MAX_ID_CHARS)
+                    String role,
             @KeyInfo(value = "plain service that it is an instance of", optional = true)
                     String service) {}
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/platform/DeploymentParser.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/platform/DeploymentParser.java
@@ -47,6 +47,7 @@
 
     private final ConfigParts mSource;
     private final List<Fault> mFaults = new ArrayList<>();
+    private double mWeightReadsPerSecond = Deployment.DEFAULT_WEIGHT_READS_PER_SECOND;
 
     private DeploymentParser(ConfigParts source) {
         mSource = source;
@@ -65,7 +66,13 @@
         if (!mFaults.isEmpty()) {
             throw new InvalidConfigException(ImmutableList.copyOf(mFaults));
         }
-        return new Deployment(mSource.version(), classes, teams, models.orElseThrow(), endpoints);
+        return new Deployment(
+                mSource.version(),
+                classes,
+                teams,
+                models.orElseThrow(),
+                endpoints,
+                mWeightReadsPerSecond);
     }
 
     private ImmutableMap<WorkClassId, WorkClass> classes() {
@@ -118,6 +125,7 @@
 
     private ImmutableMap<ModelId, Model> models(Document<Models> part) {
         UniqueIndex<ModelId, Model> index = new UniqueIndex<>(part, mFaults::add);
+        mWeightReadsPerSecond = part.value().weightReadsPerSecond();
         for (ModelDocument d : part.value().models()) {
             ModelId id = new ModelId(d.id());
             ImmutableSet<String> adapters =
@@ -173,7 +181,7 @@
                 throw new IllegalArgumentException("part models has no '" + model + "'");
             }
         }
-        return new EndpointKind.Engine(served, d.memoryTokens(), d.checksFencing());
+        return new EndpointKind.Engine(served, d.memoryTokens(), d.checksFencing(), d.role());
     }
 
     private <T> Optional<Document<T>> read(String key, Class<T> type) {
