Order a load again when a late order undid one that had taken effect

A load that had taken effect counted as pending until a later round saw it, so that a late order in between held up the correction for two minutes. Found by the test of late orders.

--- a/serving/src/main/java/io/bilberrygrade/serving/controller/OrderController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/OrderController.java
@@ -157,10 +157,10 @@
 
     private void report(Endpoint engine, Order order, long token, OrderResultDocument result) {
         String id = engine.id().value();
+        mLoads.remove(engine.id());
         if (result.accepted()) {
             mEvents.record(new OrderEvent.Accepted(id, order.toString(), token));
         } else {
-            mLoads.remove(engine.id());
             mEvents.record(new OrderEvent.Refused(id, order.toString(), token, result.reason()));
         }
     }
--- /dev/null
+++ b/standins/src/test/java/io/bilberrygrade/standins/daemon/OrderControllerTest.java
@@ -0,0 +1,112 @@
+package io.bilberrygrade.standins.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import io.bilberrygrade.core.config.Deployment;
+import io.bilberrygrade.core.config.Endpoint;
+import io.bilberrygrade.core.config.EndpointKind;
+import io.bilberrygrade.core.config.Model;
+import io.bilberrygrade.core.identity.Address;
+import io.bilberrygrade.core.identity.DataCentreId;
+import io.bilberrygrade.core.identity.EndpointId;
+import io.bilberrygrade.core.identity.ModelId;
+import io.bilberrygrade.serving.controller.OrderController;
+import io.bilberrygrade.serving.engine.HttpModelEngine;
+import io.bilberrygrade.serving.http.HttpCalls;
+import io.bilberrygrade.serving.time.VertxTimers;
+import io.bilberrygrade.serving.wire.OrderDocument;
+import io.bilberrygrade.serving.wire.OrderKind;
+import io.bilberrygrade.standins.engine.EngineSettings;
+import io.bilberrygrade.standins.engine.StandInEngine;
+import io.vertx.mutiny.core.Vertx;
+import java.time.Duration;
+import java.time.InstantSource;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Checks that an issuer that missed a newer configuration can't take an engine back. */
+final class OrderControllerTest {
+    private static final Duration BOUND = Duration.ofSeconds(20);
+    private static final ModelId MODEL = new ModelId("test-model");
+    private static final long NEWER_TOKEN = 5;
+    private static final long OLDER_TOKEN = 4;
+
+    private final Vertx mVertx = Vertx.vertx();
+    private final HttpModelEngine mEngine =
+            new HttpModelEngine(new HttpCalls(mVertx), InstantSource.system());
+
+    @AfterEach
+    void stop() {
+        mVertx.closeAndAwait();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"true,5", "false,1"})
+    void givesNoOrdersOfOlderVersions(boolean fenced, long expectedVersion) {
+        Endpoint endpoint = engine();
+        load(endpoint, 5, NEWER_TOKEN);
+
+        controller(endpoint, deployment(endpoint, OLDER_TOKEN, 1), fenced)
+                .round()
+                .await()
+                .atMost(BOUND);
+
+        assertThat(modelVersion(endpoint)).isEqualTo(expectedVersion);
+    }
+
+    @Test
+    void refusesOldTokensAtTheEngine() {
+        Endpoint endpoint = engine();
+        load(endpoint, 5, NEWER_TOKEN);
+
+        load(endpoint, 1, OLDER_TOKEN);
+
+        assertThat(modelVersion(endpoint)).isEqualTo(5);
+    }
+
+    private Endpoint engine() {
+        StandInEngine engine =
+                StandInEngine.start(mVertx, EngineSettings.defaults(MODEL.value()))
+                        .await()
+                        .atMost(BOUND);
+        return new Endpoint(
+                new EndpointId("engine-1"),
+                new DataCentreId("dc-1"),
+                new Address("127.0.0.1", engine.port()),
+                new EndpointKind.Engine(ImmutableSet.of(MODEL), 400_000, true));
+    }
+
+    private void load(Endpoint endpoint, long version, long token) {
+        OrderDocument order =
+                new OrderDocument(OrderKind.LOAD_MODEL, MODEL.value(), null, version, "", token);
+        mEngine.order(endpoint, order).await().atMost(BOUND);
+    }
+
+    private long modelVersion(Endpoint endpoint) {
+        return mEngine.state(endpoint).await().atMost(BOUND).models().get(0).version();
+    }
+
+    private OrderController controller(Endpoint endpoint, Deployment deployment, boolean fenced) {
+        return new OrderController(
+                mEngine,
+                () -> deployment,
+                id -> id.equals(endpoint.id()),
+                fenced,
+                new VertxTimers(mVertx.getDelegate()),
+                InstantSource.system(),
+                event -> {});
+    }
+
+    private static Deployment deployment(Endpoint endpoint, long version, long modelVersion) {
+        return new Deployment(
+                version,
+                ImmutableMap.of(),
+                ImmutableMap.of(),
+                ImmutableMap.of(MODEL, new Model(MODEL, modelVersion, ImmutableSet.of())),
+                ImmutableMap.of(endpoint.id(), endpoint));
+    }
+}
