Place requests by predicted time to first token

Least outstanding requests takes a prompt of a million tokens for one of a thousand. The predictive policy counts the uncached tokens ahead over a learned prefill rate, among the engines that rendezvous hashing prefers for the prefix and a few drawn at random. Reports are aged: own dispatches since are added, work done since is taken off. Failing, silent and refusing endpoints are held back for times that double, at most half of a pool. Long work runs at low engine priority on engines whose number follows its demand.

--- a/core/src/main/java/io/bilberrygrade/core/config/Deployment.java
+++ b/core/src/main/java/io/bilberrygrade/core/config/Deployment.java
@@ -2,7 +2,10 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSetMultimap;
 import io.bilberrygrade.core.identity.EndpointId;
+import io.bilberrygrade.core.identity.Identifier;
 import io.bilberrygrade.core.identity.ModelId;
 import io.bilberrygrade.core.identity.ServiceId;
 import io.bilberrygrade.core.identity.WorkClassId;
@@ -47,4 +50,18 @@
                                         && s.service().equals(service))
                 .collect(ImmutableList.toImmutableList());
     }
+
+    /** Returns the endpoints that can stand in for one another: those of a model or a service. */
+    public ImmutableList<ImmutableSet<EndpointId>> pools() {
+        ImmutableSetMultimap.Builder<Identifier, EndpointId> pools = ImmutableSetMultimap.builder();
+        for (Endpoint endpoint : endpoints.values()) {
+            switch (endpoint.kind()) {
+                case EndpointKind.Engine e -> e.models().forEach(m -> pools.put(m, endpoint.id()));
+                case EndpointKind.Service s -> pools.put(s.service(), endpoint.id());
+            }
+        }
+        return pools.build().asMap().values().stream()
+                .map(ImmutableSet::copyOf)
+                .collect(ImmutableList.toImmutableList());
+    }
 }
--- /dev/null
+++ b/core/src/main/java/io/bilberrygrade/core/lane/LongEngines.java
@@ -0,0 +1,62 @@
+package io.bilberrygrade.core.lane;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Multimaps;
+import io.bilberrygrade.core.config.Endpoint;
+import io.bilberrygrade.core.identity.DataCentreId;
+import io.bilberrygrade.core.identity.EndpointId;
+import io.bilberrygrade.core.routing.Mixing;
+import java.util.Comparator;
+
+/**
+ * Chooses the engines of the long lane: the data centres take turns and each gives its engines in
+ * rendezvous order. Daemons whose boundaries differ thus choose nested sets.
+ */
+public final class LongEngines {
+    private static final long SALT = Mixing.hash("long lane");
+    private static final double MOST_OF_DATA_CENTRE = 0.75;
+
+    private LongEngines() {}
+
+    /** Returns the most engines that long work may take: some of each data centre stay free. */
+    public static int most(ImmutableList<Endpoint> engines) {
+        return byDataCentre(engines).asMap().values().stream()
+                .mapToInt(e -> mostOf(e.size()))
+                .sum();
+    }
+
+    /** Returns the engines of a long lane of the given size, spread over the data centres. */
+    public static ImmutableSet<EndpointId> choose(ImmutableList<Endpoint> engines, int count) {
+        ImmutableListMultimap<DataCentreId, Endpoint> centres = byDataCentre(engines);
+        ImmutableSet.Builder<EndpointId> chosen = ImmutableSet.builder();
+        int left = count;
+        for (int round = 0; left > 0 && round < engines.size(); round++) {
+            for (DataCentreId centre : centres.keySet()) {
+                ImmutableList<Endpoint> members = centres.get(centre);
+                if (left > 0 && round < mostOf(members.size())) {
+                    chosen.add(members.get(round).id());
+                    left--;
+                }
+            }
+        }
+        return chosen.build();
+    }
+
+    private static int mostOf(int engines) {
+        return engines == 1 ? 1 : (int) Math.floor(engines * MOST_OF_DATA_CENTRE);
+    }
+
+    private static ImmutableListMultimap<DataCentreId, Endpoint> byDataCentre(
+            ImmutableList<Endpoint> engines) {
+        Comparator<Endpoint> order = Comparator.comparingLong(LongEngines::rank);
+        return Multimaps.index(
+                engines.stream().sorted(order.thenComparing(e -> e.id().value())).toList(),
+                Endpoint::dataCentre);
+    }
+
+    private static long rank(Endpoint engine) {
+        return Mixing.mix(Mixing.hash(engine.id().value()), SALT);
+    }
+}
--- a/core/src/main/java/io/bilberrygrade/core/routing/EndpointView.java
+++ b/core/src/main/java/io/bilberrygrade/core/routing/EndpointView.java
@@ -1,12 +1,17 @@
 package io.bilberrygrade.core.routing;
 
 import io.bilberrygrade.core.config.Endpoint;
-import java.util.Optional;
 
-/** What a daemon knows of one endpoint when it places a request. */
+/**
+ * What a daemon knows of one endpoint when it places a request. {@code freeTokens} is the KV memory
+ * that is taken to be free; {@code runningRequests} are those of all daemons, {@code ownRequests}
+ * those of this one.
+ */
 public record EndpointView(
         Endpoint endpoint,
-        Optional<EndpointLoad> load,
-        int ownRequests,
-        long ownQueuedTokens,
-        boolean available) {}
+        boolean available,
+        Backlog backlog,
+        PrefillRate rate,
+        long freeTokens,
+        int runningRequests,
+        int ownRequests) {}
--- a/core/src/main/java/io/bilberrygrade/core/routing/EngineFleet.java
+++ b/core/src/main/java/io/bilberrygrade/core/routing/EngineFleet.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import io.bilberrygrade.core.config.Endpoint;
+import io.bilberrygrade.core.lane.LanePlan;
 import java.time.Instant;
 
 /**
@@ -12,6 +13,21 @@
     /** Returns the engines in an order that is the same on all daemons. */
     ImmutableList<Endpoint> engines();
 
+    /** Returns the engines of which this daemon keeps fresh reports. */
+    ImmutableList<Endpoint> watched();
+
+    /** Returns the engines that long work is confined to, or all when it is not confined. */
+    ImmutableList<Endpoint> longEngines();
+
+    /** Returns the preferred engines of a prefix, by position in {@link #engines()}. */
+    RendezvousTable preferred();
+
+    /** Returns how requests are divided into lanes. */
+    LanePlan lanes();
+
+    /** Returns which prefixes engines are believed to have cached. */
+    PrefixIndex prefixes();
+
     /** Returns what the daemon knows of one of the engines. */
     EndpointView view(Endpoint engine, Instant now);
 }
--- /dev/null
+++ b/core/src/main/java/io/bilberrygrade/core/routing/PredictivePolicy.java
@@ -0,0 +1,149 @@
+package io.bilberrygrade.core.routing;
+
+import com.google.common.collect.ImmutableList;
+import io.bilberrygrade.core.config.Endpoint;
+import io.bilberrygrade.core.lane.Lane;
+import io.bilberrygrade.core.request.InferenceRequest;
+import io.bilberrygrade.core.request.Prompt;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.core.source64.SplitMix64;
+
+/**
+ * Chooses the engine with the shortest predicted time to first token among a few candidates: those
+ * that rendezvous hashing prefers for the prompt's prefix and some drawn at random. Among nearly
+ * equal predictions the preferred engines win, else chance decides, so that daemons with the same
+ * stale reports don't all choose alike.
+ */
+public final class PredictivePolicy implements PlacementPolicy {
+    private static final int SHORT_CANDIDATES = 4;
+    private static final int LONG_CANDIDATES = 16;
+    private static final int MAX_DRAWS_FACTOR = 3;
+    private static final double NEARLY_EQUAL_FACTOR = 1.1;
+    private static final Duration NEARLY_EQUAL = Duration.ofMillis(4);
+
+    private final boolean mAffinity;
+    private final long mSeed;
+
+    /** Creates the policy; {@code affinity} tells whether it sends prefixes to the same engines. */
+    public PredictivePolicy(boolean affinity, long seed) {
+        mAffinity = affinity;
+        mSeed = seed;
+    }
+
+    private record Candidate(EndpointView view, boolean preferred, Duration predicted) {}
+
+    @Override
+    public Optional<Placement> place(InferenceRequest request, EngineFleet fleet, Instant now) {
+        Lane lane = fleet.lanes().lane(request.prompt().tokens());
+        UniformRandomProvider random = random(request, now);
+        List<Candidate> candidates = candidates(request, fleet, lane, random, now);
+        if (candidates.isEmpty()) {
+            return Optional.empty();
+        }
+        Candidate chosen = choose(candidates, random);
+        return Optional.of(
+                new Placement(
+                        chosen.view(),
+                        chosen.predicted(),
+                        TimeToFirstToken.backlog(chosen.view(), lane),
+                        lane,
+                        fleet.lanes().priority(request.workClass(), request.prompt().tokens())));
+    }
+
+    private List<Candidate> candidates(
+            InferenceRequest request,
+            EngineFleet fleet,
+            Lane lane,
+            UniformRandomProvider random,
+            Instant now) {
+        CandidateSet set = new CandidateSet(request.prompt(), fleet, lane, now);
+        Prompt prompt = request.prompt();
+        if (mAffinity && lane == Lane.SHORT && !prompt.prefixHashes().isEmpty()) {
+            for (int i : fleet.preferred().preferred(prompt.prefixHashes().get(0))) {
+                set.add(fleet.engines().get(i), true);
+            }
+        }
+        ImmutableList<Endpoint> pool = lane == Lane.LONG ? fleet.longEngines() : fleet.watched();
+        draw(pool, set, lane == Lane.LONG ? LONG_CANDIDATES : SHORT_CANDIDATES, random);
+        if (set.mCandidates.isEmpty()) {
+            pool.forEach(e -> set.add(e, false));
+        }
+        if (set.mCandidates.isEmpty()) {
+            fleet.engines().forEach(e -> set.add(e, false));
+        }
+        return set.mCandidates;
+    }
+
+    private static void draw(
+            ImmutableList<Endpoint> pool,
+            CandidateSet set,
+            int wanted,
+            UniformRandomProvider random) {
+        if (pool.size() <= wanted) {
+            pool.forEach(e -> set.add(e, false));
+            return;
+        }
+        int drawn = 0;
+        for (int i = 0; i < wanted * MAX_DRAWS_FACTOR && drawn < wanted; i++) {
+            if (set.add(pool.get(random.nextInt(pool.size())), false)) {
+                drawn++;
+            }
+        }
+    }
+
+    private static Candidate choose(List<Candidate> candidates, UniformRandomProvider random) {
+        Duration best =
+                candidates.stream()
+                        .map(Candidate::predicted)
+                        .min(Duration::compareTo)
+                        .orElseThrow();
+        long limit = (long) (best.toNanos() * NEARLY_EQUAL_FACTOR) + NEARLY_EQUAL.toNanos();
+        List<Candidate> near =
+                candidates.stream().filter(c -> c.predicted().toNanos() <= limit).toList();
+        List<Candidate> preferred = near.stream().filter(Candidate::preferred).toList();
+        List<Candidate> pool = preferred.isEmpty() ? near : preferred;
+        return pool.get(random.nextInt(pool.size()));
+    }
+
+    private UniformRandomProvider random(InferenceRequest request, Instant now) {
+        return new SplitMix64(
+                Mixing.mix(mSeed ^ now.toEpochMilli(), request.id().value().hashCode()));
+    }
+
+    private final class CandidateSet {
+        private final Prompt mPrompt;
+        private final EngineFleet mFleet;
+        private final Lane mLane;
+        private final Instant mNow;
+        private final List<Candidate> mCandidates = new ArrayList<>();
+
+        CandidateSet(Prompt prompt, EngineFleet fleet, Lane lane, Instant now) {
+            mPrompt = prompt;
+            mFleet = fleet;
+            mLane = lane;
+            mNow = now;
+        }
+
+        boolean add(Endpoint engine, boolean preferred) {
+            if (mCandidates.stream().anyMatch(c -> c.view().endpoint().equals(engine))) {
+                return false;
+            }
+            EndpointView view = mFleet.view(engine, mNow);
+            if (!view.available() || TimeToFirstToken.memoryTokens(view) < mPrompt.memoryTokens()) {
+                return false;
+            }
+            double cached =
+                    mAffinity
+                            ? mFleet.prefixes().cachedTokens(engine.id(), mPrompt)
+                                    * PrefixIndex.TRUST
+                            : 0;
+            Duration predicted = TimeToFirstToken.predict(view, mPrompt, mLane, cached);
+            return mCandidates.add(new Candidate(view, preferred, predicted));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/bilberrygrade/core/routing/TimeToFirstToken.java
@@ -0,0 +1,47 @@
+package io.bilberrygrade.core.routing;
+
+import io.bilberrygrade.core.config.EndpointKind;
+import io.bilberrygrade.core.lane.Lane;
+import io.bilberrygrade.core.request.Prompt;
+import java.time.Duration;
+
+/** Predicts the time to first token of a prompt on one engine. */
+final class TimeToFirstToken {
+    private static final int CHUNK_TOKENS = 4_096;
+    private static final Duration PER_RUNNING_REQUEST = Duration.ofNanos(200_000);
+    private static final Duration PER_MISSING_MEMORY = Duration.ofSeconds(10);
+
+    private TimeToFirstToken() {}
+
+    /** Returns the prediction; {@code cachedTokens} of the prompt need no prefill. */
+    static Duration predict(EndpointView engine, Prompt prompt, Lane lane, double cachedTokens) {
+        double uncached = Math.max(1, prompt.tokens() - cachedTokens);
+        return backlog(engine, lane)
+                .plus(engine.rate().timeFor(uncached))
+                .plus(PER_RUNNING_REQUEST.multipliedBy(engine.runningRequests()))
+                .plus(memoryWait(engine, prompt));
+    }
+
+    /** Returns the time that passes before the engine turns to a new request of the lane. */
+    static Duration backlog(EndpointView engine, Lane lane) {
+        double ahead = engine.backlog().ahead(lane);
+        double otherLane = engine.backlog().ahead(Lane.LONG) - ahead;
+        double chunk = Math.min(otherLane, CHUNK_TOKENS) / 2;
+        return engine.rate().timeFor(ahead + chunk);
+    }
+
+    /** Waits for memory end with the answers that hold it, of whose lengths nothing is known. */
+    private static Duration memoryWait(EndpointView engine, Prompt prompt) {
+        long missing = prompt.memoryTokens() - engine.freeTokens();
+        if (missing <= 0) {
+            return Duration.ZERO;
+        }
+        double part = (double) missing / memoryTokens(engine);
+        return Duration.ofNanos((long) (PER_MISSING_MEMORY.toNanos() * part));
+    }
+
+    /** Returns the engine's KV memory in tokens. */
+    static long memoryTokens(EndpointView view) {
+        return view.endpoint().kind() instanceof EndpointKind.Engine e ? e.memoryTokens() : 0;
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/LoadController.java
@@ -0,0 +1,71 @@
+package io.bilberrygrade.serving.controller;
+
+import io.bilberrygrade.core.config.Endpoint;
+import io.bilberrygrade.core.identity.EndpointId;
+import io.bilberrygrade.core.routing.PrefixIndex;
+import io.bilberrygrade.serving.engine.ModelEngine;
+import io.bilberrygrade.serving.error.CallException;
+import io.bilberrygrade.serving.wire.CacheEvent;
+import io.bilberrygrade.serving.wire.CacheEventKind;
+import io.bilberrygrade.serving.wire.CacheEventsDocument;
+import io.smallrye.mutiny.Uni;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Comparator;
+import java.util.Optional;
+
+/**
+ * Reads load and cache events of one engine at a time in the background, the one whose report is
+ * oldest. Answers bring reports too, so that only engines with little work of this daemon are read.
+ */
+public final class LoadController {
+    private static final Duration FRESH = Duration.ofSeconds(1);
+    private static final int HEXADECIMAL = 16;
+
+    private final ModelEngine mEngine;
+    private final EndpointController mEndpoints;
+    private final InstantSource mClock;
+
+    /** Creates the controller. */
+    public LoadController(ModelEngine engine, EndpointController endpoints, InstantSource clock) {
+        mEngine = engine;
+        mEndpoints = endpoints;
+        mClock = clock;
+    }
+
+    /** Reads the engine whose load report is oldest, unless all are fresh. */
+    public Uni<Void> readOldest() {
+        Instant now = mClock.instant();
+        return mEndpoints.watched().stream()
+                .min(Comparator.comparing(e -> mEndpoints.readAt(e.id())))
+                .filter(e -> mEndpoints.readAt(e.id()).isBefore(now.minus(FRESH)))
+                .map(this::read)
+                .orElseGet(() -> Uni.createFrom().voidItem());
+    }
+
+    private Uni<Void> read(Endpoint engine) {
+        mEndpoints.reading(engine.id(), mClock.instant());
+        return mEngine.load(engine)
+                .invoke(l -> mEndpoints.loadReported(engine.id(), l, mClock.instant()))
+                .chain(l -> readCacheEvents(engine))
+                .onFailure(CallException.class)
+                .recoverWithItem((Void) null);
+    }
+
+    private Uni<Void> readCacheEvents(Endpoint engine) {
+        Optional<Long> last = mEndpoints.prefixes().lastSequence(engine.id());
+        return mEngine.cacheEvents(engine, last.orElse(0L))
+                .invoke(d -> take(engine.id(), d))
+                .replaceWithVoid();
+    }
+
+    private void take(EndpointId engine, CacheEventsDocument document) {
+        PrefixIndex prefixes = mEndpoints.prefixes();
+        for (CacheEvent event : document.events()) {
+            boolean stored = event.kind() == CacheEventKind.STORED;
+            long hash = Long.parseUnsignedLong(event.hash(), HEXADECIMAL);
+            prefixes.onEvent(engine, event.sequence(), stored, hash);
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/ModelFleet.java
@@ -0,0 +1,135 @@
+package io.bilberrygrade.serving.controller;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import io.bilberrygrade.core.config.Deployment;
+import io.bilberrygrade.core.config.Endpoint;
+import io.bilberrygrade.core.config.WorkClass;
+import io.bilberrygrade.core.identity.EndpointId;
+import io.bilberrygrade.core.identity.InstanceId;
+import io.bilberrygrade.core.identity.ModelId;
+import io.bilberrygrade.core.lane.LanePlan;
+import io.bilberrygrade.core.lane.LongBoundary;
+import io.bilberrygrade.core.lane.LongDemand;
+import io.bilberrygrade.core.lane.LongEngines;
+import io.bilberrygrade.core.routing.EndpointView;
+import io.bilberrygrade.core.routing.EngineFleet;
+import io.bilberrygrade.core.routing.PrefillRate;
+import io.bilberrygrade.core.routing.PrefixIndex;
+import io.bilberrygrade.core.routing.RendezvousTable;
+import io.bilberrygrade.core.routing.WatchedEngines;
+import java.time.Duration;
+import java.time.Instant;
+
+/** Engines of one model and what is derived of all of them together, renewed once in a while. */
+final class ModelFleet implements EngineFleet {
+    private static final Duration NO_TARGET = Duration.ofSeconds(1);
+
+    private final EndpointController mEndpoints;
+    private final Deployment mDeployment;
+    private final ImmutableList<Endpoint> mEngines;
+    private final ImmutableList<Endpoint> mWatched;
+    private final RendezvousTable mPreferred;
+    private final Duration mTightestTarget;
+    private final boolean mConfined;
+    private LongDemand mDemand;
+    private LongBoundary mBoundary;
+    private LanePlan mLanes;
+    private ImmutableList<Endpoint> mLongEngines;
+    private PrefillRate mPrior = PrefillRate.prior(PrefillRate.DEFAULT_TOKENS_PER_SECOND);
+
+    ModelFleet(
+            EndpointController endpoints,
+            Deployment deployment,
+            ModelId model,
+            InstanceId self,
+            boolean confined,
+            Instant now) {
+        mEndpoints = endpoints;
+        mDeployment = deployment;
+        mEngines = deployment.enginesOf(model);
+        mWatched = WatchedEngines.of(self, mEngines);
+        mPreferred = new RendezvousTable(mEngines);
+        mTightestTarget =
+                deployment.classes().values().stream()
+                        .map(WorkClass::timeToFirstToken)
+                        .min(Duration::compareTo)
+                        .orElse(NO_TARGET);
+        mConfined = confined;
+        mDemand = LongDemand.none(now);
+        mBoundary = LongBoundary.initial(now);
+        renew(1, now);
+    }
+
+    Deployment deployment() {
+        return mDeployment;
+    }
+
+    /** Takes over the demand that a fleet of an earlier configuration has measured. */
+    void inherit(ModelFleet earlier, int daemons, Instant now) {
+        mDemand = earlier.mDemand;
+        mBoundary = earlier.mBoundary;
+        renew(daemons, now);
+    }
+
+    /** Counts a long prompt that arrived at this daemon. */
+    void longArrived(long tokens, Instant now) {
+        mDemand = mDemand.arrived(tokens, now);
+    }
+
+    /** Derives the prior rate and the long lane anew. */
+    void renew(int daemons, Instant now) {
+        mPrior = PrefillRate.prior(mEndpoints.medianRate(mEngines));
+        double demand = mDemand.at(now).tokensPerSecond() * daemons;
+        int most = LongEngines.most(mEngines);
+        mBoundary = mBoundary.next(demand, mPrior.tokensPerSecond(), most, now);
+        ImmutableSet<EndpointId> confinedTo =
+                mConfined ? LongEngines.choose(mEngines, mBoundary.engines()) : ImmutableSet.of();
+        mLanes = new LanePlan(mTightestTarget, mPrior.tokensPerSecond(), confinedTo);
+        mLongEngines =
+                confinedTo.isEmpty()
+                        ? mEngines
+                        : mEngines.stream()
+                                .filter(e -> confinedTo.contains(e.id()))
+                                .collect(ImmutableList.toImmutableList());
+    }
+
+    PrefillRate prior() {
+        return mPrior;
+    }
+
+    @Override
+    public ImmutableList<Endpoint> engines() {
+        return mEngines;
+    }
+
+    @Override
+    public ImmutableList<Endpoint> watched() {
+        return mWatched;
+    }
+
+    @Override
+    public ImmutableList<Endpoint> longEngines() {
+        return mLongEngines;
+    }
+
+    @Override
+    public RendezvousTable preferred() {
+        return mPreferred;
+    }
+
+    @Override
+    public LanePlan lanes() {
+        return mLanes;
+    }
+
+    @Override
+    public PrefixIndex prefixes() {
+        return mEndpoints.prefixes();
+    }
+
+    @Override
+    public EndpointView view(Endpoint engine, Instant now) {
+        return mEndpoints.view(engine, mPrior, now);
+    }
+}
--- a/serving/src/main/java/io/bilberrygrade/serving/controller/PlacementController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/PlacementController.java
@@ -23,6 +23,6 @@
      * used. Asking changes nothing that later decisions depend on.
      */
     public Optional<Placement> place(Deployment deployment, InferenceRequest request, Instant now) {
-        return mPolicy.place(request, mEndpoints.fleet(deployment, request.model()), now);
+        return mPolicy.place(request, mEndpoints.fleet(deployment, request.model(), now), now);
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
@@ -6,6 +6,7 @@
 import io.bilberrygrade.serving.controller.ConfigController;
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.controller.EndpointController;
+import io.bilberrygrade.serving.controller.LoadController;
 import io.bilberrygrade.serving.controller.MembershipController;
 import io.bilberrygrade.serving.engine.HttpModelEngine;
 import io.bilberrygrade.serving.error.CallException;
@@ -40,6 +41,8 @@
 public final class EntryDaemon extends AbstractVerticle {
     private static final Duration CONFIG_WAIT = Duration.ofSeconds(20);
     private static final Duration CONFIG_PAUSE = Duration.ofMillis(300);
+    private static final Duration LOAD_PERIOD = Duration.ofMillis(250);
+    private static final Duration ENDPOINTS_PERIOD = Duration.ofSeconds(1);
     private static final Duration MEMBERSHIP_PERIOD = Duration.ofSeconds(1);
 
     private final EntrySettings mSettings;
@@ -48,7 +51,7 @@
     private final EventLog mEvents;
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final DrainController mDrain = new DrainController();
-    private final EndpointController mEndpoints = new EndpointController();
+    private final EndpointController mEndpoints;
     private ConfigController mConfig;
     private MembershipController mMembership;
     private HttpCalls mCalls;
@@ -62,6 +65,7 @@
     public EntryDaemon(
             EntrySettings settings, Incarnation incarnation, InstantSource clock, EventLog events) {
         mSettings = settings;
+        mEndpoints = new EndpointController(settings.instance(), settings.policy());
         mIncarnation = incarnation;
         mClock = clock;
         mEvents = events;
@@ -185,6 +189,14 @@
         mTasks = new PeriodicTasks(vertx, RandomSource.SPLIT_MIX_64.create(), mEvents);
         mTasks.repeat("config", CONFIG_PAUSE, this::watchConfig);
         mTasks.repeat("membership", MEMBERSHIP_PERIOD, mMembership::refresh);
+        LoadController loads = new LoadController(new HttpModelEngine(mCalls), mEndpoints, mClock);
+        mTasks.repeat("load", LOAD_PERIOD, loads::readOldest);
+        mTasks.repeat("endpoints", ENDPOINTS_PERIOD, this::renewEndpoints);
+    }
+
+    private Uni<Void> renewEndpoints() {
+        mEndpoints.renew(mMembership.alive().size() + 1, mClock.instant());
+        return Uni.createFrom().voidItem();
     }
 
     private Uni<Void> watchConfig() {
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/RequestPath.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/RequestPath.java
@@ -3,7 +3,9 @@
 import com.google.common.collect.ImmutableList;
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.routing.LeastOutstandingPolicy;
+import io.bilberrygrade.core.routing.Mixing;
 import io.bilberrygrade.core.routing.PlacementPolicy;
+import io.bilberrygrade.core.routing.PredictivePolicy;
 import io.bilberrygrade.core.routing.RoundRobinPolicy;
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.controller.EndpointController;
@@ -16,10 +18,12 @@
 import io.bilberrygrade.serving.filter.DeadlineFilter;
 import io.bilberrygrade.serving.filter.FilterChain;
 import io.bilberrygrade.serving.filter.IdentifyFilter;
+import io.bilberrygrade.serving.filter.Patience;
 import io.bilberrygrade.serving.filter.ReadinessFilter;
 import io.bilberrygrade.serving.filter.ServiceFilter;
 import io.bilberrygrade.serving.service.PlainService;
 import io.bilberrygrade.serving.settings.EntrySettings;
+import io.bilberrygrade.serving.settings.Mechanism;
 import java.time.InstantSource;
 
 /** Puts the filter chain together, in the order in which requests pass through it. */
@@ -45,6 +49,7 @@
                         engine,
                         endpoints,
                         new PlacementController(endpoints, policy()),
+                        new Patience(mSettings.policy().enabled(Mechanism.EJECTION)),
                         incarnation,
                         mClock,
                         mEvents);
@@ -61,7 +66,11 @@
     private PlacementPolicy policy() {
         return switch (mSettings.policy().placement()) {
             case ROUND_ROBIN -> new RoundRobinPolicy();
-            case LEAST_OUTSTANDING, PREDICTIVE -> new LeastOutstandingPolicy();
+            case LEAST_OUTSTANDING -> new LeastOutstandingPolicy();
+            case PREDICTIVE ->
+                    new PredictivePolicy(
+                            mSettings.policy().enabled(Mechanism.PREFIX_AFFINITY),
+                            Mixing.hash(mSettings.instance().value()));
         };
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/Attempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/Attempt.java
@@ -3,6 +3,7 @@
 import io.bilberrygrade.core.config.Endpoint;
 import io.bilberrygrade.core.request.Outcome;
 import io.bilberrygrade.core.request.Step;
+import io.bilberrygrade.serving.controller.Dispatch;
 import io.bilberrygrade.serving.controller.EndpointController;
 import io.bilberrygrade.serving.engine.EngineEvent;
 import io.bilberrygrade.serving.engine.GenerateCall;
@@ -11,6 +12,7 @@
 import io.bilberrygrade.serving.error.Delivery;
 import io.smallrye.mutiny.Multi;
 import io.smallrye.mutiny.Uni;
+import java.time.Duration;
 import java.time.InstantSource;
 
 /** One attempt to run a completion on one engine. */
@@ -19,34 +21,38 @@
     private final EndpointController mEndpoints;
     private final InstantSource mClock;
     private final Endpoint mEndpoint;
+    private final Dispatch mDispatch;
     private final AnswerProgress mProgress;
-    private long mQueuedTokens;
 
     Attempt(
             ModelEngine engine,
             EndpointController endpoints,
             InstantSource clock,
             Endpoint endpoint,
+            Dispatch dispatch,
             AnswerProgress progress) {
         mEngine = engine;
         mEndpoints = endpoints;
         mClock = clock;
         mEndpoint = endpoint;
+        mDispatch = dispatch;
         mProgress = progress;
     }
 
-    Uni<Outcome> run(GenerateCall call) {
-        mQueuedTokens = call.request().prompt().tokens();
-        mEndpoints.dispatched(mEndpoint.id(), mQueuedTokens);
+    /** Runs the attempt; it fails when the engine says nothing for longer than {@code patience}. */
+    Uni<Outcome> run(GenerateCall call, Duration patience) {
         Multi<EngineEvent> events = mEngine.generate(mEndpoint, call);
-        return events.onItem()
+        return events.ifNoItem()
+                .after(patience)
+                .failWith(() -> failure("silent for " + patience.toMillis() + " ms"))
+                .onItem()
                 .transformToUniAndConcatenate(this::handle)
                 .onFailure(CallException.class)
                 .invoke(e -> failed((CallException) e))
                 .collect()
                 .last()
                 .onTermination()
-                .invoke(this::left);
+                .invoke(() -> mDispatch.ended(mClock.instant()));
     }
 
     private Uni<Outcome> handle(EngineEvent event) {
@@ -72,31 +78,26 @@
     }
 
     private Uni<Outcome> broken(String message) {
-        return Uni.createFrom()
-                .failure(
-                        new CallException(
-                                Step.RELAY,
-                                mEndpoint.id().value(),
-                                Delivery.MAY_HAVE_RUN,
-                                message));
+        return Uni.createFrom().failure(failure(message));
+    }
+
+    private CallException failure(String message) {
+        return new CallException(
+                Step.RELAY, mEndpoint.id().value(), Delivery.MAY_HAVE_RUN, message);
     }
 
     private void failed(CallException e) {
         if (e.delivery() == Delivery.MAY_HAVE_RUN) {
             mProgress.markMayHaveRun();
         }
-        if (e.delivery() != Delivery.REFUSED) {
-            mEndpoints.failed(mEndpoint.id(), mClock.instant());
+        switch (e.delivery()) {
+            case REFUSED -> mEndpoints.refused(mEndpoint.id(), mClock.instant());
+            case NOT_DELIVERED, MAY_HAVE_RUN -> mEndpoints.failed(mEndpoint.id(), mClock.instant());
         }
     }
 
     private void prefillDone() {
-        mEndpoints.firstToken(mEndpoint.id(), mQueuedTokens);
-        mQueuedTokens = 0;
-    }
-
-    private void left() {
-        prefillDone();
-        mEndpoints.finished(mEndpoint.id());
+        mDispatch.firstToken(mClock.instant());
+        mEndpoints.succeeded(mEndpoint.id());
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
@@ -8,6 +8,7 @@
 import io.bilberrygrade.core.request.Reason;
 import io.bilberrygrade.core.request.Step;
 import io.bilberrygrade.core.routing.Placement;
+import io.bilberrygrade.serving.controller.Dispatch;
 import io.bilberrygrade.serving.controller.EndpointController;
 import io.bilberrygrade.serving.controller.PlacementController;
 import io.bilberrygrade.serving.engine.GenerateCall;
@@ -31,6 +32,7 @@
     private final ModelEngine mEngine;
     private final EndpointController mEndpoints;
     private final PlacementController mPlacement;
+    private final Patience mPatience;
     private final Incarnation mIncarnation;
     private final InstantSource mClock;
     private final EventLog mEvents;
@@ -40,12 +42,14 @@
             ModelEngine engine,
             EndpointController endpoints,
             PlacementController placement,
+            Patience patience,
             Incarnation incarnation,
             InstantSource clock,
             EventLog events) {
         mEngine = engine;
         mEndpoints = endpoints;
         mPlacement = placement;
+        mPatience = patience;
         mIncarnation = incarnation;
         mClock = clock;
         mEvents = events;
@@ -77,8 +81,17 @@
         }
         Placement placement = chosen.get();
         Endpoint endpoint = placement.endpoint().endpoint();
-        return new Attempt(mEngine, mEndpoints, mClock, endpoint, progress)
-                .run(call(exchange, request, progress, number, placement.priority()))
+        Dispatch dispatch =
+                mEndpoints.dispatched(
+                        exchange.deployment(),
+                        request.model(),
+                        placement,
+                        request.prompt(),
+                        mClock.instant());
+        return new Attempt(mEngine, mEndpoints, mClock, endpoint, dispatch, progress)
+                .run(
+                        call(exchange, request, progress, number, placement.priority()),
+                        mPatience.of(placement, number, request.remaining(mClock.instant())))
                 .onFailure(CallException.class)
                 .recoverWithUni(
                         e -> failed(exchange, request, progress, number, (CallException) e));
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/ServiceFilter.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/ServiceFilter.java
@@ -68,8 +68,9 @@
                                     RETRY_AFTER));
         }
         Endpoint endpoint = chosen.get();
-        mEndpoints.dispatched(endpoint.id(), 0);
+        mEndpoints.dispatched(endpoint.id(), now);
         return mService.call(endpoint, serviceCall(exchange, call, now))
+                .invoke(a -> mEndpoints.succeeded(endpoint.id()))
                 .invoke(exchange.sink()::serviceAnswer)
                 .<Outcome>map(a -> new Outcome.Done(0))
                 .onTermination()
