--- a/core/src/main/java/io/bilberrygrade/core/routing/PrefixIndex.java
+++ b/core/src/main/java/io/bilberrygrade/core/routing/PrefixIndex.java
@@ -66,8 +66,14 @@
         mSequences.remove(engine);
     }
 
-    /** Returns the leading tokens of the prompt that an engine is believed to have cached. */
+    /**
+     * Returns the leading tokens of the prompt that an engine is believed to have cached. Each hash
+     * covers the blocks before it, so that the longest known prefix is found by bisection.
+     */
     public int cachedTokens(EndpointId engine, Prompt prompt) {
+        if (prompt.prefixHashes().isEmpty() || !holds(engine, prompt.prefixHashes().get(0))) {
+            return 0;
+        }
         int known = 0;
         int unknown = prompt.prefixHashes().length() + 1;
         while (unknown - known > 1) {
