--- a/core/src/main/java/io/bilberrygrade/core/config/Endpoint.java
+++ b/core/src/main/java/io/bilberrygrade/core/config/Endpoint.java
@@ -6,4 +6,9 @@
 
 /** Endpoint that requests are routed to. */
 public record Endpoint(
-        EndpointId id, DataCentreId dataCentre, Address address, EndpointKind kind) {}
+        EndpointId id, DataCentreId dataCentre, Address address, EndpointKind kind) {
+    /** Returns the KV memory in tokens; a plain service has none. */
+    public long memoryTokens() {
+        return kind instanceof EndpointKind.Engine e ? e.memoryTokens() : 0;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/bilberrygrade/core/gang/StewardOrder.java
@@ -0,0 +1,30 @@
+package io.bilberrygrade.core.gang;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import io.bilberrygrade.core.identity.DataCentreId;
+import io.bilberrygrade.core.identity.InstanceId;
+import io.bilberrygrade.core.identity.ModelId;
+import io.bilberrygrade.core.routing.Mixing;
+import java.util.Comparator;
+
+/**
+ * Ranks the daemons as stewards of a model's gangs in a data centre, by rendezvous hashing. Whoever
+ * can't reach the first asks the next, so that nobody has to be elected.
+ */
+public final class StewardOrder {
+    private StewardOrder() {}
+
+    /** Returns the live instances, the steward first. */
+    public static ImmutableList<InstanceId> of(
+            ModelId model, DataCentreId dataCentre, ImmutableSet<InstanceId> live) {
+        long key = Mixing.mix(Mixing.hash(model.value()), Mixing.hash(dataCentre.value()));
+        return live.stream()
+                .sorted(
+                        Comparator.<InstanceId>comparingLong(
+                                        i -> Mixing.mix(Mixing.hash(i.value()), key))
+                                .reversed()
+                                .thenComparing(InstanceId::value))
+                .collect(ImmutableList.toImmutableList());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/bilberrygrade/core/gang/package-info.java
@@ -0,0 +1,2 @@
+/** Decides on gangs: engines that together serve a prompt which exceeds the memory of each. */
+package io.bilberrygrade.core.gang;
--- a/core/src/main/java/io/bilberrygrade/core/routing/EngineFleet.java
+++ b/core/src/main/java/io/bilberrygrade/core/routing/EngineFleet.java
@@ -22,6 +22,9 @@
     /** Returns the preferred engines of a prefix, by position in {@link #engines()}. */
     RendezvousTable preferred();
 
+    /** Returns the KV memory of the largest engine in tokens. */
+    long largestMemoryTokens();
+
     /** Returns how requests are divided into lanes. */
     LanePlan lanes();
 
--- a/core/src/main/java/io/bilberrygrade/core/routing/PredictivePolicy.java
+++ b/core/src/main/java/io/bilberrygrade/core/routing/PredictivePolicy.java
@@ -134,7 +134,7 @@
                 return false;
             }
             EndpointView view = mFleet.view(engine, mNow);
-            if (!view.available() || TimeToFirstToken.memoryTokens(view) < mPrompt.memoryTokens()) {
+            if (!view.available() || engine.memoryTokens() < mPrompt.memoryTokens()) {
                 return false;
             }
             double cached =
--- a/core/src/main/java/io/bilberrygrade/core/routing/TimeToFirstToken.java
+++ b/core/src/main/java/io/bilberrygrade/core/routing/TimeToFirstToken.java
@@ -1,6 +1,5 @@
 package io.bilberrygrade.core.routing;
 
-import io.bilberrygrade.core.config.EndpointKind;
 import io.bilberrygrade.core.lane.Lane;
 import io.bilberrygrade.core.request.Prompt;
 import java.time.Duration;
@@ -36,12 +35,7 @@
         if (missing <= 0) {
             return Duration.ZERO;
         }
-        double part = (double) missing / memoryTokens(engine);
+        double part = (double) missing / engine.endpoint().memoryTokens();
         return Duration.ofNanos((long) (PER_MISSING_MEMORY.toNanos() * part));
     }
-
-    /** Returns the engine's KV memory in tokens. */
-    static long memoryTokens(EndpointView view) {
-        return view.endpoint().kind() instanceof EndpointKind.Engine e ? e.memoryTokens() : 0;
-    }
 }
--- a/core/src/test/java/io/bilberrygrade/core/routing/FakeFleet.java
+++ b/core/src/test/java/io/bilberrygrade/core/routing/FakeFleet.java
@@ -112,6 +112,11 @@
         return mPreferred;
     }
 
+    @Override
+    public long largestMemoryTokens() {
+        return MEMORY_TOKENS;
+    }
+
     @Override
     public LanePlan lanes() {
         return new LanePlan(Duration.ofSeconds(1), RATE, mLong);
--- a/serving/src/main/java/io/bilberrygrade/serving/controller/EndpointState.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/EndpointState.java
@@ -1,7 +1,6 @@
 package io.bilberrygrade.serving.controller;
 
 import io.bilberrygrade.core.config.Endpoint;
-import io.bilberrygrade.core.config.EndpointKind;
 import io.bilberrygrade.core.lane.Lane;
 import io.bilberrygrade.core.routing.BacklogEstimator;
 import io.bilberrygrade.core.routing.EndpointHealth;
@@ -129,7 +128,6 @@
     }
 
     private static EndpointLoad idle(Endpoint endpoint) {
-        long memory = endpoint.kind() instanceof EndpointKind.Engine e ? e.memoryTokens() : 0;
-        return new EndpointLoad(0, 0, 0, memory, Instant.EPOCH);
+        return new EndpointLoad(0, 0, 0, endpoint.memoryTokens(), Instant.EPOCH);
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/controller/ModelFleet.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/ModelFleet.java
@@ -30,6 +30,7 @@
     private final ImmutableList<Endpoint> mEngines;
     private final ImmutableList<Endpoint> mWatched;
     private final RendezvousTable mPreferred;
+    private final long mLargestMemoryTokens;
     private final Duration mTightestTarget;
     private final boolean mConfined;
     private LongDemand mDemand;
@@ -50,6 +51,8 @@
         mEngines = deployment.enginesOf(model);
         mWatched = WatchedEngines.of(self, mEngines);
         mPreferred = new RendezvousTable(mEngines);
+        mLargestMemoryTokens =
+                mEngines.stream().mapToLong(Endpoint::memoryTokens).max().orElse(0);
         mTightestTarget =
                 deployment.classes().values().stream()
                         .map(WorkClass::timeToFirstToken)
@@ -118,6 +121,11 @@
         return mPreferred;
     }
 
+    @Override
+    public long largestMemoryTokens() {
+        return mLargestMemoryTokens;
+    }
+
     @Override
     public LanePlan lanes() {
         return mLanes;
--- a/serving/src/main/java/io/bilberrygrade/serving/controller/PlacementController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/PlacementController.java
@@ -1,9 +1,20 @@
 package io.bilberrygrade.serving.controller;
 
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import io.bilberrygrade.core.config.Deployment;
+import io.bilberrygrade.core.gang.GangPlan;
+import io.bilberrygrade.core.gang.GangPlanner;
+import io.bilberrygrade.core.gang.GangSegment;
+import io.bilberrygrade.core.identity.EndpointId;
+import io.bilberrygrade.core.lane.Lane;
+import io.bilberrygrade.core.lane.LanePlan;
 import io.bilberrygrade.core.request.InferenceRequest;
+import io.bilberrygrade.core.routing.EndpointView;
+import io.bilberrygrade.core.routing.EngineFleet;
 import io.bilberrygrade.core.routing.Placement;
 import io.bilberrygrade.core.routing.PlacementPolicy;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
 
@@ -23,6 +34,65 @@
      * used. Asking changes nothing that later decisions depend on.
      */
     public Optional<Placement> place(Deployment deployment, InferenceRequest request, Instant now) {
-        return mPolicy.place(request, mEndpoints.fleet(deployment, request.model(), now), now);
+        EngineFleet fleet = mEndpoints.fleet(deployment, request.model(), now);
+        if (!GangPlanner.needed(request.prompt(), fleet)) {
+            return mPolicy.place(request, fleet, now);
+        }
+        ImmutableList<EndpointView> views = views(fleet, now);
+        return GangPlanner.plan(request.prompt(), views, fleet.lanes(), ImmutableSet.of())
+                .or(() -> GangPlanner.planOnIdle(request.prompt(), views, fleet.lanes()))
+                .map(p -> ofGang(request, fleet, p));
+    }
+
+    /** Returns whether the prompt is too long for any one engine. */
+    public boolean needsGang(Deployment deployment, InferenceRequest request, Instant now) {
+        EngineFleet fleet = mEndpoints.fleet(deployment, request.model(), now);
+        return GangPlanner.needed(request.prompt(), fleet);
+    }
+
+    /** Returns whether some data centre has memory enough for the prompt, were it all free. */
+    public boolean fitsGang(Deployment deployment, InferenceRequest request, Instant now) {
+        EngineFleet fleet = mEndpoints.fleet(deployment, request.model(), now);
+        return GangPlanner.fits(request.prompt(), fleet.engines());
+    }
+
+    /** Returns a gang that could serve the prompt now without the busy engines. */
+    public Optional<GangPlan> planGang(
+            Deployment deployment,
+            InferenceRequest request,
+            ImmutableSet<EndpointId> busy,
+            Instant now) {
+        EngineFleet fleet = mEndpoints.fleet(deployment, request.model(), now);
+        return GangPlanner.plan(request.prompt(), views(fleet, now), fleet.lanes(), busy);
+    }
+
+    /** Returns the placement of one segment of a gang. */
+    public Placement ofSegment(
+            Deployment deployment, InferenceRequest request, GangSegment segment, Instant now) {
+        LanePlan lanes = mEndpoints.fleet(deployment, request.model(), now).lanes();
+        EndpointView engine = segment.engine();
+        Duration backlog = engine.rate().timeFor(engine.backlog().ahead(Lane.LONG));
+        return new Placement(
+                engine,
+                backlog.plus(engine.rate().timeFor(segment.tokens())),
+                backlog,
+                Lane.LONG,
+                lanes.priority(request.workClass(), request.prompt().tokens()));
+    }
+
+    private static Placement ofGang(InferenceRequest request, EngineFleet fleet, GangPlan plan) {
+        EndpointView first = plan.segments().get(0).engine();
+        return new Placement(
+                first,
+                plan.predictedTimeToFirstToken(),
+                first.rate().timeFor(first.backlog().ahead(Lane.LONG)),
+                Lane.LONG,
+                fleet.lanes().priority(request.workClass(), request.prompt().tokens()));
+    }
+
+    private static ImmutableList<EndpointView> views(EngineFleet fleet, Instant now) {
+        return fleet.engines().stream()
+                .map(e -> fleet.view(e, now))
+                .collect(ImmutableList.toImmutableList());
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/event/RequestEvent.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/RequestEvent.java
@@ -21,4 +21,15 @@
     @EventInfo(number = 5004, level = EventLevel.INFO)
     record AttemptFailed(String request, int attempt, String endpoint, int offset, String error)
             implements RequestEvent {}
+
+    /** A gang of engines holds its reservations and starts to prefill a prompt. */
+    @EventInfo(number = 5020, level = EventLevel.INFO)
+    record GangStarted(String request, int attempt, String dataCentre, String engines)
+            implements RequestEvent {}
+
+    /** A reservation could not be released; the engine holds it until it is reclaimed. */
+    @EventInfo(number = 5021, level = EventLevel.WARN)
+    record ReservationLeftBehind(
+            String request, String endpoint, String reservation, String error)
+            implements RequestEvent {}
 }
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/gang/GangCall.java
@@ -0,0 +1,14 @@
+package io.bilberrygrade.serving.gang;
+
+import io.bilberrygrade.core.config.Deployment;
+import io.bilberrygrade.core.request.InferenceRequest;
+import io.vertx.core.buffer.Buffer;
+
+/** Attempt to serve a prompt by a gang; {@code resumeOffset} tokens were relayed already. */
+public record GangCall(
+        Deployment deployment,
+        InferenceRequest request,
+        Buffer body,
+        int attempt,
+        int resumeOffset,
+        Runnable onStarted) {}
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/gang/GangController.java
@@ -0,0 +1,139 @@
+package io.bilberrygrade.serving.gang;
+
+import com.google.common.collect.ImmutableSet;
+import io.bilberrygrade.core.gang.GangLeases;
+import io.bilberrygrade.core.gang.GangPlan;
+import io.bilberrygrade.core.gang.StewardOrder;
+import io.bilberrygrade.core.identity.Address;
+import io.bilberrygrade.core.identity.EndpointId;
+import io.bilberrygrade.core.identity.InstanceId;
+import io.bilberrygrade.core.identity.RequestId;
+import io.bilberrygrade.core.request.InferenceRequest;
+import io.bilberrygrade.serving.controller.MembershipController;
+import io.bilberrygrade.serving.peer.PeerMessage;
+import io.bilberrygrade.serving.peer.PeerNetwork;
+import io.bilberrygrade.serving.wire.InstanceDocument;
+import io.smallrye.mutiny.Uni;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Grants engines to gangs as their steward and asks other stewards for grants. A steward that
+ * doesn't answer in time is passed over for the next in rank; when none answers, the request goes
+ * on without a grant, since the engines' reservations are what counts.
+ */
+public final class GangController {
+    private static final Duration STEWARD_TIMEOUT = Duration.ofMillis(250);
+    private static final int MAX_STEWARDS = 3;
+
+    private final InstanceId mSelf;
+    private final MembershipController mMembership;
+    private final PeerNetwork mPeers;
+    private final InstantSource mClock;
+    private GangLeases mLeases = GangLeases.NONE;
+
+    /** Creates the controller; it has granted nothing. */
+    public GangController(
+            InstanceId self,
+            MembershipController membership,
+            PeerNetwork peers,
+            InstantSource clock) {
+        mSelf = self;
+        mMembership = membership;
+        mPeers = peers;
+        mClock = clock;
+    }
+
+    /** Asks for a grant; returns the engines that other gangs hold, none when it is granted. */
+    public Uni<ImmutableSet<EndpointId>> request(
+            InferenceRequest request, GangPlan plan, Duration lifetime) {
+        PeerMessage message =
+                new PeerMessage.GangRequest(
+                        request.id().value(),
+                        plan.engines().stream().map(EndpointId::value).toList(),
+                        lifetime.toMillis());
+        return ask(stewards(request, plan), message)
+                .map(
+                        reply ->
+                                reply instanceof PeerMessage.GangGrant g
+                                        ? ids(g.busy())
+                                        : ImmutableSet.<EndpointId>of());
+    }
+
+    /** Gives a grant back; when that fails, it ends by itself. */
+    public Uni<Void> release(InferenceRequest request, GangPlan plan) {
+        PeerMessage message = new PeerMessage.GangRelease(request.id().value());
+        return ask(stewards(request, plan), message).replaceWithVoid();
+    }
+
+    /** Answers a daemon that asks for a grant. */
+    public PeerMessage onRequest(PeerMessage.GangRequest message) {
+        RequestId request = new RequestId(message.request());
+        ImmutableSet<EndpointId> engines = ids(message.engines());
+        Optional<GangLeases> granted =
+                mLeases.grant(
+                        request,
+                        engines,
+                        Duration.ofMillis(message.lifetimeMillis()),
+                        mClock.instant());
+        granted.ifPresent(l -> mLeases = l);
+        return new PeerMessage.GangGrant(
+                mLeases.busy(request, engines, mClock.instant()).stream()
+                        .map(EndpointId::value)
+                        .toList());
+    }
+
+    /** Ends the grant of a request. */
+    public PeerMessage onRelease(PeerMessage.GangRelease message) {
+        mLeases = mLeases.release(new RequestId(message.request()), mClock.instant());
+        return new PeerMessage.GangGrant(List.of());
+    }
+
+    private List<InstanceId> stewards(InferenceRequest request, GangPlan plan) {
+        ImmutableSet<InstanceId> live =
+                ImmutableSet.<InstanceId>builder()
+                        .addAll(mMembership.alive().keySet())
+                        .add(mSelf)
+                        .build();
+        return StewardOrder.of(request.model(), plan.dataCentre(), live).stream()
+                .limit(MAX_STEWARDS)
+                .toList();
+    }
+
+    /** Asks the first steward and, when it can't be reached, those after it. */
+    private Uni<PeerMessage> ask(List<InstanceId> stewards, PeerMessage message) {
+        if (stewards.isEmpty()) {
+            return Uni.createFrom().item(new PeerMessage.Failure("no steward can be reached"));
+        }
+        InstanceId first = stewards.get(0);
+        if (first.equals(mSelf)) {
+            return Uni.createFrom().item(answer(message));
+        }
+        return address(first)
+                .map(a -> mPeers.call(a, message, STEWARD_TIMEOUT))
+                .orElseGet(() -> Uni.createFrom().failure(new IllegalStateException("no address")))
+                .onFailure()
+                .recoverWithUni(() -> ask(stewards.subList(1, stewards.size()), message));
+    }
+
+    private PeerMessage answer(PeerMessage message) {
+        return switch (message) {
+            case PeerMessage.GangRequest r -> onRequest(r);
+            case PeerMessage.GangRelease r -> onRelease(r);
+            default -> new PeerMessage.Failure("unexpected");
+        };
+    }
+
+    private Optional<Address> address(InstanceId instance) {
+        return mMembership.instances().instances().stream()
+                .filter(i -> i.id().equals(instance.value()))
+                .findFirst()
+                .map((InstanceDocument i) -> new Address(i.host(), i.port()));
+    }
+
+    private static ImmutableSet<EndpointId> ids(List<String> values) {
+        return values.stream().map(EndpointId::new).collect(ImmutableSet.toImmutableSet());
+    }
+}
