Serve prompts over one engine's memory by gangs of engines

A plan takes the fewest engines of one data centre whose free memory holds the prompt. The steward, the first of the live daemons by rendezvous hashing, grants all of them or none; the reservations on the engines are what counts. Segments are prefilled in order and the last engine generates. Every ending, a cancelled subscription too, releases all that was reserved, also a reservation whose answer comes late.

--- a/core/src/main/java/io/bilberrygrade/core/gang/GangLeases.java
+++ b/core/src/main/java/io/bilberrygrade/core/gang/GangLeases.java
@@ -46,7 +46,8 @@
                 current(now).entrySet().stream()
                         .filter(e -> !e.getValue().request().equals(request))
                         .collect(
-                                ImmutableMap.toImmutableMap(Map.Entry::getKey, Map.Entry::getValue)));
+                                ImmutableMap.toImmutableMap(
+                                        Map.Entry::getKey, Map.Entry::getValue)));
     }
 
     private ImmutableMap<EndpointId, Lease> current(Instant now) {
--- a/core/src/main/java/io/bilberrygrade/core/gang/GangPlan.java
+++ b/core/src/main/java/io/bilberrygrade/core/gang/GangPlan.java
@@ -28,7 +28,7 @@
         for (GangSegment s : segments) {
             Duration free = s.engine().rate().timeFor(s.engine().backlog().ahead(Lane.LONG));
             Duration start = ready.compareTo(free) > 0 ? ready : free;
-            ready = start.plus(s.engine().rate().timeFor(s.tokens()));
+            ready = start.plus(s.engine().rate().timeFor((double) s.tokens()));
         }
         return ready;
     }
--- a/core/src/main/java/io/bilberrygrade/core/gang/GangPlanner.java
+++ b/core/src/main/java/io/bilberrygrade/core/gang/GangPlanner.java
@@ -6,8 +6,8 @@
 import com.google.common.collect.Multimaps;
 import io.bilberrygrade.core.config.Endpoint;
 import io.bilberrygrade.core.identity.EndpointId;
-import io.bilberrygrade.core.lane.LanePlan;
 import io.bilberrygrade.core.lane.Lane;
+import io.bilberrygrade.core.lane.LanePlan;
 import io.bilberrygrade.core.request.Prompt;
 import io.bilberrygrade.core.routing.EndpointView;
 import io.bilberrygrade.core.routing.EngineFleet;
@@ -103,8 +103,7 @@
         }
         long rest = prompt.tokens() - from;
         EndpointView last = gang.get(gang.size() - 1);
-        segments.add(
-                new GangSegment(last, from, prompt.tokens(), rest + prompt.maxAnswerTokens()));
+        segments.add(new GangSegment(last, from, prompt.tokens(), rest + prompt.maxAnswerTokens()));
         return new GangPlan(last.endpoint().dataCentre(), segments.build());
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/controller/ModelFleet.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/ModelFleet.java
@@ -51,8 +51,7 @@
         mEngines = deployment.enginesOf(model);
         mWatched = WatchedEngines.of(self, mEngines);
         mPreferred = new RendezvousTable(mEngines);
-        mLargestMemoryTokens =
-                mEngines.stream().mapToLong(Endpoint::memoryTokens).max().orElse(0);
+        mLargestMemoryTokens = mEngines.stream().mapToLong(Endpoint::memoryTokens).max().orElse(0);
         mTightestTarget =
                 deployment.classes().values().stream()
                         .map(WorkClass::timeToFirstToken)
--- a/serving/src/main/java/io/bilberrygrade/serving/controller/PlacementController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/PlacementController.java
@@ -74,7 +74,7 @@
         Duration backlog = engine.rate().timeFor(engine.backlog().ahead(Lane.LONG));
         return new Placement(
                 engine,
-                backlog.plus(engine.rate().timeFor(segment.tokens())),
+                backlog.plus(engine.rate().timeFor((double) segment.tokens())),
                 backlog,
                 Lane.LONG,
                 lanes.priority(request.workClass(), request.prompt().tokens()));
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/PeerCalls.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/PeerCalls.java
@@ -1,6 +1,8 @@
 package io.bilberrygrade.serving.entry;
 
-import io.bilberrygrade.serving.controller.MembershipController;
+import io.bilberrygrade.serving.atmostonce.KeyRouter;
+import io.bilberrygrade.serving.controller.GossipController;
+import io.bilberrygrade.serving.gang.GangController;
 import io.bilberrygrade.serving.peer.PeerHandler;
 import io.bilberrygrade.serving.peer.PeerIdentity;
 import io.bilberrygrade.serving.peer.PeerMessage;
@@ -8,16 +10,23 @@
 
 /** Hands each call of a peer to the controller that owns the state it is about. */
 final class PeerCalls implements PeerHandler {
-    private final MembershipController mMembership;
+    private final GossipController mGossip;
+    private final KeyRouter mKeys;
+    private final GangController mGangs;
 
-    PeerCalls(MembershipController membership) {
-        mMembership = membership;
+    PeerCalls(GossipController gossip, KeyRouter keys, GangController gangs) {
+        mGossip = gossip;
+        mKeys = keys;
+        mGangs = gangs;
     }
 
     @Override
     public Uni<PeerMessage> handle(PeerIdentity from, PeerMessage message) {
         return switch (message) {
-            case PeerMessage.Ping p -> Uni.createFrom().item(mMembership.onPing(p));
+            case PeerMessage.Gossip g -> Uni.createFrom().item(mGossip.onGossip(from, g));
+            case PeerMessage.KeyedCall k -> mKeys.onKeyedCall(k);
+            case PeerMessage.GangRequest r -> Uni.createFrom().item(mGangs.onRequest(r));
+            case PeerMessage.GangRelease r -> Uni.createFrom().item(mGangs.onRelease(r));
             default -> unexpected(from);
         };
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/RequestPath.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/RequestPath.java
@@ -7,6 +7,8 @@
 import io.bilberrygrade.core.routing.PlacementPolicy;
 import io.bilberrygrade.core.routing.PredictivePolicy;
 import io.bilberrygrade.core.routing.RoundRobinPolicy;
+import io.bilberrygrade.serving.atmostonce.AtMostOnceFilter;
+import io.bilberrygrade.serving.atmostonce.KeyRouter;
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.controller.EndpointController;
 import io.bilberrygrade.serving.controller.PlacementController;
@@ -18,13 +20,17 @@
 import io.bilberrygrade.serving.filter.DeadlineFilter;
 import io.bilberrygrade.serving.filter.FilterChain;
 import io.bilberrygrade.serving.filter.IdentifyFilter;
+import io.bilberrygrade.serving.filter.KeyGuardFilter;
 import io.bilberrygrade.serving.filter.Patience;
 import io.bilberrygrade.serving.filter.ReadinessFilter;
-import io.bilberrygrade.serving.filter.ServiceFilter;
-import io.bilberrygrade.serving.service.PlainService;
+import io.bilberrygrade.serving.gang.GangController;
+import io.bilberrygrade.serving.gang.GangDispatcher;
 import io.bilberrygrade.serving.settings.EntrySettings;
 import io.bilberrygrade.serving.settings.Mechanism;
+import io.bilberrygrade.serving.time.Timers;
 import java.time.InstantSource;
+import java.util.Optional;
+import org.apache.commons.rng.simple.RandomSource;
 
 /** Puts the filter chain together, in the order in which requests pass through it. */
 final class RequestPath {
@@ -41,26 +47,44 @@
     FilterChain chain(
             Incarnation incarnation,
             ModelEngine engine,
-            PlainService service,
+            KeyRouter keys,
+            GangController stewards,
             EndpointController endpoints,
-            DrainController drain) {
+            DrainController drain,
+            Timers timers) {
+        PlacementController placement = new PlacementController(endpoints, policy());
+        GangDispatcher gangs =
+                new GangDispatcher(
+                        engine,
+                        endpoints,
+                        placement,
+                        Optional.of(stewards)
+                                .filter(s -> mSettings.policy().enabled(Mechanism.GANG_STEWARD)),
+                        incarnation,
+                        timers,
+                        mClock,
+                        RandomSource.SPLIT_MIX_64.create(),
+                        mEvents);
         CompletionDispatcher dispatcher =
                 new CompletionDispatcher(
                         engine,
                         endpoints,
-                        new PlacementController(endpoints, policy()),
+                        placement,
+                        gangs,
                         new Patience(mSettings.policy().enabled(Mechanism.EJECTION)),
                         incarnation,
+                        timers,
                         mClock,
                         mEvents);
         return new FilterChain(
                 ImmutableList.of(
+                        new KeyGuardFilter(),
                         new ReadinessFilter(drain),
                         new IdentifyFilter(),
                         new DeadlineFilter(mClock, mSettings.maxDeadline()),
                         new ClassifyFilter(),
                         new CompletionFilter(dispatcher),
-                        new ServiceFilter(service, endpoints, mClock)));
+                        new AtMostOnceFilter(keys)));
     }
 
     private PlacementPolicy policy() {
--- a/serving/src/main/java/io/bilberrygrade/serving/event/RequestEvent.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/RequestEvent.java
@@ -29,7 +29,6 @@
 
     /** A reservation could not be released; the engine holds it until it is reclaimed. */
     @EventInfo(number = 5021, level = EventLevel.WARN)
-    record ReservationLeftBehind(
-            String request, String endpoint, String reservation, String error)
+    record ReservationLeftBehind(String request, String endpoint, String reservation, String error)
             implements RequestEvent {}
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/Attempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/Attempt.java
@@ -10,29 +10,35 @@
 import io.bilberrygrade.serving.engine.ModelEngine;
 import io.bilberrygrade.serving.error.CallException;
 import io.bilberrygrade.serving.error.Delivery;
+import io.bilberrygrade.serving.time.Timers;
 import io.smallrye.mutiny.Multi;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 
 /** One attempt to run a completion on one engine. */
 final class Attempt {
     private final ModelEngine mEngine;
     private final EndpointController mEndpoints;
+    private final Timers mTimers;
     private final InstantSource mClock;
     private final Endpoint mEndpoint;
     private final Dispatch mDispatch;
     private final AnswerProgress mProgress;
+    private Instant mHeardAt = Instant.MIN;
 
     Attempt(
             ModelEngine engine,
             EndpointController endpoints,
+            Timers timers,
             InstantSource clock,
             Endpoint endpoint,
             Dispatch dispatch,
             AnswerProgress progress) {
         mEngine = engine;
         mEndpoints = endpoints;
+        mTimers = timers;
         mClock = clock;
         mEndpoint = endpoint;
         mDispatch = dispatch;
@@ -42,20 +48,29 @@
     /** Runs the attempt; it fails when the engine says nothing for longer than {@code patience}. */
     Uni<Outcome> run(GenerateCall call, Duration patience) {
         Multi<EngineEvent> events = mEngine.generate(mEndpoint, call);
-        return events.ifNoItem()
-                .after(patience)
-                .failWith(() -> failure("silent for " + patience.toMillis() + " ms"))
-                .onItem()
-                .transformToUniAndConcatenate(this::handle)
+        Uni<Outcome> answer =
+                events.onItem().transformToUniAndConcatenate(this::handle).collect().last();
+        mHeardAt = mClock.instant();
+        return Uni.join()
+                .first(answer, silence(patience))
+                .toTerminate()
                 .onFailure(CallException.class)
                 .invoke(e -> failed((CallException) e))
-                .collect()
-                .last()
                 .onTermination()
                 .invoke(() -> mDispatch.ended(mClock.instant()));
     }
 
+    /** Fails once nothing was heard of the engine for the given time. */
+    private Uni<Outcome> silence(Duration patience) {
+        Duration left = patience.minus(Duration.between(mHeardAt, mClock.instant()));
+        if (!left.isPositive()) {
+            return Uni.createFrom().failure(failure("silent for " + patience.toMillis() + " ms"));
+        }
+        return mTimers.after(left).chain(v -> silence(patience));
+    }
+
     private Uni<Outcome> handle(EngineEvent event) {
+        mHeardAt = mClock.instant();
         return switch (event) {
             case EngineEvent.Accepted a -> {
                 mProgress.markMayHaveRun();
--- a/serving/src/main/java/io/bilberrygrade/serving/gang/GangController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/gang/GangController.java
@@ -4,7 +4,6 @@
 import io.bilberrygrade.core.gang.GangLeases;
 import io.bilberrygrade.core.gang.GangPlan;
 import io.bilberrygrade.core.gang.StewardOrder;
-import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.core.identity.InstanceId;
 import io.bilberrygrade.core.identity.RequestId;
@@ -12,7 +11,6 @@
 import io.bilberrygrade.serving.controller.MembershipController;
 import io.bilberrygrade.serving.peer.PeerMessage;
 import io.bilberrygrade.serving.peer.PeerNetwork;
-import io.bilberrygrade.serving.wire.InstanceDocument;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
 import java.time.InstantSource;
@@ -94,7 +92,7 @@
     private List<InstanceId> stewards(InferenceRequest request, GangPlan plan) {
         ImmutableSet<InstanceId> live =
                 ImmutableSet.<InstanceId>builder()
-                        .addAll(mMembership.alive().keySet())
+                        .addAll(mMembership.alive(mClock.instant()).keySet())
                         .add(mSelf)
                         .build();
         return StewardOrder.of(request.model(), plan.dataCentre(), live).stream()
@@ -111,7 +109,8 @@
         if (first.equals(mSelf)) {
             return Uni.createFrom().item(answer(message));
         }
-        return address(first)
+        return mMembership
+                .address(first)
                 .map(a -> mPeers.call(a, message, STEWARD_TIMEOUT))
                 .orElseGet(() -> Uni.createFrom().failure(new IllegalStateException("no address")))
                 .onFailure()
@@ -126,13 +125,6 @@
         };
     }
 
-    private Optional<Address> address(InstanceId instance) {
-        return mMembership.instances().instances().stream()
-                .filter(i -> i.id().equals(instance.value()))
-                .findFirst()
-                .map((InstanceDocument i) -> new Address(i.host(), i.port()));
-    }
-
     private static ImmutableSet<EndpointId> ids(List<String> values) {
         return values.stream().map(EndpointId::new).collect(ImmutableSet.toImmutableSet());
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/gang/GangDispatcher.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/gang/GangDispatcher.java
@@ -11,6 +11,7 @@
 import io.bilberrygrade.serving.engine.ModelEngine;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.event.RequestEvent;
+import io.bilberrygrade.serving.time.Timers;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
 import java.time.InstantSource;
@@ -34,6 +35,7 @@
     private final PlacementController mPlacement;
     private final Optional<GangController> mStewards;
     private final Incarnation mIncarnation;
+    private final Timers mTimers;
     private final InstantSource mClock;
     private final UniformRandomProvider mRandom;
     private final EventLog mEvents;
@@ -45,6 +47,7 @@
             PlacementController placement,
             Optional<GangController> stewards,
             Incarnation incarnation,
+            Timers timers,
             InstantSource clock,
             UniformRandomProvider random,
             EventLog events) {
@@ -53,14 +56,15 @@
         mPlacement = placement;
         mStewards = stewards;
         mIncarnation = incarnation;
+        mTimers = timers;
         mClock = clock;
         mRandom = random;
         mEvents = events;
     }
 
     /**
-     * Runs one attempt; {@code generate} runs the last engine's part. Whatever the ending, also when
-     * the subscription is cancelled, everything that was reserved is released.
+     * Runs one attempt; {@code generate} runs the last engine's part. Whatever the ending, also
+     * when the subscription is cancelled, everything that was reserved is released.
      */
     public Uni<Outcome> run(GangCall call, Function<GangMember, Uni<Outcome>> generate) {
         return round(call, generate, ImmutableSet.of(), 0);
@@ -74,8 +78,7 @@
         Optional<GangPlan> plan =
                 mPlacement.planGang(call.deployment(), call.request(), busy, mClock.instant());
         if (plan.isEmpty()) {
-            return pause(round)
-                    .chain(v -> round(call, generate, ImmutableSet.of(), round + 1));
+            return pause(round).chain(v -> round(call, generate, ImmutableSet.of(), round + 1));
         }
         return grant(call, plan.get())
                 .chain(
@@ -86,9 +89,7 @@
                                                 .chain(
                                                         v ->
                                                                 round(
-                                                                        call,
-                                                                        generate,
-                                                                        taken,
+                                                                        call, generate, taken,
                                                                         round + 1)));
     }
 
@@ -103,7 +104,7 @@
     private Uni<Outcome> reserve(
             GangCall call, Function<GangMember, Uni<Outcome>> generate, GangPlan plan, int round) {
         GangReservations reservations =
-                new GangReservations(mEngine, mEndpoints, mClock, mEvents, call.request());
+                new GangReservations(mEngine, mEndpoints, mTimers, mClock, mEvents, call.request());
         Duration remaining = call.request().remaining(mClock.instant());
         return reservations
                 .reserveAll(plan, call.attempt(), mIncarnation, remaining)
@@ -158,10 +159,6 @@
         Duration longest = FIRST_PAUSE.multipliedBy(1L << Math.min(round, MAX_DOUBLINGS));
         Duration bounded = longest.compareTo(MAX_PAUSE) < 0 ? longest : MAX_PAUSE;
         long millis = Math.round(bounded.toMillis() * (0.5 + 0.5 * mRandom.nextDouble()));
-        return Uni.createFrom()
-                .voidItem()
-                .onItem()
-                .delayIt()
-                .by(Duration.ofMillis(Math.max(1, millis)));
+        return mTimers.after(Duration.ofMillis(millis));
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/gang/GangMember.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/gang/GangMember.java
@@ -3,7 +3,16 @@
 import com.google.common.collect.ImmutableList;
 import io.bilberrygrade.core.routing.Placement;
 import io.bilberrygrade.serving.engine.KvHandle;
+import java.util.Optional;
 
-/** What the last engine of a gang needs to generate the answer. */
+/**
+ * Engine that generates an answer: the last one of a gang, with its reservation and the KV caches
+ * of the others, or an engine that serves the prompt alone.
+ */
 public record GangMember(
-        Placement placement, String reservationId, ImmutableList<KvHandle> imports) {}
+        Placement placement, Optional<String> reservationId, ImmutableList<KvHandle> imports) {
+    /** Returns an engine that serves the prompt alone. */
+    public static GangMember alone(Placement placement) {
+        return new GangMember(placement, Optional.empty(), ImmutableList.of());
+    }
+}
--- a/serving/src/main/java/io/bilberrygrade/serving/gang/GangPrefill.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/gang/GangPrefill.java
@@ -22,6 +22,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.Optional;
 
 /** Prefills all segments of a gang but the last, one after the other. */
 final class GangPrefill {
@@ -60,9 +61,11 @@
 
     private Uni<GangMember> from(int index, ImmutableList<KvHandle> handles) {
         if (index == mPlan.segments().size() - 1) {
-            Placement last = mPlacement.ofSegment(mCall.deployment(), request(), mPlan.last(), mClock.instant());
+            Placement last =
+                    mPlacement.ofSegment(
+                            mCall.deployment(), request(), mPlan.last(), mClock.instant());
             return Uni.createFrom()
-                    .item(new GangMember(last, mReservations.get(index), handles));
+                    .item(new GangMember(last, Optional.of(mReservations.get(index)), handles));
         }
         return prefill(mPlan.segments().get(index), mReservations.get(index), handles)
                 .chain(
@@ -82,8 +85,7 @@
         Endpoint engine = segment.engine().endpoint();
         Prompt part = new Prompt((int) segment.tokens(), 0, ImmutableLongArray.of());
         Dispatch dispatch =
-                mEndpoints.dispatched(
-                        mCall.deployment(), request().model(), placement, part, now);
+                mEndpoints.dispatched(mCall.deployment(), request().model(), placement, part, now);
         SegmentCall call =
                 new SegmentCall(
                         request().id().value(),
--- a/serving/src/main/java/io/bilberrygrade/serving/gang/GangReservations.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/gang/GangReservations.java
@@ -14,6 +14,7 @@
 import io.bilberrygrade.serving.error.Delivery;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.event.RequestEvent;
+import io.bilberrygrade.serving.time.Timers;
 import io.bilberrygrade.serving.wire.ReservationDocument;
 import io.bilberrygrade.serving.wire.ReservationRequest;
 import io.smallrye.mutiny.Uni;
@@ -32,12 +33,13 @@
  */
 final class GangReservations {
     private static final int RELEASE_RETRIES = 4;
-    private static final Duration RELEASE_BACKOFF = Duration.ofMillis(100);
+    private static final Duration RELEASE_PAUSE = Duration.ofMillis(300);
 
     private record Held(Endpoint engine, String id) {}
 
     private final ModelEngine mEngine;
     private final EndpointController mEndpoints;
+    private final Timers mTimers;
     private final InstantSource mClock;
     private final EventLog mEvents;
     private final InferenceRequest mRequest;
@@ -48,11 +50,13 @@
     GangReservations(
             ModelEngine engine,
             EndpointController endpoints,
+            Timers timers,
             InstantSource clock,
             EventLog events,
             InferenceRequest request) {
         mEngine = engine;
         mEndpoints = endpoints;
+        mTimers = timers;
         mClock = clock;
         mEvents = events;
         mRequest = request;
@@ -115,11 +119,7 @@
     }
 
     private void release(Held held) {
-        mEngine.release(held.engine(), held.id())
-                .onFailure(CallException.class)
-                .retry()
-                .withBackOff(RELEASE_BACKOFF)
-                .atMost(RELEASE_RETRIES)
+        release(held, RELEASE_RETRIES)
                 .subscribe()
                 .with(
                         v -> {},
@@ -131,4 +131,11 @@
                                                 held.id(),
                                                 e.toString())));
     }
+
+    private Uni<Void> release(Held held, int retries) {
+        return mEngine.release(held.engine(), held.id())
+                .onFailure(e -> retries > 0)
+                .recoverWithUni(
+                        () -> mTimers.after(RELEASE_PAUSE).chain(v -> release(held, retries - 1)));
+    }
 }
