--- a/serving/src/main/java/io/bilberrygrade/serving/entry/PeerCalls.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/PeerCalls.java
@@ -2,6 +2,7 @@
 
 import io.bilberrygrade.serving.atmostonce.KeyRouter;
 import io.bilberrygrade.serving.controller.GossipController;
+import io.bilberrygrade.serving.gang.GangController;
 import io.bilberrygrade.serving.peer.PeerHandler;
 import io.bilberrygrade.serving.peer.PeerIdentity;
 import io.bilberrygrade.serving.peer.PeerMessage;
@@ -11,10 +12,12 @@
 final class PeerCalls implements PeerHandler {
     private final GossipController mGossip;
     private final KeyRouter mKeys;
+    private final GangController mGangs;
 
-    PeerCalls(GossipController gossip, KeyRouter keys) {
+    PeerCalls(GossipController gossip, KeyRouter keys, GangController gangs) {
         mGossip = gossip;
         mKeys = keys;
+        mGangs = gangs;
     }
 
     @Override
@@ -22,6 +25,8 @@
         return switch (message) {
             case PeerMessage.Gossip g -> Uni.createFrom().item(mGossip.onGossip(from, g));
             case PeerMessage.KeyedCall k -> mKeys.onKeyedCall(k);
+            case PeerMessage.GangRequest r -> Uni.createFrom().item(mGangs.onRequest(r));
+            case PeerMessage.GangRelease r -> Uni.createFrom().item(mGangs.onRelease(r));
             default -> unexpected(from);
         };
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
@@ -1,6 +1,5 @@
 package io.bilberrygrade.serving.filter;
 
-import com.google.common.collect.ImmutableList;
 import io.bilberrygrade.core.config.Endpoint;
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.request.InferenceRequest;
@@ -8,6 +7,7 @@
 import io.bilberrygrade.core.request.Reason;
 import io.bilberrygrade.core.request.Step;
 import io.bilberrygrade.core.routing.Placement;
+import io.bilberrygrade.serving.controller.Dispatch;
 import io.bilberrygrade.serving.controller.EndpointController;
 import io.bilberrygrade.serving.controller.PlacementController;
 import io.bilberrygrade.serving.engine.GenerateCall;
@@ -15,11 +15,14 @@
 import io.bilberrygrade.serving.error.CallException;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.event.RequestEvent;
+import io.bilberrygrade.serving.gang.GangCall;
+import io.bilberrygrade.serving.gang.GangDispatcher;
+import io.bilberrygrade.serving.gang.GangMember;
 import io.bilberrygrade.serving.time.Timers;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
-import java.util.Optional;
 
 /**
  * Runs a completion on an engine and, when an engine fails in the middle, resumes the answer at its
@@ -32,6 +35,8 @@
     private final ModelEngine mEngine;
     private final EndpointController mEndpoints;
     private final PlacementController mPlacement;
+    private final GangDispatcher mGangs;
+    private final Patience mPatience;
     private final Incarnation mIncarnation;
     private final Timers mTimers;
     private final InstantSource mClock;
@@ -42,6 +47,8 @@
             ModelEngine engine,
             EndpointController endpoints,
             PlacementController placement,
+            GangDispatcher gangs,
+            Patience patience,
             Incarnation incarnation,
             Timers timers,
             InstantSource clock,
@@ -49,6 +56,8 @@
         mEngine = engine;
         mEndpoints = endpoints;
         mPlacement = placement;
+        mGangs = gangs;
+        mPatience = patience;
         mIncarnation = incarnation;
         mTimers = timers;
         mClock = clock;
@@ -70,35 +79,77 @@
 
     private Uni<Outcome> attempt(
             Exchange exchange, InferenceRequest request, AnswerProgress progress, int number) {
-        Optional<Placement> chosen =
-                mPlacement.place(exchange.deployment(), request, mClock.instant());
-        if (chosen.isEmpty()) {
-            return Uni.createFrom().item(noEndpoint(progress));
-        }
-        Placement placement = chosen.get();
-        Endpoint endpoint = placement.endpoint().endpoint();
-        return new Attempt(mEngine, mEndpoints, mClock, endpoint, progress)
-                .run(call(exchange, request, progress, number, placement.priority()))
+        return run(exchange, request, progress, number)
                 .onFailure(CallException.class)
                 .recoverWithUni(
                         e -> failed(exchange, request, progress, number, (CallException) e));
     }
 
+    private Uni<Outcome> run(
+            Exchange exchange, InferenceRequest request, AnswerProgress progress, int number) {
+        Instant now = mClock.instant();
+        if (mPlacement.needsGang(exchange.deployment(), request, now)) {
+            return runGang(exchange, request, progress, number);
+        }
+        return mPlacement
+                .place(exchange.deployment(), request, now)
+                .map(GangMember::alone)
+                .map(m -> generate(exchange, request, progress, number, m))
+                .orElseGet(() -> Uni.createFrom().item(noEndpoint(progress)));
+    }
+
+    private Uni<Outcome> runGang(
+            Exchange exchange, InferenceRequest request, AnswerProgress progress, int number) {
+        if (!mPlacement.fitsGang(exchange.deployment(), request, mClock.instant())) {
+            String detail = "no data centre has engines enough for the prompt";
+            return Uni.createFrom().item(Outcome.notRun(Step.ROUTE, Reason.TOO_LARGE, detail));
+        }
+        GangCall call =
+                new GangCall(
+                        exchange.deployment(),
+                        request,
+                        exchange.body(),
+                        number,
+                        progress::markMayHaveRun);
+        return mGangs.run(call, m -> generate(exchange, request, progress, number, m));
+    }
+
+    private Uni<Outcome> generate(
+            Exchange exchange,
+            InferenceRequest request,
+            AnswerProgress progress,
+            int number,
+            GangMember member) {
+        Placement placement = member.placement();
+        Endpoint endpoint = placement.endpoint().endpoint();
+        Dispatch dispatch =
+                mEndpoints.dispatched(
+                        exchange.deployment(),
+                        request.model(),
+                        placement,
+                        request.prompt(),
+                        mClock.instant());
+        return new Attempt(mEngine, mEndpoints, mTimers, mClock, endpoint, dispatch, progress)
+                .run(
+                        call(exchange, request, progress, number, member),
+                        mPatience.of(placement, number, request.remaining(mClock.instant())));
+    }
+
     private GenerateCall call(
             Exchange exchange,
             InferenceRequest request,
             AnswerProgress progress,
             int number,
-            int priority) {
+            GangMember member) {
         return new GenerateCall(
                 request,
                 number,
                 mIncarnation,
-                priority,
+                member.placement().priority(),
                 request.remaining(mClock.instant()),
                 progress.nextOffset(),
-                Optional.empty(),
-                ImmutableList.of(),
+                member.reservationId(),
+                member.imports(),
                 exchange.body());
     }
 
