--- a/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
@@ -14,6 +14,7 @@
 import io.bilberrygrade.serving.controller.EndpointController;
 import io.bilberrygrade.serving.controller.GossipController;
 import io.bilberrygrade.serving.controller.LeavingController;
+import io.bilberrygrade.serving.controller.LoadController;
 import io.bilberrygrade.serving.controller.MembershipController;
 import io.bilberrygrade.serving.controller.OrderController;
 import io.bilberrygrade.serving.controller.ReclaimController;
@@ -23,6 +24,7 @@
 import io.bilberrygrade.serving.error.CallException;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.event.LifecycleEvent;
+import io.bilberrygrade.serving.gang.GangController;
 import io.bilberrygrade.serving.http.CallerApi;
 import io.bilberrygrade.serving.http.HttpCalls;
 import io.bilberrygrade.serving.http.KeysApi;
@@ -46,6 +48,7 @@
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -64,6 +67,8 @@
     private static final Duration CONFIG_RETRY = Duration.ofSeconds(1);
     private static final Duration STARTUP_PAUSE = Duration.ofMillis(100);
     private static final Duration CONFIG_PAUSE = Duration.ofMillis(300);
+    private static final Duration LOAD_PERIOD = Duration.ofMillis(250);
+    private static final Duration ENDPOINTS_PERIOD = Duration.ofSeconds(1);
     private static final Duration INSTANCE_LIST_PERIOD = Duration.ofSeconds(2);
 
     private final EntrySettings mSettings;
@@ -73,12 +78,13 @@
     private final UniformRandomProvider mRandom = RandomSource.SPLIT_MIX_64.create();
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final DrainController mDrain = new DrainController();
-    private final EndpointController mEndpoints = new EndpointController();
+    private final EndpointController mEndpoints;
     private ConfigController mConfig;
     private MembershipController mMembership;
     private GossipController mGossip;
     private AtMostOnceController mKeys;
     private KeyRouter mKeyRouter;
+    private GangController mGangs;
     private HttpCalls mCalls;
     private TcpPeerNetwork mPeers;
     private PeerServer mPeerServer;
@@ -97,6 +103,7 @@
     public EntryDaemon(
             EntrySettings settings, Incarnation incarnation, InstantSource clock, EventLog events) {
         mSettings = settings;
+        mEndpoints = new EndpointController(settings.instance(), settings.policy());
         mIncarnation = incarnation;
         mClock = clock;
         mEvents = events;
@@ -116,7 +123,7 @@
                         vertx,
                         self,
                         mSettings.peerKey(),
-                        new PeerCalls(mGossip, mKeyRouter, mConfigGossip),
+                        new PeerCalls(mGossip, mKeyRouter, mConfigGossip, mGangs),
                         mEvents);
         mServer = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true));
         listen(started);
@@ -149,6 +156,7 @@
         mConfig.onChange(mEndpoints::onDeployment);
         mConfig.onChange(d -> mGossip.spreadNews());
         createKeys(self);
+        mGangs = new GangController(mSettings.instance(), mMembership, mPeers, mClock);
         createEndpointControllers();
     }
 
@@ -261,7 +269,14 @@
         RequestPath path = new RequestPath(mSettings, mClock, mEvents);
         CallerApi api =
                 new CallerApi(
-                        path.chain(mIncarnation, mEngine, mKeyRouter, mEndpoints, mDrain, mTimers),
+                        path.chain(
+                                mIncarnation,
+                                mEngine,
+                                mKeyRouter,
+                                mGangs,
+                                mEndpoints,
+                                mDrain,
+                                mTimers),
                         mConfig::current,
                         this::nextRequestId,
                         mClock,
@@ -303,6 +318,9 @@
         mTasks = new PeriodicTasks(vertx, mRandom, mEvents);
         mTasks.repeat("config", CONFIG_PAUSE, this::watchConfig);
         mTasks.repeat("instance list", INSTANCE_LIST_PERIOD, this::refreshInstances);
+        LoadController loads = new LoadController(mEngine, mEndpoints, mClock);
+        mTasks.repeat("load", LOAD_PERIOD, loads::readOldest);
+        mTasks.repeat("endpoints", ENDPOINTS_PERIOD, this::renewEndpoints);
         mTasks.repeat("orders", OrderController.PERIOD, mOrders::round);
         if (mSettings.policy().enabled(Mechanism.RECLAIM)) {
             mTasks.repeat("reclaim", ReclaimController.PERIOD, mReclaim::sweep);
@@ -315,6 +333,12 @@
         return mMembership.refresh().invoke(() -> mLeaving.published(mMembership.instances()));
     }
 
+    private Uni<Void> renewEndpoints() {
+        Instant now = mClock.instant();
+        mEndpoints.renew(mMembership.alive(now).size() + 1, now);
+        return Uni.createFrom().voidItem();
+    }
+
     private Uni<Void> watchConfig() {
         return mConfig.refresh(CONFIG_WAIT)
                 .onFailure(CallException.class)
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/PeerCalls.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/PeerCalls.java
@@ -3,6 +3,7 @@
 import io.bilberrygrade.serving.atmostonce.KeyRouter;
 import io.bilberrygrade.serving.controller.ConfigGossip;
 import io.bilberrygrade.serving.controller.GossipController;
+import io.bilberrygrade.serving.gang.GangController;
 import io.bilberrygrade.serving.peer.PeerHandler;
 import io.bilberrygrade.serving.peer.PeerIdentity;
 import io.bilberrygrade.serving.peer.PeerMessage;
@@ -14,10 +15,13 @@
     private final KeyRouter mKeys;
     private final ConfigGossip mConfig;
 
-    PeerCalls(GossipController gossip, KeyRouter keys, ConfigGossip config) {
+    private final GangController mGangs;
+
+    PeerCalls(GossipController gossip, KeyRouter keys, ConfigGossip config, GangController gangs) {
         mGossip = gossip;
         mKeys = keys;
         mConfig = config;
+        mGangs = gangs;
     }
 
     @Override
@@ -28,6 +32,8 @@
                     Uni.createFrom().item(mConfig.onManifestRequest(m));
             case PeerMessage.PartRequest p -> Uni.createFrom().item(mConfig.onPartRequest(p));
             case PeerMessage.KeyedCall k -> mKeys.onKeyedCall(k);
+            case PeerMessage.GangRequest r -> Uni.createFrom().item(mGangs.onRequest(r));
+            case PeerMessage.GangRelease r -> Uni.createFrom().item(mGangs.onRelease(r));
             default -> unexpected(from);
         };
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/AnswerProgress.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/AnswerProgress.java
@@ -41,12 +41,11 @@
         mMayHaveRun = true;
     }
 
-    /** Starts the next attempt and returns its number, from 1; earlier ones count no more. */
-    public int startAttempt() {
-        mAttempt++;
+    /** Starts an attempt of the given number; earlier ones count no more. */
+    public void startAttempt(int number) {
+        mAttempt = number;
         mAttemptUndecided = true;
         mNextOffset = mResumes ? mNextOffset : 0;
-        return mAttempt;
     }
 
     /** Ends the running attempt; whether it may have run has been stated before. */
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/Attempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/Attempt.java
@@ -4,6 +4,7 @@
 import io.bilberrygrade.core.request.InferenceRequest;
 import io.bilberrygrade.core.request.Outcome;
 import io.bilberrygrade.core.request.Step;
+import io.bilberrygrade.serving.controller.Dispatch;
 import io.bilberrygrade.serving.controller.EndpointController;
 import io.bilberrygrade.serving.engine.EngineEvent;
 import io.bilberrygrade.serving.engine.GenerateCall;
@@ -24,10 +25,10 @@
     private final StallGuard mStalls;
     private final InstantSource mClock;
     private final Endpoint mEndpoint;
+    private final Dispatch mDispatch;
     private final AnswerProgress mProgress;
     private final Heartbeat mHeartbeat;
     private int mNumber;
-    private long mQueuedTokens;
 
     Attempt(
             ModelEngine engine,
@@ -35,12 +36,14 @@
             StallGuard stalls,
             InstantSource clock,
             Endpoint endpoint,
+            Dispatch dispatch,
             AnswerProgress progress) {
         mEngine = engine;
         mEndpoints = endpoints;
         mStalls = stalls;
         mClock = clock;
         mEndpoint = endpoint;
+        mDispatch = dispatch;
         mProgress = progress;
         mHeartbeat = new Heartbeat(clock.instant());
     }
@@ -53,10 +56,9 @@
         return request.remaining(now).compareTo(MIN_REMAINING) < 0;
     }
 
-    Uni<Outcome> run(GenerateCall call) {
+    /** Runs the attempt; it fails when the engine says nothing for longer than {@code patience}. */
+    Uni<Outcome> run(GenerateCall call, Duration patience) {
         mNumber = call.attempt();
-        mQueuedTokens = call.request().prompt().tokens();
-        mEndpoints.dispatched(mEndpoint.id(), mQueuedTokens);
         Uni<Outcome> answer =
                 mEngine.generate(mEndpoint, call)
                         .onItem()
@@ -66,11 +68,11 @@
                         .onItem()
                         .ifNull()
                         .switchTo(() -> broken("the stream ended early"));
-        return mStalls.guard(mEndpoint, mHeartbeat, answer)
+        return mStalls.guard(mEndpoint, mHeartbeat, patience, answer)
                 .onFailure(CallException.class)
                 .invoke(e -> failed(call.request(), (CallException) e))
                 .onTermination()
-                .invoke(this::left);
+                .invoke(() -> mDispatch.ended(mClock.instant()));
     }
 
     private Uni<Outcome> handle(EngineEvent event) {
@@ -106,13 +108,12 @@
     }
 
     private Uni<Outcome> broken(String message) {
-        return Uni.createFrom()
-                .failure(
-                        new CallException(
-                                Step.RELAY,
-                                mEndpoint.id().value(),
-                                Delivery.MAY_HAVE_RUN,
-                                message));
+        return Uni.createFrom().failure(failure(message));
+    }
+
+    private CallException failure(String message) {
+        return new CallException(
+                Step.RELAY, mEndpoint.id().value(), Delivery.MAY_HAVE_RUN, message);
     }
 
     private void failed(InferenceRequest request, CallException e) {
@@ -120,19 +121,18 @@
             mProgress.markMayHaveRun();
         }
         mProgress.endAttempt();
-        mEndpoints.refused(mEndpoint.id(), e, mClock.instant());
-        if (e.delivery() != Delivery.REFUSED && !tooLate(request, mClock.instant())) {
-            mEndpoints.failed(mEndpoint.id(), mClock.instant());
+        mEndpoints.noteRefusal(mEndpoint.id(), e, mClock.instant());
+        if (tooLate(request, mClock.instant())) {
+            return;
+        }
+        switch (e.delivery()) {
+            case REFUSED -> mEndpoints.refused(mEndpoint.id(), mClock.instant());
+            case NOT_DELIVERED, MAY_HAVE_RUN -> mEndpoints.failed(mEndpoint.id(), mClock.instant());
         }
     }
 
     private void prefillDone() {
-        mEndpoints.firstToken(mEndpoint.id(), mQueuedTokens);
-        mQueuedTokens = 0;
-    }
-
-    private void left() {
-        prefillDone();
-        mEndpoints.finished(mEndpoint.id());
+        mDispatch.firstToken(mClock.instant());
+        mEndpoints.succeeded(mEndpoint.id());
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
@@ -1,6 +1,5 @@
 package io.bilberrygrade.serving.filter;
 
-import com.google.common.collect.ImmutableList;
 import io.bilberrygrade.core.config.Endpoint;
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.request.InferenceRequest;
@@ -8,6 +7,7 @@
 import io.bilberrygrade.core.request.Reason;
 import io.bilberrygrade.core.request.Step;
 import io.bilberrygrade.core.routing.Placement;
+import io.bilberrygrade.serving.controller.Dispatch;
 import io.bilberrygrade.serving.controller.EndpointController;
 import io.bilberrygrade.serving.controller.PlacementController;
 import io.bilberrygrade.serving.engine.EngineProbes;
@@ -16,9 +16,13 @@
 import io.bilberrygrade.serving.error.CallException;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.event.RequestEvent;
+import io.bilberrygrade.serving.gang.GangCall;
+import io.bilberrygrade.serving.gang.GangDispatcher;
+import io.bilberrygrade.serving.gang.GangMember;
 import io.bilberrygrade.serving.time.Timers;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Optional;
 
@@ -34,6 +38,8 @@
     private final ModelEngine mEngine;
     private final EndpointController mEndpoints;
     private final PlacementController mPlacement;
+    private final GangDispatcher mGangs;
+    private final Patience mPatience;
     private final Incarnation mIncarnation;
     private final Timers mTimers;
     private final InstantSource mClock;
@@ -46,6 +52,8 @@
             ModelEngine engine,
             EndpointController endpoints,
             PlacementController placement,
+            GangDispatcher gangs,
+            Patience patience,
             Incarnation incarnation,
             Timers timers,
             InstantSource clock,
@@ -54,6 +62,8 @@
         mEngine = engine;
         mEndpoints = endpoints;
         mPlacement = placement;
+        mGangs = gangs;
+        mPatience = patience;
         mIncarnation = incarnation;
         mTimers = timers;
         mClock = clock;
@@ -70,17 +80,28 @@
         Uni<Outcome> gone =
                 Uni.createFrom()
                         .emitter(e -> exchange.sink().onCallerGone(() -> e.complete(callerGone())));
-        return Uni.join().first(attempt(exchange, request, progress), deadline, gone).toTerminate();
+        return Uni.join()
+                .first(attempt(exchange, request, progress, 1), deadline, gone)
+                .toTerminate();
     }
 
     private Uni<Outcome> attempt(
-            Exchange exchange, InferenceRequest request, AnswerProgress progress) {
-        Optional<Placement> chosen = place(exchange, request);
-        if (chosen.isPresent()) {
-            return attempt(exchange, request, progress, chosen.get());
+            Exchange exchange, InferenceRequest request, AnswerProgress progress, int number) {
+        return run(exchange, request, progress, number)
+                .onFailure(CallException.class)
+                .recoverWithUni(
+                        e -> failed(exchange, request, progress, number, (CallException) e));
+    }
+
+    private Uni<Outcome> run(
+            Exchange exchange, InferenceRequest request, AnswerProgress progress, int number) {
+        Instant now = mClock.instant();
+        if (mPlacement.needsGang(exchange.deployment(), request, now)) {
+            return runGang(exchange, request, progress, number);
         }
-        if (!progress.mayHaveRun()) {
-            return Uni.createFrom().item(noEndpoint(progress));
+        Optional<Placement> placement = place(exchange, request);
+        if (placement.isPresent() || !progress.mayHaveRun()) {
+            return generate(exchange, request, progress, number, placement);
         }
         return Uni.createFrom()
                 .deferred(() -> mTimers.after(PLACEMENT_INTERVAL))
@@ -90,25 +111,61 @@
                 .collect()
                 .last()
                 .onItem()
-                .transformToUni(p -> attempt(exchange, request, progress, p.orElseThrow()));
+                .transformToUni(p -> generate(exchange, request, progress, number, p));
     }
 
     private Optional<Placement> place(Exchange exchange, InferenceRequest request) {
         return mPlacement.place(exchange.deployment(), request, mClock.instant());
     }
 
-    private Uni<Outcome> attempt(
+    private Uni<Outcome> generate(
+            Exchange exchange,
+            InferenceRequest request,
+            AnswerProgress progress,
+            int number,
+            Optional<Placement> placement) {
+        return placement
+                .map(GangMember::alone)
+                .map(m -> generate(exchange, request, progress, number, m))
+                .orElseGet(() -> Uni.createFrom().item(noEndpoint(progress)));
+    }
+
+    private Uni<Outcome> runGang(
+            Exchange exchange, InferenceRequest request, AnswerProgress progress, int number) {
+        if (!mPlacement.fitsGang(exchange.deployment(), request, mClock.instant())) {
+            String detail = "no data centre has engines enough for the prompt";
+            return Uni.createFrom().item(Outcome.notRun(Step.ROUTE, Reason.TOO_LARGE, detail));
+        }
+        GangCall call =
+                new GangCall(
+                        exchange.deployment(),
+                        request,
+                        exchange.body(),
+                        number,
+                        progress::markMayHaveRun);
+        return mGangs.run(call, m -> generate(exchange, request, progress, number, m));
+    }
+
+    private Uni<Outcome> generate(
             Exchange exchange,
             InferenceRequest request,
             AnswerProgress progress,
-            Placement placement) {
+            int number,
+            GangMember member) {
+        progress.startAttempt(number);
+        Placement placement = member.placement();
         Endpoint endpoint = placement.endpoint().endpoint();
-        int number = progress.startAttempt();
-        return new Attempt(mEngine, mEndpoints, mStalls, mClock, endpoint, progress)
-                .run(call(exchange, request, progress, number, placement.priority()))
-                .onFailure(CallException.class)
-                .recoverWithUni(
-                        e -> failed(exchange, request, progress, number, (CallException) e));
+        Dispatch dispatch =
+                mEndpoints.dispatched(
+                        exchange.deployment(),
+                        request.model(),
+                        placement,
+                        request.prompt(),
+                        mClock.instant());
+        return new Attempt(mEngine, mEndpoints, mStalls, mClock, endpoint, dispatch, progress)
+                .run(
+                        call(exchange, request, progress, number, member),
+                        mPatience.of(placement, number, request.remaining(mClock.instant())));
     }
 
     private GenerateCall call(
@@ -116,16 +173,16 @@
             InferenceRequest request,
             AnswerProgress progress,
             int number,
-            int priority) {
+            GangMember member) {
         return new GenerateCall(
                 request,
                 number,
                 mIncarnation,
-                priority,
+                member.placement().priority(),
                 request.remaining(mClock.instant()),
                 progress.nextOffset(),
-                Optional.empty(),
-                ImmutableList.of(),
+                member.reservationId(),
+                member.imports(),
                 exchange.body());
     }
 
@@ -148,7 +205,7 @@
         if (number == MAX_ATTEMPTS) {
             return Uni.createFrom().item(exhausted(progress, e));
         }
-        return attempt(exchange, request, progress);
+        return attempt(exchange, request, progress, number + 1);
     }
 
     private static Outcome noEndpoint(AnswerProgress progress) {
--- a/serving/src/test/java/io/bilberrygrade/serving/peer/TcpPeerNetworkTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/peer/TcpPeerNetworkTest.java
@@ -12,6 +12,7 @@
 import io.bilberrygrade.serving.event.MembershipEvent;
 import io.bilberrygrade.serving.settings.PeerKey;
 import io.smallrye.mutiny.Uni;
+import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
@@ -56,8 +57,7 @@
         PeerMessage gossip = gossip();
 
         PeerMessage reply =
-                new TcpPeerNetwork(mVertx, identity("client"), KEY)
-                        .call(mServer, gossip, TIMEOUT)
+                call(new TcpPeerNetwork(mVertx, identity("client"), KEY), gossip)
                         .await()
                         .atMost(TIMEOUT);
 
@@ -68,8 +68,7 @@
     void refusesPeerWithOtherKey() throws InterruptedException {
         PeerKey other = PeerKey.of("wrong".getBytes(StandardCharsets.UTF_8));
         Uni<PeerMessage> call =
-                new TcpPeerNetwork(mVertx, identity("client"), other)
-                        .call(mServer, gossip(), TIMEOUT);
+                call(new TcpPeerNetwork(mVertx, identity("client"), other), gossip());
 
         assertThatThrownBy(() -> call.await().atMost(TIMEOUT))
                 .hasCauseInstanceOf(CallException.class)
@@ -103,6 +102,14 @@
                         List.of(new ClassUse("client", 7, "short", 1.5, 4, 9))));
     }
 
+    /** Calls on one event loop, as the network requires of its user. */
+    private Uni<PeerMessage> call(TcpPeerNetwork network, PeerMessage message) {
+        Context context = mVertx.getOrCreateContext();
+        return Uni.createFrom()
+                .deferred(() -> network.call(mServer, message, TIMEOUT))
+                .runSubscriptionOn(task -> context.runOnContext(v -> task.run()));
+    }
+
     private static PeerIdentity identity(String name) {
         return new PeerIdentity(new InstanceId(name), new Incarnation(1));
     }
