--- a/serving/src/main/java/io/bilberrygrade/serving/event/ConfigEvent.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/ConfigEvent.java
@@ -22,6 +22,6 @@
      * A starting daemon doesn't serve, since the only version that it can read is older than one
      * that peers have in force or engines have seen.
      */
-    @EventInfo(number = 2005, level = EventLevel.ERROR)
+    @EventInfo(number = 2006, level = EventLevel.ERROR)
     record BelowFloor(long version, long floor) implements ConfigEvent {}
 }
--- a/standins/src/test/java/io/bilberrygrade/standins/failure/ConfigurationFailureTest.java
+++ b/standins/src/test/java/io/bilberrygrade/standins/failure/ConfigurationFailureTest.java
@@ -93,7 +93,7 @@
                     "{\"kind\":\"SET_ROLE\",\"role\":\"mixed\",\"fencingToken\":2}");
 
             EntryProcess entry = d.start(0);
-            Await.until(Duration.ofSeconds(40), () -> entry.logged("BG2005"));
+            Await.until(Duration.ofSeconds(40), () -> entry.logged("BG2006"));
             assertThat(entry.ready()).isFalse();
             d.configFaults("{\"staleVersion\":0}");
 
