--- a/standins/src/test/java/io/bilberrygrade/standins/failure/EndpointFailureTest.java
+++ b/standins/src/test/java/io/bilberrygrade/standins/failure/EndpointFailureTest.java
@@ -10,6 +10,8 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -52,11 +54,11 @@
 
     private static void askUntilRefused(ProcessDeployment d, EntryProcess entry)
             throws IOException, InterruptedException {
-        for (int i = 0; i < MAX_REQUESTS && !entry.logged("BG5004"); i++) {
-            try (StreamedAnswer answer = d.ask(0, 2, TIMEOUT)) {
-                answer.readAll();
-            }
+        List<StreamedAnswer> running = new ArrayList<>();
+        while (running.size() < MAX_REQUESTS && !entry.logged("BG5004")) {
+            running.add(d.ask(0, 100, TIMEOUT));
         }
+        running.forEach(StreamedAnswer::close);
         assertThat(entry.logged("BG5004")).isTrue();
     }
 
