Admit by deadline, class target and share; divide the fleet among classes and teams

Requests that can't keep their deadline, whose queue alone breaks their class's target, or that are over the share of their class or team are refused before anything is sent. Demand of each class is summed by gossip. Limits hold once the fleet's capacity is known.

--- /dev/null
+++ b/core/src/main/java/io/bilberrygrade/core/share/ShareAllocator.java
@@ -0,0 +1,64 @@
+package io.bilberrygrade.core.share;
+
+import com.google.common.collect.ImmutableCollection;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.bilberrygrade.core.config.WorkClass;
+import io.bilberrygrade.core.identity.WorkClassId;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Divides the fleet's capacity among the classes of work. Each class first gets what it asks for up
+ * to its claimed share. What is then left is lent, to the classes with the tightest targets first,
+ * so that less capacity takes from the loosest class first.
+ */
+public final class ShareAllocator {
+    private ShareAllocator() {}
+
+    /**
+     * Returns the tokens a second that each class may use. A class that asks for less than it may
+     * have is not limited to what it asks for: what nobody else asks for is added to its grant.
+     *
+     * @param demand tokens a second that each class asks for
+     * @param capacity tokens a second of the whole fleet
+     */
+    public static ImmutableMap<WorkClassId, Double> allocate(
+            ImmutableCollection<WorkClass> classes,
+            ImmutableMap<WorkClassId, Double> demand,
+            double capacity) {
+        double claimed = classes.stream().mapToDouble(WorkClass::share).sum();
+        double scale = capacity / Math.max(1, claimed);
+        Map<WorkClassId, Double> used = new LinkedHashMap<>();
+        classes.forEach(c -> used.put(c.id(), Math.min(demand(demand, c), c.share() * scale)));
+        double left = capacity - used.values().stream().mapToDouble(Double::doubleValue).sum();
+        for (WorkClass c : byTightness(classes)) {
+            double lent = Math.min(left, demand(demand, c) - used.get(c.id()));
+            used.merge(c.id(), lent, Double::sum);
+            left -= lent;
+        }
+        return grants(classes, used, scale, left);
+    }
+
+    private static ImmutableMap<WorkClassId, Double> grants(
+            ImmutableCollection<WorkClass> classes,
+            Map<WorkClassId, Double> used,
+            double scale,
+            double left) {
+        ImmutableMap.Builder<WorkClassId, Double> grants = ImmutableMap.builder();
+        for (WorkClass c : classes) {
+            grants.put(c.id(), Math.max(c.share() * scale, used.get(c.id()) + left));
+        }
+        return grants.buildOrThrow();
+    }
+
+    private static ImmutableList<WorkClass> byTightness(ImmutableCollection<WorkClass> classes) {
+        return ImmutableList.sortedCopyOf(
+                Comparator.comparing(WorkClass::timeToFirstToken), classes);
+    }
+
+    private static double demand(ImmutableMap<WorkClassId, Double> demand, WorkClass workClass) {
+        return demand.getOrDefault(workClass.id(), 0.0);
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/PeerDemand.java
@@ -0,0 +1,72 @@
+package io.bilberrygrade.serving.controller;
+
+import com.google.common.collect.ImmutableList;
+import io.bilberrygrade.core.identity.WorkClassId;
+import io.bilberrygrade.serving.peer.ClassUse;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+
+/** What other daemons say that the classes ask for there. What is old is no longer believed. */
+final class PeerDemand {
+    private static final Duration LIFETIME = Duration.ofSeconds(8);
+    private static final int MAX_ENTRIES = 1_024;
+
+    private record Key(String instance, String workClass) {}
+
+    private record Entry(ClassUse use, Instant measuredAt) {}
+
+    private final Map<Key, Entry> mEntries = new HashMap<>();
+
+    void merge(ClassUse use, Instant now) {
+        Key key = new Key(use.instance(), use.workClass());
+        Entry entry = new Entry(use, now.minusMillis(Math.max(0, use.ageMillis())));
+        if (mEntries.size() >= MAX_ENTRIES) {
+            mEntries.values().removeIf(e -> expired(e, now));
+        }
+        Entry known = mEntries.get(key);
+        boolean full = known == null && mEntries.size() >= MAX_ENTRIES;
+        if (!full && !expired(entry, now) && (known == null || isNewer(entry, known))) {
+            mEntries.put(key, entry);
+        }
+    }
+
+    double tokensPerSecond(WorkClassId workClass, Instant now) {
+        return mEntries.values().stream()
+                .filter(e -> e.use().workClass().equals(workClass.value()))
+                .filter(e -> !expired(e, now))
+                .mapToDouble(e -> e.use().tokensPerSecond())
+                .sum();
+    }
+
+    /** Returns what is still believed, with its present age. */
+    ImmutableList<ClassUse> uses(Instant now) {
+        return mEntries.values().stream()
+                .filter(e -> !expired(e, now))
+                .map(e -> aged(e, now))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    private static ClassUse aged(Entry entry, Instant now) {
+        ClassUse use = entry.use();
+        return new ClassUse(
+                use.instance(),
+                use.incarnation(),
+                use.workClass(),
+                use.tokensPerSecond(),
+                use.queuedTokens(),
+                Math.max(0, Duration.between(entry.measuredAt(), now).toMillis()));
+    }
+
+    private static boolean isNewer(Entry entry, Entry known) {
+        if (entry.use().incarnation() != known.use().incarnation()) {
+            return entry.use().incarnation() > known.use().incarnation();
+        }
+        return entry.measuredAt().isAfter(known.measuredAt());
+    }
+
+    private static boolean expired(Entry entry, Instant now) {
+        return entry.measuredAt().plus(LIFETIME).isBefore(now);
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/ShareController.java
@@ -0,0 +1,177 @@
+package io.bilberrygrade.serving.controller;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.bilberrygrade.core.admission.WorthRanking;
+import io.bilberrygrade.core.config.Deployment;
+import io.bilberrygrade.core.config.WorkClass;
+import io.bilberrygrade.core.identity.InstanceId;
+import io.bilberrygrade.core.identity.WorkClassId;
+import io.bilberrygrade.core.request.InferenceRequest;
+import io.bilberrygrade.core.share.ClassDemand;
+import io.bilberrygrade.core.share.ShareAllocator;
+import io.bilberrygrade.core.share.ShareLimit;
+import io.bilberrygrade.serving.event.EventLog;
+import io.bilberrygrade.serving.event.ShareEvent;
+import io.bilberrygrade.serving.peer.ClassUse;
+import io.bilberrygrade.serving.peer.GossipDigest;
+import io.bilberrygrade.serving.peer.PeerIdentity;
+import io.bilberrygrade.serving.settings.Mechanism;
+import io.bilberrygrade.serving.settings.PolicySettings;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Turns class targets into limits: sums up what each class asks for on all daemons, divides the
+ * fleet's capacity and tells which requests are within the share of their class and team.
+ */
+public final class ShareController implements GossipContributor {
+    private static final double MOST_URGENT_PART = 0.75;
+
+    private final PeerIdentity mSelf;
+    private final PolicySettings mPolicy;
+    private final EventLog mEvents;
+    private final Map<WorkClassId, ClassDemand> mOwn = new HashMap<>();
+    private final Map<WorkClassId, WorthRanking> mRankings = new HashMap<>();
+    private final PeerDemand mPeers = new PeerDemand();
+    private final Map<WorkClassId, ShareLimit> mLimits = new HashMap<>();
+    private double mCapacity;
+    private int mTurn;
+
+    /** Creates the controller; it limits nothing until it has been renewed. */
+    public ShareController(PeerIdentity self, PolicySettings policy, EventLog events) {
+        mSelf = self;
+        mPolicy = policy;
+        mEvents = events;
+    }
+
+    /**
+     * Takes note of a request that arrived and returns whether it is within the share of its class
+     * and team. {@code tokens} is the part of its prompt that needs prefill.
+     */
+    public boolean arrived(InferenceRequest request, long tokens, Instant now) {
+        WorkClassId id = request.workClass().id();
+        ClassDemand demand = mOwn.computeIfAbsent(id, i -> new ClassDemand());
+        demand.arrived(request.team(), tokens, now);
+        WorthRanking ranking = mRankings.computeIfAbsent(id, i -> new WorthRanking());
+        ranking.arrived(request.worth(), tokens);
+        ShareLimit limit = mLimits.getOrDefault(id, ShareLimit.NONE);
+        if (!limit.limited() || !mPolicy.enabled(Mechanism.CLASS_SHARES)) {
+            return true;
+        }
+        double granted = limit.tokensPerSecond() / fleetDemand(id, now);
+        double part =
+                mPolicy.enabled(Mechanism.TEAM_FAIRNESS)
+                        ? demand.fairPart(request.team(), granted, now)
+                        : granted;
+        return ranking.isAmongBest(request.worth(), tokens, part);
+    }
+
+    /**
+     * Divides the capacity, in tokens a second of the whole fleet, anew. Nothing is limited while
+     * the capacity is 0, that is unknown.
+     */
+    public void renew(Deployment deployment, double capacity, Instant now) {
+        mCapacity = capacity;
+        mOwn.keySet().retainAll(deployment.classes().keySet());
+        mRankings.keySet().retainAll(deployment.classes().keySet());
+        mLimits.keySet().retainAll(deployment.classes().keySet());
+        if (capacity <= 0) {
+            return;
+        }
+        ImmutableMap<WorkClassId, Double> demand =
+                deployment.classes().keySet().stream()
+                        .collect(ImmutableMap.toImmutableMap(c -> c, c -> fleetDemand(c, now)));
+        ShareAllocator.allocate(deployment.classes().values(), demand, capacity)
+                .forEach((id, grant) -> limit(id, demand.get(id), grant));
+    }
+
+    private void limit(WorkClassId id, double demand, double grant) {
+        ShareLimit before = mLimits.getOrDefault(id, ShareLimit.NONE);
+        ShareLimit after = before.next(demand, grant);
+        mLimits.put(id, after);
+        if (before.limited() != after.limited()) {
+            mEvents.record(
+                    after.limited()
+                            ? new ShareEvent.Limited(id.value(), demand, grant)
+                            : new ShareEvent.Unlimited(id.value(), demand, grant));
+        }
+    }
+
+    /** Returns the part of the capacity, from 0 to 1, that classes with tighter targets use. */
+    public double urgentPart(Deployment deployment, WorkClass workClass, Instant now) {
+        if (mCapacity <= 0) {
+            return 0;
+        }
+        double used =
+                deployment.classes().values().stream()
+                        .filter(
+                                c ->
+                                        c.timeToFirstToken().compareTo(workClass.timeToFirstToken())
+                                                < 0)
+                        .mapToDouble(c -> used(c.id(), now))
+                        .sum();
+        return Math.min(MOST_URGENT_PART, used / mCapacity);
+    }
+
+    /** Returns the tokens a second that a class asks for on all daemons. */
+    public double fleetDemand(WorkClassId id, Instant now) {
+        return ownDemand(id, now) + mPeers.tokensPerSecond(id, now);
+    }
+
+    /** Returns whether a class is held to its grant. */
+    public boolean limited(WorkClassId id) {
+        return mLimits.getOrDefault(id, ShareLimit.NONE).limited();
+    }
+
+    private double used(WorkClassId id, Instant now) {
+        ShareLimit limit = mLimits.getOrDefault(id, ShareLimit.NONE);
+        double demand = fleetDemand(id, now);
+        return limit.limited() ? Math.min(demand, limit.tokensPerSecond()) : demand;
+    }
+
+    private double ownDemand(WorkClassId id, Instant now) {
+        ClassDemand own = mOwn.get(id);
+        return own == null ? 0 : own.tokensPerSecond(now);
+    }
+
+    /** Returns this daemon's use of each class. */
+    public ImmutableList<ClassUse> report(Instant now) {
+        return mOwn.entrySet().stream()
+                .map(
+                        e ->
+                                new ClassUse(
+                                        mSelf.instance().value(),
+                                        mSelf.incarnation().value(),
+                                        e.getKey().value(),
+                                        e.getValue().tokensPerSecond(now),
+                                        0,
+                                        0))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    @Override
+    public void contribute(GossipDraft draft, Instant now) {
+        addInTurn(draft, report(now));
+        addInTurn(draft, mPeers.uses(now));
+        mTurn++;
+    }
+
+    private void addInTurn(GossipDraft draft, ImmutableList<ClassUse> uses) {
+        for (int i = 0; i < uses.size(); i++) {
+            if (!draft.add(uses.get((mTurn + i) % uses.size()))) {
+                return;
+            }
+        }
+    }
+
+    @Override
+    public boolean merge(PeerIdentity from, GossipDigest digest, Instant now) {
+        InstanceId self = mSelf.instance();
+        digest.classUse().stream()
+                .filter(u -> !u.instance().equals(self.value()))
+                .forEach(u -> mPeers.merge(u, now));
+        return false;
+    }
+}
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.bilberrygrade.core.atmostonce.KeyAuthority;
+import io.bilberrygrade.core.config.Deployment;
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.identity.RequestId;
 import io.bilberrygrade.serving.atmostonce.AtMostOnceController;
@@ -12,6 +13,7 @@
 import io.bilberrygrade.serving.controller.EndpointController;
 import io.bilberrygrade.serving.controller.GossipController;
 import io.bilberrygrade.serving.controller.MembershipController;
+import io.bilberrygrade.serving.controller.ShareController;
 import io.bilberrygrade.serving.engine.HttpModelEngine;
 import io.bilberrygrade.serving.error.CallException;
 import io.bilberrygrade.serving.event.EventLog;
@@ -50,6 +52,9 @@
     private static final Duration CONFIG_PAUSE = Duration.ofMillis(300);
     private static final Duration INSTANCE_LIST_PERIOD = Duration.ofSeconds(2);
 
+    private static final double UNKNOWN_CAPACITY = 0;
+    private static final Duration SHARES_PERIOD = Duration.ofMillis(500);
+
     private final EntrySettings mSettings;
     private final Incarnation mIncarnation;
     private final InstantSource mClock;
@@ -61,6 +66,7 @@
     private ConfigController mConfig;
     private MembershipController mMembership;
     private GossipController mGossip;
+    private ShareController mShares;
     private AtMostOnceController mKeys;
     private KeyRouter mKeyRouter;
     private HttpCalls mCalls;
@@ -96,6 +102,8 @@
                         mEvents,
                         mClock.instant());
         mGossip = new GossipController(mMembership, mPeers, mClock);
+        mShares = new ShareController(self, mSettings.policy(), mEvents);
+        mGossip.register(mShares);
         createKeys(self);
         mConfig.onChange(mEndpoints::onDeployment);
         mConfig.onChange(d -> becomeReady());
@@ -190,6 +198,7 @@
                                 new HttpModelEngine(mCalls),
                                 mKeyRouter,
                                 mEndpoints,
+                                mShares,
                                 mDrain,
                                 new VertxTimers(vertx)),
                         mConfig::current,
@@ -220,9 +229,16 @@
         mTasks = new PeriodicTasks(vertx, mRandom, mEvents);
         mTasks.repeat("config", CONFIG_PAUSE, this::watchConfig);
         mTasks.repeat("instance list", INSTANCE_LIST_PERIOD, mMembership::refresh);
+        mTasks.repeat("shares", SHARES_PERIOD, this::renewShares);
         mTasks.repeat("gossip", MembershipController.ROUND, mGossip::round);
     }
 
+    private Uni<Void> renewShares() {
+        Deployment deployment = mConfig.current();
+        mShares.renew(deployment, UNKNOWN_CAPACITY, mClock.instant());
+        return Uni.createFrom().voidItem();
+    }
+
     private Uni<Void> watchConfig() {
         return mConfig.refresh(CONFIG_WAIT)
                 .onFailure(CallException.class)
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/RequestPath.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/RequestPath.java
@@ -7,9 +7,11 @@
 import io.bilberrygrade.core.routing.RoundRobinPolicy;
 import io.bilberrygrade.serving.atmostonce.AtMostOnceFilter;
 import io.bilberrygrade.serving.atmostonce.KeyRouter;
+import io.bilberrygrade.serving.controller.AdmissionController;
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.controller.EndpointController;
 import io.bilberrygrade.serving.controller.PlacementController;
+import io.bilberrygrade.serving.controller.ShareController;
 import io.bilberrygrade.serving.engine.ModelEngine;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.filter.ClassifyFilter;
@@ -23,6 +25,7 @@
 import io.bilberrygrade.serving.settings.EntrySettings;
 import io.bilberrygrade.serving.time.Timers;
 import java.time.InstantSource;
+import org.apache.commons.rng.simple.RandomSource;
 
 /** Puts the filter chain together, in the order in which requests pass through it. */
 final class RequestPath {
@@ -41,13 +44,23 @@
             ModelEngine engine,
             KeyRouter keys,
             EndpointController endpoints,
+            ShareController shares,
             DrainController drain,
             Timers timers) {
+        PlacementController placement = new PlacementController(endpoints, policy());
+        AdmissionController admission =
+                new AdmissionController(
+                        placement,
+                        shares,
+                        drain,
+                        mSettings.policy(),
+                        RandomSource.SPLIT_MIX_64.create());
         CompletionDispatcher dispatcher =
                 new CompletionDispatcher(
                         engine,
                         endpoints,
-                        new PlacementController(endpoints, policy()),
+                        placement,
+                        admission,
                         incarnation,
                         timers,
                         mClock,
--- a/serving/src/main/java/io/bilberrygrade/serving/event/Event.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/Event.java
@@ -2,4 +2,9 @@
 
 /** Numbered log event; its record components are the fields that are logged. */
 public sealed interface Event
-        permits ConfigEvent, LifecycleEvent, MembershipEvent, OrderEvent, RequestEvent {}
+        permits ConfigEvent,
+                LifecycleEvent,
+                MembershipEvent,
+                OrderEvent,
+                RequestEvent,
+                ShareEvent {}
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
@@ -8,6 +8,7 @@
 import io.bilberrygrade.core.request.Reason;
 import io.bilberrygrade.core.request.Step;
 import io.bilberrygrade.core.routing.Placement;
+import io.bilberrygrade.serving.controller.AdmissionController;
 import io.bilberrygrade.serving.controller.EndpointController;
 import io.bilberrygrade.serving.controller.PlacementController;
 import io.bilberrygrade.serving.engine.GenerateCall;
@@ -32,6 +33,7 @@
     private final ModelEngine mEngine;
     private final EndpointController mEndpoints;
     private final PlacementController mPlacement;
+    private final AdmissionController mAdmission;
     private final Incarnation mIncarnation;
     private final Timers mTimers;
     private final InstantSource mClock;
@@ -42,6 +44,7 @@
             ModelEngine engine,
             EndpointController endpoints,
             PlacementController placement,
+            AdmissionController admission,
             Incarnation incarnation,
             Timers timers,
             InstantSource clock,
@@ -49,6 +52,7 @@
         mEngine = engine;
         mEndpoints = endpoints;
         mPlacement = placement;
+        mAdmission = admission;
         mIncarnation = incarnation;
         mTimers = timers;
         mClock = clock;
@@ -57,6 +61,11 @@
 
     /** Runs the request to its final outcome. */
     public Uni<Outcome> dispatch(Exchange exchange, InferenceRequest request) {
+        Optional<Outcome> refusal =
+                mAdmission.refuse(exchange.deployment(), request, mClock.instant());
+        if (refusal.isPresent()) {
+            return Uni.createFrom().item(refusal.get());
+        }
         AnswerProgress progress = new AnswerProgress(exchange.sink());
         Uni<Outcome> deadline =
                 mTimers.after(request.remaining(mClock.instant())).map(v -> deadlinePast(progress));
@@ -65,7 +74,14 @@
                         .emitter(e -> exchange.sink().onCallerGone(() -> e.complete(callerGone())));
         return Uni.join()
                 .first(attempt(exchange, request, progress, 1), deadline, gone)
-                .toTerminate();
+                .toTerminate()
+                .invoke(this::count);
+    }
+
+    private void count(Outcome outcome) {
+        if (outcome instanceof Outcome.Done) {
+            mAdmission.succeeded();
+        }
     }
 
     private Uni<Outcome> attempt(
@@ -115,7 +131,8 @@
                         e.peer(),
                         progress.nextOffset(),
                         e.getMessage()));
-        if (number == MAX_ATTEMPTS || !request.remaining(mClock.instant()).isPositive()) {
+        boolean inTime = request.remaining(mClock.instant()).isPositive();
+        if (number == MAX_ATTEMPTS || !inTime || !mAdmission.tryRetry()) {
             return Uni.createFrom().item(exhausted(progress, e));
         }
         return attempt(exchange, request, progress, number + 1);
