--- a/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.bilberrygrade.core.atmostonce.KeyAuthority;
+import io.bilberrygrade.core.config.Deployment;
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.identity.RequestId;
 import io.bilberrygrade.serving.atmostonce.AtMostOnceController;
@@ -13,6 +14,7 @@
 import io.bilberrygrade.serving.controller.GossipController;
 import io.bilberrygrade.serving.controller.LoadController;
 import io.bilberrygrade.serving.controller.MembershipController;
+import io.bilberrygrade.serving.controller.ShareController;
 import io.bilberrygrade.serving.engine.HttpModelEngine;
 import io.bilberrygrade.serving.error.CallException;
 import io.bilberrygrade.serving.event.EventLog;
@@ -55,6 +57,9 @@
     private static final Duration ENDPOINTS_PERIOD = Duration.ofSeconds(1);
     private static final Duration INSTANCE_LIST_PERIOD = Duration.ofSeconds(2);
 
+    private static final double UNKNOWN_CAPACITY = 0;
+    private static final Duration SHARES_PERIOD = Duration.ofMillis(500);
+
     private final EntrySettings mSettings;
     private final Incarnation mIncarnation;
     private final InstantSource mClock;
@@ -66,6 +71,7 @@
     private ConfigController mConfig;
     private MembershipController mMembership;
     private GossipController mGossip;
+    private ShareController mShares;
     private AtMostOnceController mKeys;
     private KeyRouter mKeyRouter;
     private GangController mGangs;
@@ -103,6 +109,8 @@
                         mEvents,
                         mClock.instant());
         mGossip = new GossipController(mMembership, mPeers, mClock);
+        mShares = new ShareController(self, mSettings.policy(), mEvents);
+        mGossip.register(mShares);
         createKeys(self);
         mGangs = new GangController(mSettings.instance(), mMembership, mPeers, mClock);
         mConfig.onChange(mEndpoints::onDeployment);
@@ -194,13 +202,15 @@
         CallerApi api =
                 new CallerApi(
                         path.chain(
-                                mIncarnation,
-                                new HttpModelEngine(mCalls),
-                                mKeyRouter,
-                                mGangs,
-                                mEndpoints,
-                                mDrain,
-                                new VertxTimers(vertx)),
+                                new RequestPath.Parts(
+                                        mIncarnation,
+                                        new HttpModelEngine(mCalls),
+                                        mKeyRouter,
+                                        mGangs,
+                                        mEndpoints,
+                                        mShares,
+                                        mDrain,
+                                        new VertxTimers(vertx))),
                         mConfig::current,
                         this::nextRequestId,
                         mClock,
@@ -232,6 +242,7 @@
         mTasks.repeat("load", LOAD_PERIOD, loads::readOldest);
         mTasks.repeat("endpoints", ENDPOINTS_PERIOD, this::renewEndpoints);
         mTasks.repeat("instance list", INSTANCE_LIST_PERIOD, mMembership::refresh);
+        mTasks.repeat("shares", SHARES_PERIOD, this::renewShares);
         mTasks.repeat("gossip", MembershipController.ROUND, mGossip::round);
     }
 
@@ -241,6 +252,12 @@
         return Uni.createFrom().voidItem();
     }
 
+    private Uni<Void> renewShares() {
+        Deployment deployment = mConfig.current();
+        mShares.renew(deployment, UNKNOWN_CAPACITY, mClock.instant());
+        return Uni.createFrom().voidItem();
+    }
+
     private Uni<Void> watchConfig() {
         return mConfig.refresh(CONFIG_WAIT)
                 .onFailure(CallException.class)
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/RequestPath.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/RequestPath.java
@@ -9,9 +9,11 @@
 import io.bilberrygrade.core.routing.RoundRobinPolicy;
 import io.bilberrygrade.serving.atmostonce.AtMostOnceFilter;
 import io.bilberrygrade.serving.atmostonce.KeyRouter;
+import io.bilberrygrade.serving.controller.AdmissionController;
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.controller.EndpointController;
 import io.bilberrygrade.serving.controller.PlacementController;
+import io.bilberrygrade.serving.controller.ShareController;
 import io.bilberrygrade.serving.engine.ModelEngine;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.filter.ClassifyFilter;
@@ -44,47 +46,50 @@
         mEvents = events;
     }
 
-    FilterChain chain(
-            Incarnation incarnation,
-            ModelEngine engine,
-            KeyRouter keys,
-            GangController stewards,
-            EndpointController endpoints,
-            DrainController drain,
-            Timers timers) {
-        PlacementController placement = new PlacementController(endpoints, policy());
-        GangDispatcher gangs =
-                new GangDispatcher(
-                        engine,
-                        endpoints,
-                        placement,
-                        Optional.of(stewards)
-                                .filter(s -> mSettings.policy().enabled(Mechanism.GANG_STEWARD)),
-                        incarnation,
-                        timers,
-                        mClock,
-                        RandomSource.SPLIT_MIX_64.create(),
-                        mEvents);
-        CompletionDispatcher dispatcher =
-                new CompletionDispatcher(
-                        engine,
-                        endpoints,
-                        placement,
-                        gangs,
-                        new Patience(mSettings.policy().enabled(Mechanism.EJECTION)),
-                        incarnation,
-                        timers,
-                        mClock,
-                        mEvents);
+    FilterChain chain(Parts parts) {
         return new FilterChain(
                 ImmutableList.of(
                         new KeyGuardFilter(),
-                        new ReadinessFilter(drain),
+                        new ReadinessFilter(parts.drain()),
                         new IdentifyFilter(),
                         new DeadlineFilter(mClock, mSettings.maxDeadline()),
                         new ClassifyFilter(),
-                        new CompletionFilter(dispatcher),
-                        new AtMostOnceFilter(keys)));
+                        new CompletionFilter(dispatcher(parts)),
+                        new AtMostOnceFilter(parts.keys())));
+    }
+
+    private CompletionDispatcher dispatcher(Parts parts) {
+        PlacementController placement = new PlacementController(parts.endpoints(), policy());
+        return new CompletionDispatcher(
+                parts.engine(),
+                parts.endpoints(),
+                placement,
+                gangs(parts, placement),
+                new Patience(mSettings.policy().enabled(Mechanism.EJECTION)),
+                new AdmissionController(
+                        placement,
+                        parts.shares(),
+                        parts.drain(),
+                        mSettings.policy(),
+                        RandomSource.SPLIT_MIX_64.create()),
+                parts.incarnation(),
+                parts.timers(),
+                mClock,
+                mEvents);
+    }
+
+    private GangDispatcher gangs(Parts parts, PlacementController placement) {
+        return new GangDispatcher(
+                parts.engine(),
+                parts.endpoints(),
+                placement,
+                Optional.of(parts.stewards())
+                        .filter(s -> mSettings.policy().enabled(Mechanism.GANG_STEWARD)),
+                parts.incarnation(),
+                parts.timers(),
+                mClock,
+                RandomSource.SPLIT_MIX_64.create(),
+                mEvents);
     }
 
     private PlacementPolicy policy() {
@@ -97,4 +102,15 @@
                             Mixing.hash(mSettings.instance().value()));
         };
     }
+
+    /** What the filters work with. */
+    record Parts(
+            Incarnation incarnation,
+            ModelEngine engine,
+            KeyRouter keys,
+            GangController stewards,
+            EndpointController endpoints,
+            ShareController shares,
+            DrainController drain,
+            Timers timers) {}
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
@@ -7,6 +7,7 @@
 import io.bilberrygrade.core.request.Reason;
 import io.bilberrygrade.core.request.Step;
 import io.bilberrygrade.core.routing.Placement;
+import io.bilberrygrade.serving.controller.AdmissionController;
 import io.bilberrygrade.serving.controller.Dispatch;
 import io.bilberrygrade.serving.controller.EndpointController;
 import io.bilberrygrade.serving.controller.PlacementController;
@@ -37,6 +38,7 @@
     private final PlacementController mPlacement;
     private final GangDispatcher mGangs;
     private final Patience mPatience;
+    private final AdmissionController mAdmission;
     private final Incarnation mIncarnation;
     private final Timers mTimers;
     private final InstantSource mClock;
@@ -49,6 +51,7 @@
             PlacementController placement,
             GangDispatcher gangs,
             Patience patience,
+            AdmissionController admission,
             Incarnation incarnation,
             Timers timers,
             InstantSource clock,
@@ -58,6 +61,7 @@
         mPlacement = placement;
         mGangs = gangs;
         mPatience = patience;
+        mAdmission = admission;
         mIncarnation = incarnation;
         mTimers = timers;
         mClock = clock;
@@ -66,6 +70,11 @@
 
     /** Runs the request to its final outcome. */
     public Uni<Outcome> dispatch(Exchange exchange, InferenceRequest request) {
+        Optional<Outcome> refusal =
+                mAdmission.refuse(exchange.deployment(), request, mClock.instant());
+        if (refusal.isPresent()) {
+            return Uni.createFrom().item(refusal.get());
+        }
         AnswerProgress progress = new AnswerProgress(exchange.sink());
         Uni<Outcome> deadline =
                 mTimers.after(request.remaining(mClock.instant())).map(v -> deadlinePast(progress));
@@ -74,7 +83,14 @@
                         .emitter(e -> exchange.sink().onCallerGone(() -> e.complete(callerGone())));
         return Uni.join()
                 .first(attempt(exchange, request, progress, 1), deadline, gone)
-                .toTerminate();
+                .toTerminate()
+                .invoke(this::count);
+    }
+
+    private void count(Outcome outcome) {
+        if (outcome instanceof Outcome.Done) {
+            mAdmission.succeeded();
+        }
     }
 
     private Uni<Outcome> attempt(
@@ -166,7 +182,8 @@
                         e.peer(),
                         progress.nextOffset(),
                         e.getMessage()));
-        if (number == MAX_ATTEMPTS || !request.remaining(mClock.instant()).isPositive()) {
+        boolean inTime = request.remaining(mClock.instant()).isPositive();
+        if (number == MAX_ATTEMPTS || !inTime || !mAdmission.tryRetry()) {
             return Uni.createFrom().item(exhausted(progress, e));
         }
         return attempt(exchange, request, progress, number + 1);
