--- a/serving/src/main/java/io/bilberrygrade/serving/entry/PeerCalls.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/PeerCalls.java
@@ -8,11 +8,12 @@
 import io.smallrye.mutiny.Uni;
 
 /** Hands each call of a peer to the controller that owns the state it is about. */
-final class PeerCalls implements PeerHandler {
+public final class PeerCalls implements PeerHandler {
     private final GossipController mGossip;
     private final KeyRouter mKeys;
 
-    PeerCalls(GossipController gossip, KeyRouter keys) {
+    /** Creates the handler over the controllers of a daemon. */
+    public PeerCalls(GossipController gossip, KeyRouter keys) {
         mGossip = gossip;
         mKeys = keys;
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/RequestPath.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/RequestPath.java
@@ -25,18 +25,20 @@
 import java.time.InstantSource;
 
 /** Puts the filter chain together, in the order in which requests pass through it. */
-final class RequestPath {
+public final class RequestPath {
     private final EntrySettings mSettings;
     private final InstantSource mClock;
     private final EventLog mEvents;
 
-    RequestPath(EntrySettings settings, InstantSource clock, EventLog events) {
+    /** Creates the path of a daemon with the given settings. */
+    public RequestPath(EntrySettings settings, InstantSource clock, EventLog events) {
         mSettings = settings;
         mClock = clock;
         mEvents = events;
     }
 
-    FilterChain chain(
+    /** Returns the chain over the parts of a daemon. */
+    public FilterChain chain(
             Incarnation incarnation,
             ModelEngine engine,
             KeyRouter keys,
--- /dev/null
+++ b/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedDaemon.java
@@ -0,0 +1,184 @@
+package io.bilberrygrade.serving.fuzz;
+
+import com.google.common.collect.ImmutableList;
+import io.bilberrygrade.core.atmostonce.IdempotencyKey;
+import io.bilberrygrade.core.atmostonce.KeyAuthority;
+import io.bilberrygrade.core.identity.Address;
+import io.bilberrygrade.core.identity.Incarnation;
+import io.bilberrygrade.core.identity.InstanceId;
+import io.bilberrygrade.core.identity.RequestId;
+import io.bilberrygrade.core.identity.TeamId;
+import io.bilberrygrade.core.request.Outcome;
+import io.bilberrygrade.serving.atmostonce.AtMostOnceController;
+import io.bilberrygrade.serving.atmostonce.KeyRouter;
+import io.bilberrygrade.serving.atmostonce.PlainServiceDispatch;
+import io.bilberrygrade.serving.controller.ConfigController;
+import io.bilberrygrade.serving.controller.DrainController;
+import io.bilberrygrade.serving.controller.EndpointController;
+import io.bilberrygrade.serving.controller.GossipController;
+import io.bilberrygrade.serving.controller.MembershipController;
+import io.bilberrygrade.serving.entry.PeerCalls;
+import io.bilberrygrade.serving.entry.RequestPath;
+import io.bilberrygrade.serving.filter.Call;
+import io.bilberrygrade.serving.filter.CallerHeaders;
+import io.bilberrygrade.serving.filter.Exchange;
+import io.bilberrygrade.serving.filter.FilterChain;
+import io.bilberrygrade.serving.peer.PeerIdentity;
+import io.bilberrygrade.serving.peer.PeerMessage;
+import io.bilberrygrade.serving.settings.EntrySettings;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.buffer.Buffer;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.apache.commons.rng.simple.RandomSource;
+
+/** One run of an entry daemon, put together from the real controllers and filters. */
+final class SimulatedDaemon {
+    private static final Duration CONFIG_WAIT = Duration.ofSeconds(20);
+    private static final Duration CONFIG_PAUSE = Duration.ofMillis(300);
+    private static final Duration LIST_PERIOD = Duration.ofSeconds(2);
+
+    private final SimulatedProcess mProcess;
+    private final PeerIdentity mSelf;
+    private final Address mAddress;
+    private final DrainController mDrain = new DrainController();
+    private final EndpointController mEndpoints = new EndpointController();
+    private final ConfigController mConfig;
+    private final MembershipController mMembership;
+    private final GossipController mGossip;
+    private final AtMostOnceController mKeys;
+    private final PeerCalls mPeerCalls;
+    private final FilterChain mChain;
+    private boolean mDrained;
+    private long mNextRequest;
+
+    SimulatedDaemon(
+            Fleet fleet,
+            EntrySettings settings,
+            Address address,
+            Incarnation incarnation,
+            SimulatedProcess process) {
+        mProcess = process;
+        mSelf = new PeerIdentity(settings.instance(), incarnation);
+        mAddress = address;
+        mConfig = new ConfigController(fleet.platform().configOf(process), e -> {});
+        mMembership =
+                new MembershipController(
+                        mSelf,
+                        fleet.platform().instancesOf(process),
+                        RandomSource.SPLIT_MIX_64.create(fleet.nextSeed()),
+                        e -> {},
+                        process.instant());
+        mGossip = new GossipController(mMembership, fleet.network().of(this), process);
+        KeyAuthority authority = new KeyAuthority(settings.peerKey().bytes());
+        mKeys =
+                new AtMostOnceController(
+                        mSelf,
+                        authority,
+                        mDrain,
+                        new PlainServiceDispatch(
+                                fleet.service().of(process), mEndpoints, mConfig::current, process),
+                        process,
+                        settings.policy(),
+                        process);
+        KeyRouter router =
+                new KeyRouter(authority, mKeys, mMembership, fleet.network().of(this), process);
+        mPeerCalls = new PeerCalls(mGossip, router);
+        mChain =
+                new RequestPath(settings, process, e -> {})
+                        .chain(
+                                incarnation,
+                                new SimulatedEngines(fleet::engine, process),
+                                router,
+                                mEndpoints,
+                                mDrain,
+                                process);
+        mConfig.onChange(d -> becomeReady());
+    }
+
+    /** Starts the background work. */
+    void start() {
+        repeat(CONFIG_PAUSE, () -> mConfig.refresh(CONFIG_WAIT));
+        repeat(LIST_PERIOD, mMembership::refresh);
+        repeat(MembershipController.ROUND, mGossip::round);
+    }
+
+    private void repeat(Duration pause, Supplier<Uni<Void>> work) {
+        work.get()
+                .onTermination()
+                .invoke(() -> mProcess.schedule(pause, () -> repeat(pause, work)))
+                .subscribe()
+                .with(v -> {}, e -> {});
+    }
+
+    private void becomeReady() {
+        if (!mDrain.draining()) {
+            mDrain.becomeReady();
+        }
+    }
+
+    /** Issues a key; empty while the daemon takes no requests. */
+    Optional<IdempotencyKey> issueKey(TeamId team) {
+        return mDrain.accepting() ? mKeys.issue(team) : Optional.empty();
+    }
+
+    /** Passes a request through the filter chain as it arrives. */
+    Uni<Outcome> receive(RequestId id, Call call, CallerHeaders headers, SimulatedCaller caller) {
+        Buffer body = Buffer.buffer("{}");
+        Exchange exchange =
+                new Exchange(
+                        id, call, headers, body, mProcess.instant(), mConfig.current(), caller);
+        return mChain.proceed(exchange);
+    }
+
+    Uni<PeerMessage> handle(PeerIdentity from, PeerMessage message) {
+        return mPeerCalls.handle(from, message);
+    }
+
+    /** Drains and then ends the process, as a shutdown does. */
+    void shutDown() {
+        mDrain.drain()
+                .subscribe()
+                .with(
+                        v -> {
+                            mDrained = true;
+                            mProcess.schedule(Duration.ofMillis(100), mProcess::kill);
+                        });
+    }
+
+    /** Returns whether a shutdown ended with nothing running. */
+    boolean drained() {
+        return mDrained;
+    }
+
+    RequestId nextRequest() {
+        return new RequestId(
+                mSelf.instance() + "-" + mSelf.incarnation().value() + "-" + mNextRequest++);
+    }
+
+    SimulatedProcess process() {
+        return mProcess;
+    }
+
+    PeerIdentity identity() {
+        return mSelf;
+    }
+
+    Address address() {
+        return mAddress;
+    }
+
+    long configVersion() {
+        return mConfig.current().version();
+    }
+
+    boolean accepting() {
+        return mDrain.accepting();
+    }
+
+    /** Returns the peers that this daemon takes for members. */
+    ImmutableList<InstanceId> members() {
+        return ImmutableList.copyOf(mMembership.alive(mProcess.instant()).keySet());
+    }
+}
--- /dev/null
+++ b/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedProcess.java
@@ -0,0 +1,72 @@
+package io.bilberrygrade.serving.fuzz;
+
+import io.bilberrygrade.serving.time.Timers;
+import io.smallrye.mutiny.Uni;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Process that can be killed and paused, with a clock that differs from that of others. */
+final class SimulatedProcess implements Timers, InstantSource {
+    private final VirtualTime mTime;
+    private final Duration mClockOffset;
+    private final List<Runnable> mDeathActions = new ArrayList<>();
+    private Instant mPausedUntil = Instant.MIN;
+    private boolean mAlive = true;
+    private int mPauses;
+
+    SimulatedProcess(VirtualTime time, Duration clockOffset) {
+        mTime = time;
+        mClockOffset = clockOffset;
+    }
+
+    boolean alive() {
+        return mAlive;
+    }
+
+    Instant pausedUntil() {
+        return mPausedUntil;
+    }
+
+    /** Returns how often the process has been paused. */
+    int pauses() {
+        return mPauses;
+    }
+
+    void pause(Duration duration) {
+        mPauses++;
+        mPausedUntil = mTime.now().plus(duration);
+    }
+
+    void kill() {
+        mAlive = false;
+        mPausedUntil = Instant.MIN;
+        List.copyOf(mDeathActions).forEach(Runnable::run);
+    }
+
+    /** Registers what happens to the process's connections when it dies. */
+    void onDeath(Runnable action) {
+        mDeathActions.add(action);
+    }
+
+    void schedule(Duration delay, Runnable action) {
+        mTime.schedule(this, delay, action);
+    }
+
+    @Override
+    public Instant instant() {
+        return mTime.now().plus(mClockOffset);
+    }
+
+    @Override
+    public Uni<Void> after(Duration delay) {
+        return Uni.createFrom()
+                .emitter(
+                        e ->
+                                schedule(
+                                        delay.isNegative() ? Duration.ZERO : delay,
+                                        () -> e.complete(null)));
+    }
+}
