Merge the configuration's gossip and fuzz the fleet on virtual time

Cause: the promises about keys, answers and versions were only tested one fault at a time. Several daemons made of the real controllers and filters now run on virtual time against an oracle that knows only callers and endpoints.

--- a/serving/src/main/java/io/bilberrygrade/serving/entry/PeerCalls.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/PeerCalls.java
@@ -1,6 +1,7 @@
 package io.bilberrygrade.serving.entry;
 
 import io.bilberrygrade.serving.atmostonce.KeyRouter;
+import io.bilberrygrade.serving.controller.ConfigGossip;
 import io.bilberrygrade.serving.controller.GossipController;
 import io.bilberrygrade.serving.peer.PeerHandler;
 import io.bilberrygrade.serving.peer.PeerIdentity;
@@ -11,17 +12,22 @@
 public final class PeerCalls implements PeerHandler {
     private final GossipController mGossip;
     private final KeyRouter mKeys;
+    private final ConfigGossip mConfig;
 
     /** Creates the handler over the controllers of a daemon. */
-    public PeerCalls(GossipController gossip, KeyRouter keys) {
+    public PeerCalls(GossipController gossip, KeyRouter keys, ConfigGossip config) {
         mGossip = gossip;
         mKeys = keys;
+        mConfig = config;
     }
 
     @Override
     public Uni<PeerMessage> handle(PeerIdentity from, PeerMessage message) {
         return switch (message) {
             case PeerMessage.Gossip g -> Uni.createFrom().item(mGossip.onGossip(from, g));
+            case PeerMessage.ManifestRequest m ->
+                    Uni.createFrom().item(mConfig.onManifestRequest(m));
+            case PeerMessage.PartRequest p -> Uni.createFrom().item(mConfig.onPartRequest(p));
             case PeerMessage.KeyedCall k -> mKeys.onKeyedCall(k);
             default -> unexpected(from);
         };
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/RequestPath.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/RequestPath.java
@@ -21,6 +21,7 @@
 import io.bilberrygrade.serving.filter.KeyGuardFilter;
 import io.bilberrygrade.serving.filter.ReadinessFilter;
 import io.bilberrygrade.serving.settings.EntrySettings;
+import io.bilberrygrade.serving.settings.Mechanism;
 import io.bilberrygrade.serving.time.Timers;
 import java.time.InstantSource;
 
@@ -53,10 +54,11 @@
                         incarnation,
                         timers,
                         mClock,
-                        mEvents);
+                        mEvents,
+                        mSettings.policy().enabled(Mechanism.RESUME));
         return new FilterChain(
                 ImmutableList.of(
-                        new KeyGuardFilter(),
+                        new KeyGuardFilter(mSettings.policy().enabled(Mechanism.KEY_GUARD)),
                         new ReadinessFilter(drain),
                         new IdentifyFilter(),
                         new DeadlineFilter(mClock, mSettings.maxDeadline()),
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
@@ -10,6 +10,7 @@
 import io.bilberrygrade.core.routing.Placement;
 import io.bilberrygrade.serving.controller.EndpointController;
 import io.bilberrygrade.serving.controller.PlacementController;
+import io.bilberrygrade.serving.engine.EngineProbes;
 import io.bilberrygrade.serving.engine.GenerateCall;
 import io.bilberrygrade.serving.engine.ModelEngine;
 import io.bilberrygrade.serving.error.CallException;
@@ -28,6 +29,7 @@
 public final class CompletionDispatcher {
     private static final int MAX_ATTEMPTS = 4;
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+    private static final Duration PLACEMENT_INTERVAL = Duration.ofMillis(100);
 
     private final ModelEngine mEngine;
     private final EndpointController mEndpoints;
@@ -36,6 +38,8 @@
     private final Timers mTimers;
     private final InstantSource mClock;
     private final EventLog mEvents;
+    private final StallGuard mStalls;
+    private final boolean mResumes;
 
     /** Creates the dispatcher. */
     public CompletionDispatcher(
@@ -45,7 +49,8 @@
             Incarnation incarnation,
             Timers timers,
             InstantSource clock,
-            EventLog events) {
+            EventLog events,
+            boolean resumes) {
         mEngine = engine;
         mEndpoints = endpoints;
         mPlacement = placement;
@@ -53,31 +58,53 @@
         mTimers = timers;
         mClock = clock;
         mEvents = events;
+        mStalls = new StallGuard(new EngineProbes(engine, timers), timers, clock);
+        mResumes = resumes;
     }
 
     /** Runs the request to its final outcome. */
     public Uni<Outcome> dispatch(Exchange exchange, InferenceRequest request) {
-        AnswerProgress progress = new AnswerProgress(exchange.sink());
+        AnswerProgress progress = new AnswerProgress(exchange.sink(), mResumes);
         Uni<Outcome> deadline =
                 mTimers.after(request.remaining(mClock.instant())).map(v -> deadlinePast(progress));
         Uni<Outcome> gone =
                 Uni.createFrom()
                         .emitter(e -> exchange.sink().onCallerGone(() -> e.complete(callerGone())));
-        return Uni.join()
-                .first(attempt(exchange, request, progress, 1), deadline, gone)
-                .toTerminate();
+        return Uni.join().first(attempt(exchange, request, progress), deadline, gone).toTerminate();
     }
 
     private Uni<Outcome> attempt(
-            Exchange exchange, InferenceRequest request, AnswerProgress progress, int number) {
-        Optional<Placement> chosen =
-                mPlacement.place(exchange.deployment(), request, mClock.instant());
-        if (chosen.isEmpty()) {
+            Exchange exchange, InferenceRequest request, AnswerProgress progress) {
+        Optional<Placement> chosen = place(exchange, request);
+        if (chosen.isPresent()) {
+            return attempt(exchange, request, progress, chosen.get());
+        }
+        if (!progress.mayHaveRun()) {
             return Uni.createFrom().item(noEndpoint(progress));
         }
-        Placement placement = chosen.get();
+        return Uni.createFrom()
+                .deferred(() -> mTimers.after(PLACEMENT_INTERVAL))
+                .map(v -> place(exchange, request))
+                .repeat()
+                .whilst(Optional::isEmpty)
+                .collect()
+                .last()
+                .onItem()
+                .transformToUni(p -> attempt(exchange, request, progress, p.orElseThrow()));
+    }
+
+    private Optional<Placement> place(Exchange exchange, InferenceRequest request) {
+        return mPlacement.place(exchange.deployment(), request, mClock.instant());
+    }
+
+    private Uni<Outcome> attempt(
+            Exchange exchange,
+            InferenceRequest request,
+            AnswerProgress progress,
+            Placement placement) {
         Endpoint endpoint = placement.endpoint().endpoint();
-        return new Attempt(mEngine, mEndpoints, mClock, endpoint, progress)
+        int number = progress.startAttempt();
+        return new Attempt(mEngine, mEndpoints, mStalls, mClock, endpoint, progress)
                 .run(call(exchange, request, progress, number, placement.priority()))
                 .onFailure(CallException.class)
                 .recoverWithUni(
@@ -115,10 +142,13 @@
                         e.peer(),
                         progress.nextOffset(),
                         e.getMessage()));
-        if (number == MAX_ATTEMPTS || !request.remaining(mClock.instant()).isPositive()) {
+        if (Attempt.tooLate(request, mClock.instant())) {
+            return Uni.createFrom().item(deadlinePast(progress));
+        }
+        if (number == MAX_ATTEMPTS) {
             return Uni.createFrom().item(exhausted(progress, e));
         }
-        return attempt(exchange, request, progress, number + 1);
+        return attempt(exchange, request, progress);
     }
 
     private static Outcome noEndpoint(AnswerProgress progress) {
--- a/serving/src/test/java/io/bilberrygrade/serving/fuzz/Fleet.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/fuzz/Fleet.java
@@ -28,8 +28,8 @@
     static final int DAEMONS = 4;
     static final int ENGINES = 3;
 
-    private static final Duration SETTLE = Duration.ofSeconds(20);
-    private static final Duration LAST_WAIT = Duration.ofSeconds(90);
+    private static final Duration SETTLE = Duration.ofSeconds(5);
+    private static final Duration LAST_WAIT = Duration.ofSeconds(50);
     private static final int MAX_CLOCK_OFFSET_MILLIS = 2_000;
 
     private final UniformRandomProvider mRandom;
@@ -165,6 +165,10 @@
         return mFaults;
     }
 
+    Oracle oracle() {
+        return mOracle;
+    }
+
     SimulatedNetwork network() {
         return mNetwork;
     }
--- a/serving/src/test/java/io/bilberrygrade/serving/fuzz/Oracle.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/fuzz/Oracle.java
@@ -2,6 +2,7 @@
 
 import io.bilberrygrade.core.identity.RequestId;
 import io.bilberrygrade.core.request.Outcome;
+import io.bilberrygrade.serving.peer.PeerIdentity;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -17,6 +18,7 @@
     private final Map<String, Integer> mRuns = new HashMap<>();
     private final Map<String, String> mAnswers = new HashMap<>();
     private final Map<String, String> mRefusedKeys = new HashMap<>();
+    private final Map<PeerIdentity, Long> mVersions = new HashMap<>();
     private final Set<RequestId> mRanRequests = new HashSet<>();
     private final List<SimulatedCaller> mCallers = new ArrayList<>();
     private final List<String> mFindings = new ArrayList<>();
@@ -34,6 +36,14 @@
         mRanRequests.add(request);
     }
 
+    /** Checks that no run of a daemon goes back to an older configuration. */
+    void inForce(PeerIdentity daemon, long version) {
+        Long previous = mVersions.put(daemon, version);
+        check(
+                previous == null || previous < version,
+                daemon + " went from version " + previous + " to " + version);
+    }
+
     /** Notes a request that a caller has sent. */
     void sent(SimulatedCaller caller) {
         mCallers.add(caller);
--- a/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedDaemon.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedDaemon.java
@@ -13,10 +13,12 @@
 import io.bilberrygrade.serving.atmostonce.KeyRouter;
 import io.bilberrygrade.serving.atmostonce.PlainServiceDispatch;
 import io.bilberrygrade.serving.controller.ConfigController;
+import io.bilberrygrade.serving.controller.ConfigGossip;
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.controller.EndpointController;
 import io.bilberrygrade.serving.controller.GossipController;
 import io.bilberrygrade.serving.controller.MembershipController;
+import io.bilberrygrade.serving.controller.StartupController;
 import io.bilberrygrade.serving.entry.PeerCalls;
 import io.bilberrygrade.serving.entry.RequestPath;
 import io.bilberrygrade.serving.filter.Call;
@@ -26,6 +28,7 @@
 import io.bilberrygrade.serving.peer.PeerIdentity;
 import io.bilberrygrade.serving.peer.PeerMessage;
 import io.bilberrygrade.serving.settings.EntrySettings;
+import io.bilberrygrade.serving.settings.Mechanism;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
@@ -35,7 +38,9 @@
 
 /** One run of an entry daemon, put together from the real controllers and filters. */
 final class SimulatedDaemon {
-    private static final Duration CONFIG_WAIT = Duration.ofSeconds(20);
+    private static final Duration CONFIG_WAIT = Duration.ofSeconds(4);
+    private static final Duration CONFIG_RETRY = Duration.ofSeconds(1);
+    private static final Duration STARTUP_PAUSE = Duration.ofMillis(100);
     private static final Duration CONFIG_PAUSE = Duration.ofMillis(300);
     private static final Duration LIST_PERIOD = Duration.ofSeconds(2);
 
@@ -47,6 +52,7 @@
     private final ConfigController mConfig;
     private final MembershipController mMembership;
     private final GossipController mGossip;
+    private final StartupController mStartup;
     private final AtMostOnceController mKeys;
     private final PeerCalls mPeerCalls;
     private final FilterChain mChain;
@@ -62,7 +68,11 @@
         mProcess = process;
         mSelf = new PeerIdentity(settings.instance(), incarnation);
         mAddress = address;
-        mConfig = new ConfigController(fleet.platform().configOf(process), e -> {});
+        mConfig =
+                new ConfigController(
+                        fleet.platform().configOf(process),
+                        settings.policy().enabled(Mechanism.VERSION_GUARD),
+                        e -> {});
         mMembership =
                 new MembershipController(
                         mSelf,
@@ -71,35 +81,48 @@
                         e -> {},
                         process.instant());
         mGossip = new GossipController(mMembership, fleet.network().of(this), process);
-        KeyAuthority authority = new KeyAuthority(settings.peerKey().bytes());
-        mKeys =
-                new AtMostOnceController(
-                        mSelf,
-                        authority,
-                        mDrain,
-                        new PlainServiceDispatch(
-                                fleet.service().of(process), mEndpoints, mConfig::current, process),
+        ConfigGossip configGossip =
+                new ConfigGossip(
+                        mConfig, fleet.network().of(this), mMembership::address, mDrain::serving);
+        mGossip.register(configGossip);
+        SimulatedEngines engines = new SimulatedEngines(fleet::engine, process);
+        mStartup =
+                new StartupController(
+                        mConfig,
+                        configGossip,
+                        mMembership::publishedPeers,
+                        engines,
                         process,
-                        settings.policy(),
-                        process);
+                        e -> {});
+        KeyAuthority authority = new KeyAuthority(settings.peerKey().bytes());
+        mKeys = keys(fleet, settings, authority);
         KeyRouter router =
                 new KeyRouter(authority, mKeys, mMembership, fleet.network().of(this), process);
-        mPeerCalls = new PeerCalls(mGossip, router);
+        mPeerCalls = new PeerCalls(mGossip, router, configGossip);
         mChain =
                 new RequestPath(settings, process, e -> {})
-                        .chain(
-                                incarnation,
-                                new SimulatedEngines(fleet::engine, process),
-                                router,
-                                mEndpoints,
-                                mDrain,
-                                process);
-        mConfig.onChange(d -> becomeReady());
+                        .chain(incarnation, engines, router, mEndpoints, mDrain, process);
+        listen(fleet);
+    }
+
+    private AtMostOnceController keys(Fleet fleet, EntrySettings settings, KeyAuthority authority) {
+        PlainServiceDispatch dispatch =
+                new PlainServiceDispatch(
+                        fleet.service().of(mProcess), mEndpoints, mConfig::current, mProcess);
+        return new AtMostOnceController(
+                mSelf, authority, mDrain, dispatch, mProcess, settings.policy(), mProcess);
+    }
+
+    private void listen(Fleet fleet) {
+        mConfig.onChange(mEndpoints::onDeployment);
+        mConfig.onChange(d -> mGossip.spreadNews());
+        mConfig.onChange(d -> fleet.oracle().inForce(mSelf, d.version()));
     }
 
     /** Starts the background work. */
     void start() {
-        repeat(CONFIG_PAUSE, () -> mConfig.refresh(CONFIG_WAIT));
+        repeat(CONFIG_PAUSE, this::watchConfig);
+        startUp();
         repeat(LIST_PERIOD, mMembership::refresh);
         repeat(MembershipController.ROUND, mGossip::round);
     }
@@ -112,8 +135,26 @@
                 .with(v -> {}, e -> {});
     }
 
+    private Uni<Void> watchConfig() {
+        return mConfig.refresh(CONFIG_WAIT)
+                .onFailure()
+                .recoverWithUni(() -> mProcess.after(CONFIG_RETRY));
+    }
+
+    private void startUp() {
+        mStartup.advance(mGossip::spreadNews)
+                .invoke(this::becomeReady)
+                .subscribe()
+                .with(
+                        v -> {
+                            if (!mStartup.done()) {
+                                mProcess.schedule(STARTUP_PAUSE, this::startUp);
+                            }
+                        });
+    }
+
     private void becomeReady() {
-        if (!mDrain.draining()) {
+        if (mStartup.done() && !mDrain.serving()) {
             mDrain.becomeReady();
         }
     }
--- a/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedNetwork.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedNetwork.java
@@ -1,6 +1,8 @@
 package io.bilberrygrade.serving.fuzz;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectReader;
+import com.fasterxml.jackson.databind.ObjectWriter;
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.request.Step;
 import io.bilberrygrade.serving.error.CallException;
@@ -22,6 +24,8 @@
 /** Network between simulated daemons: delays, reorders, cuts, loses and doubles messages. */
 final class SimulatedNetwork {
     private static final int MAX_DELAY_MILLIS = 40;
+    private static final ObjectWriter WRITER = Mappers.MESSAGE_PACK.writerFor(PeerMessage.class);
+    private static final ObjectReader READER = Mappers.MESSAGE_PACK.readerFor(PeerMessage.class);
 
     private final UniformRandomProvider mRandom;
     private final Map<Address, SimulatedDaemon> mDaemons = new HashMap<>();
@@ -117,10 +121,9 @@
     /** Returns a message as the other side reads it. */
     private PeerMessage transferred(PeerMessage message) {
         try {
-            byte[] bytes =
-                    Mappers.MESSAGE_PACK.writerFor(PeerMessage.class).writeValueAsBytes(message);
+            byte[] bytes = WRITER.writeValueAsBytes(message);
             mSentBytes += bytes.length;
-            return Mappers.MESSAGE_PACK.readValue(bytes, PeerMessage.class);
+            return READER.readValue(bytes);
         } catch (JsonProcessingException e) {
             throw new IllegalStateException(e);
         } catch (IOException e) {
--- a/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedPlatform.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedPlatform.java
@@ -26,7 +26,7 @@
     static final String CREDENTIAL = "fuzz-secret";
     static final String MODEL = "fuzz-model";
 
-    private static final Duration POLL = Duration.ofMillis(200);
+    private static final Duration POLL = Duration.ofMillis(500);
     private static final String INVALID = "classes: [{id: short, share: 7}]";
 
     private final SimulatedNetwork mNetwork;
@@ -82,8 +82,8 @@
             }
 
             @Override
-            public Uni<Buffer> read(String key) {
-                return answer(caller, () -> part(key, version()));
+            public Uni<Buffer> read(PartReference part) {
+                return answer(caller, () -> part(part.key(), version()));
             }
         };
     }
