--- a/serving/src/main/java/io/bilberrygrade/serving/settings/Mechanism.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/settings/Mechanism.java
@@ -14,6 +14,7 @@
     RETRY_BUDGET,
     EJECTION,
     AT_MOST_ONCE,
+    KEY_GUARD,
     VERSION_GUARD,
     FENCING,
     RECLAIM,
