--- a/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.bilberrygrade.core.atmostonce.KeyAuthority;
+import io.bilberrygrade.core.config.Deployment;
 import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.identity.RequestId;
@@ -18,6 +19,7 @@
 import io.bilberrygrade.serving.controller.MembershipController;
 import io.bilberrygrade.serving.controller.OrderController;
 import io.bilberrygrade.serving.controller.ReclaimController;
+import io.bilberrygrade.serving.controller.ShareController;
 import io.bilberrygrade.serving.controller.StartupController;
 import io.bilberrygrade.serving.engine.HttpModelEngine;
 import io.bilberrygrade.serving.engine.ModelEngine;
@@ -71,6 +73,9 @@
     private static final Duration ENDPOINTS_PERIOD = Duration.ofSeconds(1);
     private static final Duration INSTANCE_LIST_PERIOD = Duration.ofSeconds(2);
 
+    private static final double UNKNOWN_CAPACITY = 0;
+    private static final Duration SHARES_PERIOD = Duration.ofMillis(500);
+
     private final EntrySettings mSettings;
     private final Incarnation mIncarnation;
     private final InstantSource mClock;
@@ -82,6 +87,7 @@
     private ConfigController mConfig;
     private MembershipController mMembership;
     private GossipController mGossip;
+    private ShareController mShares;
     private AtMostOnceController mKeys;
     private KeyRouter mKeyRouter;
     private GangController mGangs;
@@ -123,7 +129,7 @@
                         vertx,
                         self,
                         mSettings.peerKey(),
-                        new PeerCalls(mGossip, mKeyRouter, mConfigGossip, mGangs),
+                        new PeerCalls(mGossip, mKeyRouter, mGangs, mConfigGossip),
                         mEvents);
         mServer = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true));
         listen(started);
@@ -143,6 +149,17 @@
                         mEvents,
                         mClock.instant());
         mGossip = new GossipController(mMembership, mPeers, mClock);
+        mShares = new ShareController(self, mSettings.policy(), mEvents);
+        mGossip.register(mShares);
+        createStartup();
+        mConfig.onChange(mEndpoints::onDeployment);
+        mConfig.onChange(d -> mGossip.spreadNews());
+        createKeys(self);
+        mGangs = new GangController(mSettings.instance(), mMembership, mPeers, mClock);
+        createEndpointControllers();
+    }
+
+    private void createStartup() {
         mConfigGossip = new ConfigGossip(mConfig, mPeers, mMembership::address, mDrain::serving);
         mGossip.register(mConfigGossip);
         mStartup =
@@ -153,11 +170,6 @@
                         mEngine,
                         mClock,
                         mEvents);
-        mConfig.onChange(mEndpoints::onDeployment);
-        mConfig.onChange(d -> mGossip.spreadNews());
-        createKeys(self);
-        mGangs = new GangController(mSettings.instance(), mMembership, mPeers, mClock);
-        createEndpointControllers();
     }
 
     private void createEndpointControllers() {
@@ -270,13 +282,16 @@
         CallerApi api =
                 new CallerApi(
                         path.chain(
-                                mIncarnation,
-                                mEngine,
-                                mKeyRouter,
-                                mGangs,
-                                mEndpoints,
-                                mDrain,
-                                mTimers),
+                                new RequestPath.Parts(
+                                        mIncarnation,
+                                        mEngine,
+                                        mKeyRouter,
+                                        mGangs,
+                                        mEndpoints,
+                                        mShares,
+                                        mDrain,
+                                        mTimers,
+                                        mRandom)),
                         mConfig::current,
                         this::nextRequestId,
                         mClock,
@@ -325,6 +340,7 @@
         if (mSettings.policy().enabled(Mechanism.RECLAIM)) {
             mTasks.repeat("reclaim", ReclaimController.PERIOD, mReclaim::sweep);
         }
+        mTasks.repeat("shares", SHARES_PERIOD, this::renewShares);
         mTasks.repeatUntil("startup", STARTUP_PAUSE, this::advanceStartup, mStartup::done);
         mTasks.repeat("gossip", MembershipController.ROUND, mGossip::round);
     }
@@ -339,6 +355,12 @@
         return Uni.createFrom().voidItem();
     }
 
+    private Uni<Void> renewShares() {
+        Deployment deployment = mConfig.current();
+        mShares.renew(deployment, UNKNOWN_CAPACITY, mClock.instant());
+        return Uni.createFrom().voidItem();
+    }
+
     private Uni<Void> watchConfig() {
         return mConfig.refresh(CONFIG_WAIT)
                 .onFailure(CallException.class)
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/PeerCalls.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/PeerCalls.java
@@ -10,18 +10,19 @@
 import io.smallrye.mutiny.Uni;
 
 /** Hands each call of a peer to the controller that owns the state it is about. */
-final class PeerCalls implements PeerHandler {
+public final class PeerCalls implements PeerHandler {
     private final GossipController mGossip;
     private final KeyRouter mKeys;
-    private final ConfigGossip mConfig;
-
     private final GangController mGangs;
+    private final ConfigGossip mConfig;
 
-    PeerCalls(GossipController gossip, KeyRouter keys, ConfigGossip config, GangController gangs) {
+    /** Creates the handler over the controllers of a daemon. */
+    public PeerCalls(
+            GossipController gossip, KeyRouter keys, GangController gangs, ConfigGossip config) {
         mGossip = gossip;
         mKeys = keys;
-        mConfig = config;
         mGangs = gangs;
+        mConfig = config;
     }
 
     @Override
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/AnswerProgress.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/AnswerProgress.java
@@ -41,11 +41,12 @@
         mMayHaveRun = true;
     }
 
-    /** Starts an attempt of the given number; earlier ones count no more. */
-    public void startAttempt(int number) {
-        mAttempt = number;
+    /** Starts the next attempt and returns its number, from 1; earlier ones count no more. */
+    public int startAttempt() {
+        mAttempt++;
         mAttemptUndecided = true;
         mNextOffset = mResumes ? mNextOffset : 0;
+        return mAttempt;
     }
 
     /** Ends the running attempt; whether it may have run has been stated before. */
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/Attempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/Attempt.java
@@ -11,6 +11,7 @@
 import io.bilberrygrade.serving.engine.ModelEngine;
 import io.bilberrygrade.serving.error.CallException;
 import io.bilberrygrade.serving.error.Delivery;
+import io.bilberrygrade.serving.time.Timers;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
 import java.time.Instant;
@@ -23,6 +24,7 @@
     private final ModelEngine mEngine;
     private final EndpointController mEndpoints;
     private final StallGuard mStalls;
+    private final Timers mTimers;
     private final InstantSource mClock;
     private final Endpoint mEndpoint;
     private final Dispatch mDispatch;
@@ -34,6 +36,7 @@
             ModelEngine engine,
             EndpointController endpoints,
             StallGuard stalls,
+            Timers timers,
             InstantSource clock,
             Endpoint endpoint,
             Dispatch dispatch,
@@ -41,6 +44,7 @@
         mEngine = engine;
         mEndpoints = endpoints;
         mStalls = stalls;
+        mTimers = timers;
         mClock = clock;
         mEndpoint = endpoint;
         mDispatch = dispatch;
@@ -56,7 +60,10 @@
         return request.remaining(now).compareTo(MIN_REMAINING) < 0;
     }
 
-    /** Runs the attempt; it fails when the engine says nothing for longer than {@code patience}. */
+    /**
+     * Runs the attempt; it fails when the engine has stopped working or has sent no token within
+     * {@code patience}.
+     */
     Uni<Outcome> run(GenerateCall call, Duration patience) {
         mNumber = call.attempt();
         Uni<Outcome> answer =
@@ -68,13 +75,27 @@
                         .onItem()
                         .ifNull()
                         .switchTo(() -> broken("the stream ended early"));
-        return mStalls.guard(mEndpoint, mHeartbeat, patience, answer)
+        Uni<Outcome> guarded = mStalls.guard(mEndpoint, mHeartbeat, answer);
+        return Uni.join()
+                .first(guarded, impatience(patience))
+                .toTerminate()
                 .onFailure(CallException.class)
                 .invoke(e -> failed(call.request(), (CallException) e))
                 .onTermination()
                 .invoke(() -> mDispatch.ended(mClock.instant()));
     }
 
+    /** Fails when no token has come within the given time. */
+    private Uni<Outcome> impatience(Duration patience) {
+        return mTimers.after(patience)
+                .onItem()
+                .transformToUni(
+                        v ->
+                                mHeartbeat.decoding()
+                                        ? Uni.createFrom().nothing()
+                                        : broken("no token within " + patience.toMillis() + " ms"));
+    }
+
     private Uni<Outcome> handle(EngineEvent event) {
         mHeartbeat.heard(mClock.instant());
         return switch (event) {
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
@@ -7,6 +7,7 @@
 import io.bilberrygrade.core.request.Reason;
 import io.bilberrygrade.core.request.Step;
 import io.bilberrygrade.core.routing.Placement;
+import io.bilberrygrade.serving.controller.AdmissionController;
 import io.bilberrygrade.serving.controller.Dispatch;
 import io.bilberrygrade.serving.controller.EndpointController;
 import io.bilberrygrade.serving.controller.PlacementController;
@@ -40,6 +41,7 @@
     private final PlacementController mPlacement;
     private final GangDispatcher mGangs;
     private final Patience mPatience;
+    private final AdmissionController mAdmission;
     private final Incarnation mIncarnation;
     private final Timers mTimers;
     private final InstantSource mClock;
@@ -54,6 +56,7 @@
             PlacementController placement,
             GangDispatcher gangs,
             Patience patience,
+            AdmissionController admission,
             Incarnation incarnation,
             Timers timers,
             InstantSource clock,
@@ -64,6 +67,7 @@
         mPlacement = placement;
         mGangs = gangs;
         mPatience = patience;
+        mAdmission = admission;
         mIncarnation = incarnation;
         mTimers = timers;
         mClock = clock;
@@ -74,6 +78,11 @@
 
     /** Runs the request to its final outcome. */
     public Uni<Outcome> dispatch(Exchange exchange, InferenceRequest request) {
+        Optional<Outcome> refusal =
+                mAdmission.refuse(exchange.deployment(), request, mClock.instant());
+        if (refusal.isPresent()) {
+            return Uni.createFrom().item(refusal.get());
+        }
         AnswerProgress progress = new AnswerProgress(exchange.sink(), mResumes);
         Uni<Outcome> deadline =
                 mTimers.after(request.remaining(mClock.instant())).map(v -> deadlinePast(progress));
@@ -81,12 +90,20 @@
                 Uni.createFrom()
                         .emitter(e -> exchange.sink().onCallerGone(() -> e.complete(callerGone())));
         return Uni.join()
-                .first(attempt(exchange, request, progress, 1), deadline, gone)
-                .toTerminate();
+                .first(attempt(exchange, request, progress), deadline, gone)
+                .toTerminate()
+                .invoke(this::count);
+    }
+
+    private void count(Outcome outcome) {
+        if (outcome instanceof Outcome.Done) {
+            mAdmission.succeeded();
+        }
     }
 
     private Uni<Outcome> attempt(
-            Exchange exchange, InferenceRequest request, AnswerProgress progress, int number) {
+            Exchange exchange, InferenceRequest request, AnswerProgress progress) {
+        int number = progress.startAttempt();
         return run(exchange, request, progress, number)
                 .onFailure(CallException.class)
                 .recoverWithUni(
@@ -99,10 +116,21 @@
         if (mPlacement.needsGang(exchange.deployment(), request, now)) {
             return runGang(exchange, request, progress, number);
         }
-        Optional<Placement> placement = place(exchange, request);
-        if (placement.isPresent() || !progress.mayHaveRun()) {
-            return generate(exchange, request, progress, number, placement);
+        Optional<Placement> chosen = place(exchange, request);
+        if (chosen.isPresent()) {
+            return generate(exchange, request, progress, number, GangMember.alone(chosen.get()));
         }
+        if (!progress.mayHaveRun()) {
+            return Uni.createFrom().item(noEndpoint(progress));
+        }
+        return awaitPlacement(exchange, request)
+                .onItem()
+                .transformToUni(
+                        p -> generate(exchange, request, progress, number, GangMember.alone(p)));
+    }
+
+    /** Waits for an engine that can resume a begun answer; the deadline ends the wait. */
+    private Uni<Placement> awaitPlacement(Exchange exchange, InferenceRequest request) {
         return Uni.createFrom()
                 .deferred(() -> mTimers.after(PLACEMENT_INTERVAL))
                 .map(v -> place(exchange, request))
@@ -110,26 +138,13 @@
                 .whilst(Optional::isEmpty)
                 .collect()
                 .last()
-                .onItem()
-                .transformToUni(p -> generate(exchange, request, progress, number, p));
+                .map(Optional::orElseThrow);
     }
 
     private Optional<Placement> place(Exchange exchange, InferenceRequest request) {
         return mPlacement.place(exchange.deployment(), request, mClock.instant());
     }
 
-    private Uni<Outcome> generate(
-            Exchange exchange,
-            InferenceRequest request,
-            AnswerProgress progress,
-            int number,
-            Optional<Placement> placement) {
-        return placement
-                .map(GangMember::alone)
-                .map(m -> generate(exchange, request, progress, number, m))
-                .orElseGet(() -> Uni.createFrom().item(noEndpoint(progress)));
-    }
-
     private Uni<Outcome> runGang(
             Exchange exchange, InferenceRequest request, AnswerProgress progress, int number) {
         if (!mPlacement.fitsGang(exchange.deployment(), request, mClock.instant())) {
@@ -152,7 +167,6 @@
             AnswerProgress progress,
             int number,
             GangMember member) {
-        progress.startAttempt(number);
         Placement placement = member.placement();
         Endpoint endpoint = placement.endpoint().endpoint();
         Dispatch dispatch =
@@ -162,7 +176,8 @@
                         placement,
                         request.prompt(),
                         mClock.instant());
-        return new Attempt(mEngine, mEndpoints, mStalls, mClock, endpoint, dispatch, progress)
+        return new Attempt(
+                        mEngine, mEndpoints, mStalls, mTimers, mClock, endpoint, dispatch, progress)
                 .run(
                         call(exchange, request, progress, number, member),
                         mPatience.of(placement, number, request.remaining(mClock.instant())));
@@ -202,10 +217,10 @@
         if (Attempt.tooLate(request, mClock.instant())) {
             return Uni.createFrom().item(deadlinePast(progress));
         }
-        if (number == MAX_ATTEMPTS) {
+        if (number == MAX_ATTEMPTS || !mAdmission.tryRetry()) {
             return Uni.createFrom().item(exhausted(progress, e));
         }
-        return attempt(exchange, request, progress, number + 1);
+        return attempt(exchange, request, progress);
     }
 
     private static Outcome noEndpoint(AnswerProgress progress) {
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/StallGuard.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/StallGuard.java
@@ -31,14 +31,11 @@
         mClock = clock;
     }
 
-    /**
-     * Returns the answer, or a failure when the engine has stopped working on it. Before the first
-     * token, an engine that answers probes may be silent for as long as {@code patience}.
-     */
-    <T> Uni<T> guard(Endpoint engine, Heartbeat heartbeat, Duration patience, Uni<T> answer) {
+    /** Returns the answer, or a failure when the engine has stopped working on it. */
+    <T> Uni<T> guard(Endpoint engine, Heartbeat heartbeat, Uni<T> answer) {
         Uni<T> stalled =
                 Uni.createFrom()
-                        .deferred(() -> check(engine, heartbeat, patience))
+                        .deferred(() -> check(engine, heartbeat))
                         .repeat()
                         .whilst(healthy -> healthy)
                         .collect()
@@ -48,19 +45,17 @@
         return Uni.join().first(answer, stalled).toTerminate();
     }
 
-    private Uni<Boolean> check(Endpoint engine, Heartbeat heartbeat, Duration patience) {
-        return mTimers.after(CHECK_INTERVAL)
-                .onItem()
-                .transformToUni(v -> judge(engine, heartbeat, patience));
+    private Uni<Boolean> check(Endpoint engine, Heartbeat heartbeat) {
+        return mTimers.after(CHECK_INTERVAL).onItem().transformToUni(v -> judge(engine, heartbeat));
     }
 
-    private Uni<Boolean> judge(Endpoint engine, Heartbeat heartbeat, Duration patience) {
+    private Uni<Boolean> judge(Endpoint engine, Heartbeat heartbeat) {
         Duration silence = heartbeat.silence(mClock.instant());
         if (silence.compareTo(SUSPICIOUS_SILENCE) < 0) {
             heartbeat.probed(true);
             return Uni.createFrom().item(true);
         }
-        if (silence.compareTo(heartbeat.decoding() ? MAX_TOKEN_GAP : patience) > 0) {
+        if (heartbeat.decoding() && silence.compareTo(MAX_TOKEN_GAP) > 0) {
             return Uni.createFrom().item(false);
         }
         return mProbes.answers(engine, mClock.instant())
--- a/serving/src/main/java/io/bilberrygrade/serving/peer/PeerMessage.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/PeerMessage.java
@@ -58,6 +58,16 @@
     /** Outcome of a call under an idempotency key. */
     record KeyedAnswer(KeyedOutcome outcome) implements PeerMessage {}
 
+    /** Asks a steward for engines of a gang, all or none, for a time in milliseconds. */
+    record GangRequest(String request, List<String> engines, long lifetimeMillis)
+            implements PeerMessage {}
+
+    /** Answers a gang request with the engines that others hold; none when it is granted. */
+    record GangGrant(List<String> busy) implements PeerMessage {}
+
+    /** Gives back what was granted to a request. */
+    record GangRelease(String request) implements PeerMessage {}
+
     /**
      * Asks for the manifest of the configuration in force; {@code after} is the asker's version.
      */
@@ -72,16 +82,6 @@
     /** Text of a part of the configuration. */
     record PartReply(String text) implements PeerMessage {}
 
-    /** Asks a steward for engines of a gang, all or none, for a time in milliseconds. */
-    record GangRequest(String request, List<String> engines, long lifetimeMillis)
-            implements PeerMessage {}
-
-    /** Answers a gang request with the engines that others hold; none when it is granted. */
-    record GangGrant(List<String> busy) implements PeerMessage {}
-
-    /** Gives back what was granted to a request. */
-    record GangRelease(String request) implements PeerMessage {}
-
     /** Says that a call could not be carried out. */
     record Failure(String message) implements PeerMessage {}
 }
