--- a/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedDaemon.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedDaemon.java
@@ -89,40 +89,46 @@
                         mConfig, fleet.network().of(this), mMembership::address, mDrain::serving);
         mGossip.register(configGossip);
         SimulatedEngines engines = new SimulatedEngines(fleet::engine, process);
-        mStartup =
-                new StartupController(
-                        mConfig,
-                        configGossip,
-                        mMembership::publishedPeers,
-                        engines,
-                        process,
-                        e -> {});
+        mStartup = startup(configGossip, engines);
         KeyAuthority authority = new KeyAuthority(settings.peerKey().bytes());
         mKeys = keys(fleet, settings, authority);
         KeyRouter router =
                 new KeyRouter(authority, mKeys, mMembership, fleet.network().of(this), process);
-        ShareController shares = new ShareController(mSelf, settings.policy(), e -> {});
-        mGossip.register(shares);
         GangController gangs =
                 new GangController(
                         settings.instance(), mMembership, fleet.network().of(this), process);
         mPeerCalls = new PeerCalls(mGossip, router, gangs, configGossip);
-        mChain =
-                new RequestPath(settings, process, e -> {})
-                        .chain(
-                                new RequestPath.Parts(
-                                        incarnation,
-                                        engines,
-                                        router,
-                                        gangs,
-                                        mEndpoints,
-                                        shares,
-                                        mDrain,
-                                        process,
-                                        RandomSource.SPLIT_MIX_64.create(fleet.nextSeed())));
+        mChain = chain(fleet, settings, engines, router, gangs);
         listen(fleet);
     }
 
+    private StartupController startup(ConfigGossip configGossip, SimulatedEngines engines) {
+        return new StartupController(
+                mConfig, configGossip, mMembership::publishedPeers, engines, mProcess, e -> {});
+    }
+
+    private FilterChain chain(
+            Fleet fleet,
+            EntrySettings settings,
+            SimulatedEngines engines,
+            KeyRouter router,
+            GangController gangs) {
+        ShareController shares = new ShareController(mSelf, settings.policy(), e -> {});
+        mGossip.register(shares);
+        return new RequestPath(settings, mProcess, e -> {})
+                .chain(
+                        new RequestPath.Parts(
+                                mSelf.incarnation(),
+                                engines,
+                                router,
+                                gangs,
+                                mEndpoints,
+                                shares,
+                                mDrain,
+                                mProcess,
+                                RandomSource.SPLIT_MIX_64.create(fleet.nextSeed())));
+    }
+
     private AtMostOnceController keys(Fleet fleet, EntrySettings settings, KeyAuthority authority) {
         PlainServiceDispatch dispatch =
                 new PlainServiceDispatch(
