--- a/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.bilberrygrade.core.atmostonce.KeyAuthority;
 import io.bilberrygrade.core.config.Deployment;
+import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.identity.RequestId;
 import io.bilberrygrade.serving.atmostonce.AtMostOnceController;
@@ -13,8 +14,11 @@
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.controller.EndpointController;
 import io.bilberrygrade.serving.controller.GossipController;
+import io.bilberrygrade.serving.controller.LeavingController;
 import io.bilberrygrade.serving.controller.LoadController;
 import io.bilberrygrade.serving.controller.MembershipController;
+import io.bilberrygrade.serving.controller.OrderController;
+import io.bilberrygrade.serving.controller.ReclaimController;
 import io.bilberrygrade.serving.controller.ShareController;
 import io.bilberrygrade.serving.controller.StartupController;
 import io.bilberrygrade.serving.engine.HttpModelEngine;
@@ -44,9 +48,11 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -56,6 +62,9 @@
  * lock.
  */
 public final class EntryDaemon extends AbstractVerticle {
+    /** Time for which an idle daemon goes on refusing, for connections that are still open. */
+    private static final Duration DRAIN_LINGER = Duration.ofSeconds(2);
+
     private static final Duration CONFIG_WAIT = Duration.ofSeconds(4);
     private static final Duration CONFIG_RETRY = Duration.ofSeconds(1);
     private static final Duration STARTUP_PAUSE = Duration.ofMillis(100);
@@ -90,6 +99,9 @@
     private ModelEngine mEngine;
     private ConfigGossip mConfigGossip;
     private StartupController mStartup;
+    private LeavingController mLeaving;
+    private ReclaimController mReclaim;
+    private OrderController mOrders;
     private long mNextRequest;
     private PeriodicTasks mTasks;
 
@@ -139,7 +151,15 @@
         mGossip = new GossipController(mMembership, mPeers, mClock);
         mShares = new ShareController(self, mSettings.policy(), mEvents);
         mGossip.register(mShares);
+        createStartup();
+        mConfig.onChange(mEndpoints::onDeployment);
+        mConfig.onChange(d -> mGossip.spreadNews());
+        createKeys(self);
         mGangs = new GangController(mSettings.instance(), mMembership, mPeers, mClock);
+        createEndpointControllers();
+    }
+
+    private void createStartup() {
         mConfigGossip = new ConfigGossip(mConfig, mPeers, mMembership::address, mDrain::serving);
         mGossip.register(mConfigGossip);
         mStartup =
@@ -150,9 +170,40 @@
                         mEngine,
                         mClock,
                         mEvents);
-        mConfig.onChange(mEndpoints::onDeployment);
-        mConfig.onChange(d -> mGossip.spreadNews());
-        createKeys(self);
+    }
+
+    private void createEndpointControllers() {
+        mLeaving =
+                new LeavingController(
+                        mSettings.policy().enabled(Mechanism.LEAVING_GOSSIP),
+                        mGossip::spreadNews,
+                        mEvents);
+        mGossip.register(mLeaving);
+        mEndpoints.attach(mLeaving);
+        mReclaim =
+                new ReclaimController(
+                        mSettings.instance(),
+                        mEngine,
+                        mMembership,
+                        mConfig::current,
+                        mClock,
+                        mEvents);
+        mOrders =
+                new OrderController(
+                        mEngine,
+                        mConfig::current,
+                        this::issuesOrders,
+                        mSettings.policy().enabled(Mechanism.FENCING),
+                        mTimers,
+                        mClock,
+                        mEvents);
+    }
+
+    private boolean issuesOrders(EndpointId engine) {
+        return mDrain.serving()
+                && mMembership
+                        .firstAlive(engine, mClock.instant())
+                        .equals(Optional.of(mSettings.instance()));
     }
 
     private void createKeys(PeerIdentity self) {
@@ -209,8 +260,9 @@
 
     private void drainOnContext(Consumer<Void> done) {
         mEvents.record(new LifecycleEvent.DrainStarted(mDrain.running()));
+        Uni<Void> idle = mDrain.drain().call(() -> mTimers.after(DRAIN_LINGER));
         Uni.join()
-                .first(mDrain.drain(), mTimers.after(mSettings.drainTimeout()))
+                .first(idle, mTimers.after(mSettings.drainTimeout()))
                 .toTerminate()
                 .subscribe()
                 .with(v -> done.accept(null));
@@ -246,12 +298,21 @@
                         observer,
                         mEvents);
         Router router = Router.router(vertx);
+        router.route().handler(this::closeConnectionsOfDrain);
         api.mount(router, mSettings.maxBodyBytes());
         new KeysApi(mKeys, mConfig::current, this::nextRequestId, mDrain).mount(router);
         new OperationsApi(mDrain, mMetrics).mount(router);
         return router;
     }
 
+    /** Has callers open their next connection elsewhere. */
+    private void closeConnectionsOfDrain(RoutingContext call) {
+        if (mDrain.draining()) {
+            call.response().putHeader("Connection", "close");
+        }
+        call.next();
+    }
+
     private RequestId nextRequestId() {
         String id = mSettings.instance() + "-" + mIncarnation.value() + "-" + mNextRequest++;
         return new RequestId(id);
@@ -271,15 +332,23 @@
     private void startBackgroundWork() {
         mTasks = new PeriodicTasks(vertx, mRandom, mEvents);
         mTasks.repeat("config", CONFIG_PAUSE, this::watchConfig);
+        mTasks.repeat("instance list", INSTANCE_LIST_PERIOD, this::refreshInstances);
         LoadController loads = new LoadController(mEngine, mEndpoints, mClock);
         mTasks.repeat("load", LOAD_PERIOD, loads::readOldest);
         mTasks.repeat("endpoints", ENDPOINTS_PERIOD, this::renewEndpoints);
-        mTasks.repeat("instance list", INSTANCE_LIST_PERIOD, mMembership::refresh);
+        mTasks.repeat("orders", OrderController.PERIOD, mOrders::round);
+        if (mSettings.policy().enabled(Mechanism.RECLAIM)) {
+            mTasks.repeat("reclaim", ReclaimController.PERIOD, mReclaim::sweep);
+        }
         mTasks.repeat("shares", SHARES_PERIOD, this::renewShares);
         mTasks.repeatUntil("startup", STARTUP_PAUSE, this::advanceStartup, mStartup::done);
         mTasks.repeat("gossip", MembershipController.ROUND, mGossip::round);
     }
 
+    private Uni<Void> refreshInstances() {
+        return mMembership.refresh().invoke(() -> mLeaving.published(mMembership.instances()));
+    }
+
     private Uni<Void> renewEndpoints() {
         Instant now = mClock.instant();
         mEndpoints.renew(mMembership.alive(now).size() + 1, now);
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/Attempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/Attempt.java
@@ -142,6 +142,7 @@
             mProgress.markMayHaveRun();
         }
         mProgress.endAttempt();
+        mEndpoints.noteRefusal(mEndpoint.id(), e, mClock.instant());
         if (tooLate(request, mClock.instant())) {
             return;
         }
