--- a/serving/src/main/java/io/bilberrygrade/serving/atmostonce/PlainServiceDispatch.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/atmostonce/PlainServiceDispatch.java
@@ -83,8 +83,9 @@
                         Optional.of(submission.key()),
                         remaining,
                         submission.body());
-        mEndpoints.dispatched(endpoint.id(), 0);
+        mEndpoints.dispatched(endpoint.id(), mClock.instant());
         return mService.call(endpoint, call)
+                .invoke(a -> mEndpoints.succeeded(endpoint.id()))
                 .map(PlainServiceDispatch::done)
                 .onTermination()
                 .invoke(() -> mEndpoints.finished(endpoint.id()))
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
@@ -2,7 +2,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.bilberrygrade.core.atmostonce.KeyAuthority;
-import io.bilberrygrade.core.config.Deployment;
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.identity.RequestId;
 import io.bilberrygrade.serving.atmostonce.AtMostOnceController;
@@ -12,12 +11,14 @@
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.controller.EndpointController;
 import io.bilberrygrade.serving.controller.GossipController;
+import io.bilberrygrade.serving.controller.LoadController;
 import io.bilberrygrade.serving.controller.MembershipController;
 import io.bilberrygrade.serving.controller.ShareController;
 import io.bilberrygrade.serving.engine.HttpModelEngine;
 import io.bilberrygrade.serving.error.CallException;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.event.LifecycleEvent;
+import io.bilberrygrade.serving.gang.GangController;
 import io.bilberrygrade.serving.http.CallerApi;
 import io.bilberrygrade.serving.http.HttpCalls;
 import io.bilberrygrade.serving.http.KeysApi;
@@ -38,6 +39,7 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.ext.web.Router;
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.function.Consumer;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -50,9 +52,10 @@
 public final class EntryDaemon extends AbstractVerticle {
     private static final Duration CONFIG_WAIT = Duration.ofSeconds(20);
     private static final Duration CONFIG_PAUSE = Duration.ofMillis(300);
+    private static final Duration LOAD_PERIOD = Duration.ofMillis(250);
+    private static final Duration ENDPOINTS_PERIOD = Duration.ofSeconds(1);
     private static final Duration INSTANCE_LIST_PERIOD = Duration.ofSeconds(2);
 
-    private static final double UNKNOWN_CAPACITY = 0;
     private static final Duration SHARES_PERIOD = Duration.ofMillis(500);
 
     private final EntrySettings mSettings;
@@ -62,13 +65,14 @@
     private final UniformRandomProvider mRandom = RandomSource.SPLIT_MIX_64.create();
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final DrainController mDrain = new DrainController();
-    private final EndpointController mEndpoints = new EndpointController();
+    private final EndpointController mEndpoints;
     private ConfigController mConfig;
     private MembershipController mMembership;
     private GossipController mGossip;
     private ShareController mShares;
     private AtMostOnceController mKeys;
     private KeyRouter mKeyRouter;
+    private GangController mGangs;
     private HttpCalls mCalls;
     private TcpPeerNetwork mPeers;
     private PeerServer mPeerServer;
@@ -80,6 +84,7 @@
     public EntryDaemon(
             EntrySettings settings, Incarnation incarnation, InstantSource clock, EventLog events) {
         mSettings = settings;
+        mEndpoints = new EndpointController(settings.instance(), settings.policy());
         mIncarnation = incarnation;
         mClock = clock;
         mEvents = events;
@@ -105,6 +110,7 @@
         mShares = new ShareController(self, mSettings.policy(), mEvents);
         mGossip.register(mShares);
         createKeys(self);
+        mGangs = new GangController(mSettings.instance(), mMembership, mPeers, mClock);
         mConfig.onChange(mEndpoints::onDeployment);
         mConfig.onChange(d -> becomeReady());
         mPeerServer =
@@ -112,7 +118,7 @@
                         vertx,
                         self,
                         mSettings.peerKey(),
-                        new PeerCalls(mGossip, mKeyRouter),
+                        new PeerCalls(mGossip, mKeyRouter, mGangs),
                         mEvents);
         mServer = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true));
         listen(started);
@@ -197,6 +203,7 @@
                                 mIncarnation,
                                 new HttpModelEngine(mCalls),
                                 mKeyRouter,
+                                mGangs,
                                 mEndpoints,
                                 mShares,
                                 mDrain,
@@ -228,14 +235,23 @@
     private void startBackgroundWork() {
         mTasks = new PeriodicTasks(vertx, mRandom, mEvents);
         mTasks.repeat("config", CONFIG_PAUSE, this::watchConfig);
+        LoadController loads = new LoadController(new HttpModelEngine(mCalls), mEndpoints, mClock);
+        mTasks.repeat("load", LOAD_PERIOD, loads::readOldest);
+        mTasks.repeat("endpoints", ENDPOINTS_PERIOD, this::renewEndpoints);
         mTasks.repeat("instance list", INSTANCE_LIST_PERIOD, mMembership::refresh);
         mTasks.repeat("shares", SHARES_PERIOD, this::renewShares);
         mTasks.repeat("gossip", MembershipController.ROUND, mGossip::round);
     }
 
+    private Uni<Void> renewEndpoints() {
+        Instant now = mClock.instant();
+        mEndpoints.renew(mMembership.alive(now).size() + 1, now);
+        return Uni.createFrom().voidItem();
+    }
+
     private Uni<Void> renewShares() {
-        Deployment deployment = mConfig.current();
-        mShares.renew(deployment, UNKNOWN_CAPACITY, mClock.instant());
+        Instant now = mClock.instant();
+        mShares.renew(mConfig.current(), mEndpoints.capacity(now), now);
         return Uni.createFrom().voidItem();
     }
 
