--- a/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
@@ -200,14 +200,15 @@
         CallerApi api =
                 new CallerApi(
                         path.chain(
-                                mIncarnation,
-                                new HttpModelEngine(mCalls),
-                                mKeyRouter,
-                                mGangs,
-                                mEndpoints,
-                                mShares,
-                                mDrain,
-                                new VertxTimers(vertx)),
+                                new RequestPath.Parts(
+                                        mIncarnation,
+                                        new HttpModelEngine(mCalls),
+                                        mKeyRouter,
+                                        mGangs,
+                                        mEndpoints,
+                                        mShares,
+                                        mDrain,
+                                        new VertxTimers(vertx))),
                         mConfig::current,
                         this::nextRequestId,
                         mClock,
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
@@ -24,7 +24,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.Optional;
 
 /**
  * Runs a completion on an engine and, when an engine fails in the middle, resumes the answer at its
@@ -37,9 +36,9 @@
     private final ModelEngine mEngine;
     private final EndpointController mEndpoints;
     private final PlacementController mPlacement;
-    private final AdmissionController mAdmission;
     private final GangDispatcher mGangs;
     private final Patience mPatience;
+    private final AdmissionController mAdmission;
     private final Incarnation mIncarnation;
     private final Timers mTimers;
     private final InstantSource mClock;
@@ -50,9 +49,9 @@
             ModelEngine engine,
             EndpointController endpoints,
             PlacementController placement,
-            AdmissionController admission,
             GangDispatcher gangs,
             Patience patience,
+            AdmissionController admission,
             Incarnation incarnation,
             Timers timers,
             InstantSource clock,
@@ -60,9 +59,9 @@
         mEngine = engine;
         mEndpoints = endpoints;
         mPlacement = placement;
-        mAdmission = admission;
         mGangs = gangs;
         mPatience = patience;
+        mAdmission = admission;
         mIncarnation = incarnation;
         mTimers = timers;
         mClock = clock;
