--- a/bin/lib/deployment.sh
+++ b/bin/lib/deployment.sh
@@ -1,7 +1,9 @@
-# Starts all processes of the example in RUN_DIR. Sourced after processes.sh.
+# Starts all processes of the example in RUN_DIR. Sourced after processes.sh. With ONE_STANDIN set
+# to true, all stand-ins share one process, which starts sooner; ENGINE_PIDS stays empty then.
 
 ENTRY_PIDS=()
 ENGINE_PIDS=()
+STANDIN_ARGUMENTS=()
 
 # Prints the fields of the example's endpoints: id, port, model or service, memory.
 example_endpoints() {
@@ -14,29 +16,43 @@
         "$RUN_DIR/configuration/endpoints.yaml"
 }
 
+# Starts a stand-in, or keeps its arguments for the one process of all of them.
+add_standin() { # name arguments...
+    if [ "${ONE_STANDIN:-false}" != true ]; then
+        start_standin "$@"
+        return
+    fi
+    shift
+    [ ${#STANDIN_ARGUMENTS[@]} -eq 0 ] || STANDIN_ARGUMENTS+=(--)
+    STANDIN_ARGUMENTS+=("$@")
+}
+
 start_deployment() { # host
     local host=$1 kind id port what memory fencing entry settings
     local config_port instances_port
     config_port=$(sed -n 's/.*configuration: .*:\([0-9]*\)$/\1/p' "$RUN_DIR/entry-1.yaml")
     instances_port=$(sed -n 's/.*instances: .*:\([0-9]*\)$/\1/p' "$RUN_DIR/entry-1.yaml")
-    start_standin config config --host "$host" --port "$config_port" \
+    add_standin config config --host "$host" --port "$config_port" \
         --control-port $((config_port + 50)) --directory "$RUN_DIR/configuration"
-    start_standin instances instances --host "$host" --port "$instances_port" \
+    add_standin instances instances --host "$host" --port "$instances_port" \
         --control-port $((instances_port + 50)) --file "$RUN_DIR/instances.yaml" --lag 10s
     while read -r kind id port what memory fencing; do
         case $kind in
             engine)
-                start_standin "$id" engine --host "$host" --port "$port" \
+                add_standin "$id" engine --host "$host" --port "$port" \
                     --control-port $((port + 50)) --model "$what" --memory-tokens "$memory" \
                     --prefill-rate "${PREFILL_RATE:-200000}" --check-fencing "$fencing"
-                ENGINE_PIDS+=("$LAST_PID")
+                [ "${ONE_STANDIN:-false}" = true ] || ENGINE_PIDS+=("$LAST_PID")
                 ;;
             service)
-                start_standin "$id" service --host "$host" --port "$port" \
+                add_standin "$id" service --host "$host" --port "$port" \
                     --control-port $((port + 50))
                 ;;
         esac
     done < <(example_endpoints)
+    if [ "${ONE_STANDIN:-false}" = true ]; then
+        STANDIN_FLAGS=$SHARED_STANDIN_FLAGS start_standin standins "${STANDIN_ARGUMENTS[@]}"
+    fi
     for settings in "$RUN_DIR"/entry-*.yaml; do
         entry=$(basename "$settings" .yaml)
         start_entry "$entry" "$settings"
--- a/bin/lib/measure-routing.sh
+++ b/bin/lib/measure-routing.sh
@@ -8,8 +8,8 @@
     cat <<'EOF'
 usage: bilberrygrade measure routing [options]
 
-Runs 5 entry daemons and 16 stand-in engines on the loopback host for each cell, sends a seeded
-open-loop workload and prints a table. Every policy gets the same arrivals.
+Runs 5 entry daemons and 16 stand-in engines, which share a process, on the loopback host for each
+cell, sends a seeded open-loop workload and prints a table. Every policy gets the same arrivals.
   --policies LIST  of round-robin, least-outstanding, full, and full with one mechanism off:
                    no-affinity, no-confinement, no-admission, no-gang, no-shares (default: all)
   --loads LIST     fractions of the engines' prefill rate (0.5,0.8,1.0,1.5)
@@ -57,7 +57,7 @@
     *) echo "--host takes a loopback address" >&2; exit 2 ;;
 esac
 
-readonly ENGINES=16 DATA_CENTRES=3 MEMORY_TOKENS=400000 FAULT_LOAD=0.8
+readonly ENGINES=16 FIRST_ENGINE_CONTROL_PORT=21051 DATA_CENTRES=3 MEMORY_TOKENS=400000 FAULT_LOAD=0.8
 
 # Prints the policy section of an entry daemon's settings.
 policy_section() { # policy
@@ -74,22 +74,28 @@
     esac
 }
 
-# Prints the ids of the processes that a fault ends.
-victims() { # fault
+# Ends an engine through its control port.
+end_engine() { # number
+    curl -sf -o /dev/null -X POST -d '{"dieNow":true}' \
+        "http://$host:$((FIRST_ENGINE_CONTROL_PORT + $1 - 1))/faults" || true
+}
+
+# Ends what a fault takes away.
+lose() { # fault
     local i
     case $1 in
-        engine) echo "${ENGINE_PIDS[0]}" ;;
-        entry) echo "${ENTRY_PIDS[1]}" ;;
+        engine) end_engine 1 ;;
+        entry) kill -9 "${ENTRY_PIDS[1]}" ;;
         dc)
-            echo "${ENTRY_PIDS[2]}"
-            for ((i = DATA_CENTRES - 1; i < ENGINES; i += DATA_CENTRES)); do
-                echo "${ENGINE_PIDS[$i]}"
+            kill -9 "${ENTRY_PIDS[2]}"
+            for ((i = DATA_CENTRES; i <= ENGINES; i += DATA_CENTRES)); do
+                end_engine "$i"
             done
             ;;
     esac
 }
 
-# Ends the victims in the middle of the measured period.
+# Loses a part of the deployment in the middle of the measured period.
 lose_in_mid_run() { # fault
     local fault=$1 i
     [ "$fault" = none ] && return
@@ -98,8 +104,7 @@
         sleep 0.1
     done
     sleep $((seconds / 2))
-    # shellcheck disable=SC2046
-    kill -9 $(victims "$fault")
+    lose "$fault"
 }
 
 run_cell() ( # policy load fault number flags...
@@ -112,7 +117,7 @@
         policy_section "$policy" >>"$settings"
     done
     . "$ROOT/bin/lib/deployment.sh"
-    PREFILL_RATE=$rate start_deployment "$host"
+    ONE_STANDIN=true PREFILL_RATE=$rate start_deployment "$host"
     lose_in_mid_run "$fault" &
     # shellcheck disable=SC2086
     "$JAVA" $JVM_FLAGS -Xmx1g -XX:+UseSerialGC -cp "$STANDINS_JAR" \
--- a/bin/lib/processes.sh
+++ b/bin/lib/processes.sh
@@ -4,7 +4,8 @@
 RUN_DIR=""
 PIDS=()
 
-readonly STANDIN_FLAGS="-Xmx192m -XX:+UseSerialGC -XX:TieredStopAtLevel=1"
+readonly DEFAULT_STANDIN_FLAGS="-Xmx192m -XX:+UseSerialGC -XX:TieredStopAtLevel=1"
+readonly SHARED_STANDIN_FLAGS="-Xmx2g -XX:+UseParallelGC"
 readonly ENTRY_FLAGS="-Xmx256m -XX:+UseSerialGC"
 readonly DAEMON_JAR="$ROOT/daemon/target/bilberrygrade-daemon-0.1.0-all.jar"
 readonly STANDINS_JAR="$ROOT/standins/target/bilberrygrade-standins-0.1.0-all.jar"
@@ -53,7 +54,7 @@
     local name=$1
     shift
     # shellcheck disable=SC2086
-    start_process "$name" "$JAVA" $JVM_FLAGS $STANDIN_FLAGS -jar "$STANDINS_JAR" "$@"
+    start_process "$name" "$JAVA" $JVM_FLAGS ${STANDIN_FLAGS:-$DEFAULT_STANDIN_FLAGS} -jar "$STANDINS_JAR" "$@"
 }
 
 start_entry() { # name settings
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
@@ -24,6 +24,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Optional;
 
 /**
  * Runs a completion on an engine and, when an engine fails in the middle, resumes the answer at its
--- a/standins/src/main/java/io/bilberrygrade/standins/Main.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/Main.java
@@ -12,13 +12,19 @@
 import io.smallrye.mutiny.Uni;
 import io.vertx.mutiny.core.Vertx;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
 import org.slf4j.LoggerFactory;
 
-/** Runs one stand-in until the process is ended. */
+/**
+ * Runs stand-ins until the process is ended: one, or several with {@code --} between their
+ * arguments. One that dies on its own ends the process; one of several only closes its ports.
+ */
 public final class Main {
+    private static final String SEPARATOR = "--";
     private static final int USAGE_STATUS = 2;
     private static final int FAILED_STATUS = 1;
     private static final int DIED_STATUS = 137;
@@ -29,8 +35,14 @@
     public static void main(String[] args) {
         quietLibraries();
         ArgumentParser parser = Arguments.parser();
+        List<String[]> commands = split(args);
+        Vertx vertx = Vertx.vertx();
         try {
-            run(parser.parseArgs(args));
+            for (String[] command : commands) {
+                start(vertx, parser.parseArgs(command))
+                        .subscribe()
+                        .with(s -> announce(s, commands.size() == 1), Main::fail);
+            }
         } catch (ArgumentParserException e) {
             parser.handleError(e);
             System.exit(USAGE_STATUS);
@@ -43,9 +55,19 @@
         }
     }
 
-    private static void run(Namespace args) {
-        Vertx vertx = Vertx.vertx();
-        start(vertx, args).subscribe().with(Main::announce, Main::fail);
+    private static List<String[]> split(String[] args) {
+        List<String[]> commands = new ArrayList<>();
+        List<String> command = new ArrayList<>();
+        for (String arg : args) {
+            if (arg.equals(SEPARATOR)) {
+                commands.add(command.toArray(String[]::new));
+                command.clear();
+            } else {
+                command.add(arg);
+            }
+        }
+        commands.add(command.toArray(String[]::new));
+        return commands;
     }
 
     private static Uni<? extends StandIn<?>> start(Vertx vertx, Namespace args) {
@@ -67,8 +89,10 @@
         };
     }
 
-    private static void announce(StandIn<?> standIn) {
-        standIn.onDeath(() -> Runtime.getRuntime().halt(DIED_STATUS));
+    private static void announce(StandIn<?> standIn, boolean alone) {
+        if (alone) {
+            standIn.onDeath(() -> Runtime.getRuntime().halt(DIED_STATUS));
+        }
         System.out.printf(
                 "ready host=%s port=%d control=%d%n",
                 standIn.host(), standIn.port(), standIn.controlPort());
