--- a/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
@@ -8,13 +8,16 @@
 import io.bilberrygrade.serving.atmostonce.KeyRouter;
 import io.bilberrygrade.serving.atmostonce.PlainServiceDispatch;
 import io.bilberrygrade.serving.controller.ConfigController;
+import io.bilberrygrade.serving.controller.ConfigGossip;
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.controller.EndpointController;
 import io.bilberrygrade.serving.controller.GossipController;
 import io.bilberrygrade.serving.controller.LoadController;
 import io.bilberrygrade.serving.controller.MembershipController;
 import io.bilberrygrade.serving.controller.ShareController;
+import io.bilberrygrade.serving.controller.StartupController;
 import io.bilberrygrade.serving.engine.HttpModelEngine;
+import io.bilberrygrade.serving.engine.ModelEngine;
 import io.bilberrygrade.serving.error.CallException;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.event.LifecycleEvent;
@@ -31,6 +34,8 @@
 import io.bilberrygrade.serving.platform.HttpInstanceSource;
 import io.bilberrygrade.serving.service.HttpPlainService;
 import io.bilberrygrade.serving.settings.EntrySettings;
+import io.bilberrygrade.serving.settings.Mechanism;
+import io.bilberrygrade.serving.time.Timers;
 import io.bilberrygrade.serving.time.VertxTimers;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.AbstractVerticle;
@@ -50,7 +55,9 @@
  * lock.
  */
 public final class EntryDaemon extends AbstractVerticle {
-    private static final Duration CONFIG_WAIT = Duration.ofSeconds(20);
+    private static final Duration CONFIG_WAIT = Duration.ofSeconds(4);
+    private static final Duration CONFIG_RETRY = Duration.ofSeconds(1);
+    private static final Duration STARTUP_PAUSE = Duration.ofMillis(100);
     private static final Duration CONFIG_PAUSE = Duration.ofMillis(300);
     private static final Duration LOAD_PERIOD = Duration.ofMillis(250);
     private static final Duration ENDPOINTS_PERIOD = Duration.ofSeconds(1);
@@ -77,6 +84,10 @@
     private TcpPeerNetwork mPeers;
     private PeerServer mPeerServer;
     private HttpServer mServer;
+    private Timers mTimers;
+    private ModelEngine mEngine;
+    private ConfigGossip mConfigGossip;
+    private StartupController mStartup;
     private long mNextRequest;
     private PeriodicTasks mTasks;
 
@@ -94,11 +105,28 @@
     public void start(Promise<Void> started) {
         io.vertx.mutiny.core.Vertx mutinyVertx = io.vertx.mutiny.core.Vertx.newInstance(vertx);
         PeerIdentity self = new PeerIdentity(mSettings.instance(), mIncarnation);
+        mTimers = new VertxTimers(vertx);
         mCalls = new HttpCalls(mutinyVertx);
         mPeers = new TcpPeerNetwork(vertx, self, mSettings.peerKey());
+        mEngine = new HttpModelEngine(mCalls, mClock);
+        createControllers(self);
+        mPeerServer =
+                new PeerServer(
+                        vertx,
+                        self,
+                        mSettings.peerKey(),
+                        new PeerCalls(mGossip, mKeyRouter, mGangs, mConfigGossip),
+                        mEvents);
+        mServer = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true));
+        listen(started);
+    }
+
+    private void createControllers(PeerIdentity self) {
         mConfig =
                 new ConfigController(
-                        new HttpConfigSource(mCalls, mSettings.configurationService()), mEvents);
+                        new HttpConfigSource(mCalls, mSettings.configurationService()),
+                        mSettings.policy().enabled(Mechanism.VERSION_GUARD),
+                        mEvents);
         mMembership =
                 new MembershipController(
                         self,
@@ -109,19 +137,20 @@
         mGossip = new GossipController(mMembership, mPeers, mClock);
         mShares = new ShareController(self, mSettings.policy(), mEvents);
         mGossip.register(mShares);
-        createKeys(self);
         mGangs = new GangController(mSettings.instance(), mMembership, mPeers, mClock);
-        mConfig.onChange(mEndpoints::onDeployment);
-        mConfig.onChange(d -> becomeReady());
-        mPeerServer =
-                new PeerServer(
-                        vertx,
-                        self,
-                        mSettings.peerKey(),
-                        new PeerCalls(mGossip, mKeyRouter, mGangs),
+        mConfigGossip = new ConfigGossip(mConfig, mPeers, mMembership::address, mDrain::serving);
+        mGossip.register(mConfigGossip);
+        mStartup =
+                new StartupController(
+                        mConfig,
+                        mConfigGossip,
+                        mMembership::publishedPeers,
+                        mEngine,
+                        mClock,
                         mEvents);
-        mServer = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true));
-        listen(started);
+        mConfig.onChange(mEndpoints::onDeployment);
+        mConfig.onChange(d -> mGossip.spreadNews());
+        createKeys(self);
     }
 
     private void createKeys(PeerIdentity self) {
@@ -133,7 +162,7 @@
                         mDrain,
                         new PlainServiceDispatch(
                                 new HttpPlainService(mCalls), mEndpoints, mConfig::current, mClock),
-                        new VertxTimers(vertx),
+                        mTimers,
                         mSettings.policy(),
                         mClock);
         mKeyRouter = new KeyRouter(authority, mKeys, mMembership, mPeers, mClock);
@@ -178,10 +207,9 @@
 
     private void drainOnContext(Consumer<Void> done) {
         mEvents.record(new LifecycleEvent.DrainStarted(mDrain.running()));
-        mDrain.drain()
-                .ifNoItem()
-                .after(mSettings.drainTimeout())
-                .recoverWithItem((Void) null)
+        Uni.join()
+                .first(mDrain.drain(), mTimers.after(mSettings.drainTimeout()))
+                .toTerminate()
                 .subscribe()
                 .with(v -> done.accept(null));
     }
@@ -202,13 +230,14 @@
                         path.chain(
                                 new RequestPath.Parts(
                                         mIncarnation,
-                                        new HttpModelEngine(mCalls),
+                                        mEngine,
                                         mKeyRouter,
                                         mGangs,
                                         mEndpoints,
                                         mShares,
                                         mDrain,
-                                        new VertxTimers(vertx))),
+                                        mTimers,
+                                        mRandom)),
                         mConfig::current,
                         this::nextRequestId,
                         mClock,
@@ -226,8 +255,12 @@
         return new RequestId(id);
     }
 
+    private Uni<Void> advanceStartup() {
+        return mStartup.advance(mGossip::spreadNews).invoke(this::becomeReady);
+    }
+
     private void becomeReady() {
-        if (!mDrain.accepting() && !mDrain.draining()) {
+        if (mStartup.done() && !mDrain.serving()) {
             mDrain.becomeReady();
             mEvents.record(new LifecycleEvent.Ready(mConfig.current().version()));
         }
@@ -236,11 +269,12 @@
     private void startBackgroundWork() {
         mTasks = new PeriodicTasks(vertx, mRandom, mEvents);
         mTasks.repeat("config", CONFIG_PAUSE, this::watchConfig);
-        LoadController loads = new LoadController(new HttpModelEngine(mCalls), mEndpoints, mClock);
+        LoadController loads = new LoadController(mEngine, mEndpoints, mClock);
         mTasks.repeat("load", LOAD_PERIOD, loads::readOldest);
         mTasks.repeat("endpoints", ENDPOINTS_PERIOD, this::renewEndpoints);
         mTasks.repeat("instance list", INSTANCE_LIST_PERIOD, mMembership::refresh);
         mTasks.repeat("shares", SHARES_PERIOD, this::renewShares);
+        mTasks.repeatUntil("startup", STARTUP_PAUSE, this::advanceStartup, mStartup::done);
         mTasks.repeat("gossip", MembershipController.ROUND, mGossip::round);
     }
 
@@ -259,6 +293,6 @@
     private Uni<Void> watchConfig() {
         return mConfig.refresh(CONFIG_WAIT)
                 .onFailure(CallException.class)
-                .recoverWithItem((Void) null);
+                .recoverWithUni(() -> mTimers.after(CONFIG_RETRY));
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/RequestPath.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/RequestPath.java
@@ -32,24 +32,26 @@
 import io.bilberrygrade.serving.time.Timers;
 import java.time.InstantSource;
 import java.util.Optional;
-import org.apache.commons.rng.simple.RandomSource;
+import org.apache.commons.rng.UniformRandomProvider;
 
 /** Puts the filter chain together, in the order in which requests pass through it. */
-final class RequestPath {
+public final class RequestPath {
     private final EntrySettings mSettings;
     private final InstantSource mClock;
     private final EventLog mEvents;
 
-    RequestPath(EntrySettings settings, InstantSource clock, EventLog events) {
+    /** Creates the path of a daemon with the given settings. */
+    public RequestPath(EntrySettings settings, InstantSource clock, EventLog events) {
         mSettings = settings;
         mClock = clock;
         mEvents = events;
     }
 
-    FilterChain chain(Parts parts) {
+    /** Returns the chain over the parts of a daemon. */
+    public FilterChain chain(Parts parts) {
         return new FilterChain(
                 ImmutableList.of(
-                        new KeyGuardFilter(),
+                        new KeyGuardFilter(mSettings.policy().enabled(Mechanism.KEY_GUARD)),
                         new ReadinessFilter(parts.drain()),
                         new IdentifyFilter(),
                         new DeadlineFilter(mClock, mSettings.maxDeadline()),
@@ -71,11 +73,12 @@
                         parts.shares(),
                         parts.drain(),
                         mSettings.policy(),
-                        RandomSource.SPLIT_MIX_64.create()),
+                        parts.random()),
                 parts.incarnation(),
                 parts.timers(),
                 mClock,
-                mEvents);
+                mEvents,
+                mSettings.policy().enabled(Mechanism.RESUME));
     }
 
     private GangDispatcher gangs(Parts parts, PlacementController placement) {
@@ -88,7 +91,7 @@
                 parts.incarnation(),
                 parts.timers(),
                 mClock,
-                RandomSource.SPLIT_MIX_64.create(),
+                parts.random(),
                 mEvents);
     }
 
@@ -104,7 +107,7 @@
     }
 
     /** What the filters work with. */
-    record Parts(
+    public record Parts(
             Incarnation incarnation,
             ModelEngine engine,
             KeyRouter keys,
@@ -112,5 +115,6 @@
             EndpointController endpoints,
             ShareController shares,
             DrainController drain,
-            Timers timers) {}
+            Timers timers,
+            UniformRandomProvider random) {}
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/KeyGuardFilter.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/KeyGuardFilter.java
@@ -9,13 +9,18 @@
  * caller may always submit the call again under the same key.
  */
 public final class KeyGuardFilter implements RequestFilter {
+    private final boolean mEnabled;
+
     /** Creates the filter, which must be the first of the chain. */
-    public KeyGuardFilter() {}
+    public KeyGuardFilter(boolean enabled) {
+        mEnabled = enabled;
+    }
 
     @Override
     public Uni<Outcome> handle(Exchange exchange, FilterChain next) {
         boolean keyed =
-                exchange.call() instanceof Call.Service
+                mEnabled
+                        && exchange.call() instanceof Call.Service
                         && exchange.headers().idempotencyKey().isPresent();
         Uni<Outcome> outcome = next.proceed(exchange);
         return keyed ? outcome.map(o -> guarded(exchange, o)) : outcome;
