--- a/core/src/main/java/io/bilberrygrade/core/admission/Forecast.java
+++ b/core/src/main/java/io/bilberrygrade/core/admission/Forecast.java
@@ -8,6 +8,10 @@
  * to the last one.
  */
 public record Forecast(Duration timeToFirstToken, Duration backlog, Duration decode) {
+    /** Forecast while the engine's rate was never observed; refuses nothing for lack of time. */
+    public static final Forecast UNKNOWN =
+            new Forecast(Duration.ZERO, Duration.ZERO, Duration.ZERO);
+
     /**
      * Returns the forecast when more urgent work takes the given part, from 0 to 1, of the engine
      * meanwhile.
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
@@ -2,7 +2,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.bilberrygrade.core.atmostonce.KeyAuthority;
-import io.bilberrygrade.core.config.Deployment;
 import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.identity.RequestId;
@@ -73,7 +72,6 @@
     private static final Duration ENDPOINTS_PERIOD = Duration.ofSeconds(1);
     private static final Duration INSTANCE_LIST_PERIOD = Duration.ofSeconds(2);
 
-    private static final double UNKNOWN_CAPACITY = 0;
     private static final Duration SHARES_PERIOD = Duration.ofMillis(500);
 
     private final EntrySettings mSettings;
@@ -356,8 +354,8 @@
     }
 
     private Uni<Void> renewShares() {
-        Deployment deployment = mConfig.current();
-        mShares.renew(deployment, UNKNOWN_CAPACITY, mClock.instant());
+        Instant now = mClock.instant();
+        mShares.renew(mConfig.current(), mEndpoints.capacity(now), now);
         return Uni.createFrom().voidItem();
     }
 
