--- a/core/src/main/java/io/bilberrygrade/core/lane/LongBoundary.java
+++ b/core/src/main/java/io/bilberrygrade/core/lane/LongBoundary.java
@@ -8,7 +8,7 @@
  * shrinks one by one, after a pause and with slack, so that it doesn't swing.
  */
 public record LongBoundary(int engines, Instant changedAt) {
-    private static final double USE_OF_LONG_ENGINES = 0.7;
+    private static final double USE_OF_LONG_ENGINES = 0.4;
     private static final double SHRINK_BELOW = 0.75;
     private static final Duration SHRINK_PAUSE = Duration.ofSeconds(10);
 
--- a/core/src/main/java/io/bilberrygrade/core/routing/EngineFleet.java
+++ b/core/src/main/java/io/bilberrygrade/core/routing/EngineFleet.java
@@ -16,6 +16,9 @@
     /** Returns the engines of which this daemon keeps fresh reports. */
     ImmutableList<Endpoint> watched();
 
+    /** Returns the watched engines that are kept free of long work; none if it isn't confined. */
+    ImmutableList<Endpoint> freeEngines();
+
     /** Returns the engines that long work is confined to, or all when it is not confined. */
     ImmutableList<Endpoint> longEngines();
 
