--- a/bench/src/main/java/io/bilberrygrade/bench/BenchFleet.java
+++ b/bench/src/main/java/io/bilberrygrade/bench/BenchFleet.java
@@ -69,8 +69,7 @@
     private void fill(Endpoint engine, UniformRandomProvider random, Instant now) {
         long queued = random.nextInt(100_000);
         Instant measured = now.minusMillis(random.nextInt(1_000));
-        mLoads.put(
-                engine.id(), new EndpointLoad(queued, queued / 2, 4, MEMORY_TOKENS, measured));
+        mLoads.put(engine.id(), new EndpointLoad(queued, queued / 2, 4, MEMORY_TOKENS, measured));
         ImmutableList.Builder<OwnDispatch> own = ImmutableList.builder();
         for (int i = 0; i < OWN_DISPATCHES; i++) {
             Instant sent = now.minusMillis(random.nextInt(1_000));
