--- a/serving/src/main/java/io/bilberrygrade/serving/entry/RequestPath.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/RequestPath.java
@@ -9,9 +9,11 @@
 import io.bilberrygrade.core.routing.RoundRobinPolicy;
 import io.bilberrygrade.serving.atmostonce.AtMostOnceFilter;
 import io.bilberrygrade.serving.atmostonce.KeyRouter;
+import io.bilberrygrade.serving.controller.AdmissionController;
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.controller.EndpointController;
 import io.bilberrygrade.serving.controller.PlacementController;
+import io.bilberrygrade.serving.controller.ShareController;
 import io.bilberrygrade.serving.engine.ModelEngine;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.filter.ClassifyFilter;
@@ -30,61 +32,67 @@
 import io.bilberrygrade.serving.time.Timers;
 import java.time.InstantSource;
 import java.util.Optional;
-import org.apache.commons.rng.simple.RandomSource;
+import org.apache.commons.rng.UniformRandomProvider;
 
 /** Puts the filter chain together, in the order in which requests pass through it. */
-final class RequestPath {
+public final class RequestPath {
     private final EntrySettings mSettings;
     private final InstantSource mClock;
     private final EventLog mEvents;
 
-    RequestPath(EntrySettings settings, InstantSource clock, EventLog events) {
+    /** Creates the path of a daemon with the given settings. */
+    public RequestPath(EntrySettings settings, InstantSource clock, EventLog events) {
         mSettings = settings;
         mClock = clock;
         mEvents = events;
     }
 
-    FilterChain chain(
-            Incarnation incarnation,
-            ModelEngine engine,
-            KeyRouter keys,
-            GangController stewards,
-            EndpointController endpoints,
-            DrainController drain,
-            Timers timers) {
-        PlacementController placement = new PlacementController(endpoints, policy());
-        GangDispatcher gangs =
-                new GangDispatcher(
-                        engine,
-                        endpoints,
-                        placement,
-                        Optional.of(stewards)
-                                .filter(s -> mSettings.policy().enabled(Mechanism.GANG_STEWARD)),
-                        incarnation,
-                        timers,
-                        mClock,
-                        RandomSource.SPLIT_MIX_64.create(),
-                        mEvents);
-        CompletionDispatcher dispatcher =
-                new CompletionDispatcher(
-                        engine,
-                        endpoints,
-                        placement,
-                        gangs,
-                        new Patience(mSettings.policy().enabled(Mechanism.EJECTION)),
-                        incarnation,
-                        timers,
-                        mClock,
-                        mEvents);
+    /** Returns the chain over the parts of a daemon. */
+    public FilterChain chain(Parts parts) {
         return new FilterChain(
                 ImmutableList.of(
-                        new KeyGuardFilter(),
-                        new ReadinessFilter(drain),
+                        new KeyGuardFilter(mSettings.policy().enabled(Mechanism.KEY_GUARD)),
+                        new ReadinessFilter(parts.drain()),
                         new IdentifyFilter(),
                         new DeadlineFilter(mClock, mSettings.maxDeadline()),
                         new ClassifyFilter(),
-                        new CompletionFilter(dispatcher),
-                        new AtMostOnceFilter(keys)));
+                        new CompletionFilter(dispatcher(parts)),
+                        new AtMostOnceFilter(parts.keys())));
+    }
+
+    private CompletionDispatcher dispatcher(Parts parts) {
+        PlacementController placement = new PlacementController(parts.endpoints(), policy());
+        return new CompletionDispatcher(
+                parts.engine(),
+                parts.endpoints(),
+                placement,
+                gangs(parts, placement),
+                new Patience(mSettings.policy().enabled(Mechanism.EJECTION)),
+                new AdmissionController(
+                        placement,
+                        parts.shares(),
+                        parts.drain(),
+                        mSettings.policy(),
+                        parts.random()),
+                parts.incarnation(),
+                parts.timers(),
+                mClock,
+                mEvents,
+                mSettings.policy().enabled(Mechanism.RESUME));
+    }
+
+    private GangDispatcher gangs(Parts parts, PlacementController placement) {
+        return new GangDispatcher(
+                parts.engine(),
+                parts.endpoints(),
+                placement,
+                Optional.of(parts.stewards())
+                        .filter(s -> mSettings.policy().enabled(Mechanism.GANG_STEWARD)),
+                parts.incarnation(),
+                parts.timers(),
+                mClock,
+                parts.random(),
+                mEvents);
     }
 
     private PlacementPolicy policy() {
@@ -97,4 +105,16 @@
                             Mixing.hash(mSettings.instance().value()));
         };
     }
+
+    /** What the filters work with. */
+    public record Parts(
+            Incarnation incarnation,
+            ModelEngine engine,
+            KeyRouter keys,
+            GangController stewards,
+            EndpointController endpoints,
+            ShareController shares,
+            DrainController drain,
+            Timers timers,
+            UniformRandomProvider random) {}
 }
