--- a/core/src/test/java/io/bilberrygrade/core/routing/FakeFleet.java
+++ b/core/src/test/java/io/bilberrygrade/core/routing/FakeFleet.java
@@ -98,6 +98,15 @@
         return mEngines;
     }
 
+    @Override
+    public ImmutableList<Endpoint> freeEngines() {
+        return mLong.isEmpty()
+                ? ImmutableList.of()
+                : mEngines.stream()
+                        .filter(e -> !mLong.contains(e.id()))
+                        .collect(ImmutableList.toImmutableList());
+    }
+
     @Override
     public ImmutableList<Endpoint> longEngines() {
         return mLong.isEmpty()
