--- a/core/src/main/java/io/bilberrygrade/core/request/Step.java
+++ b/core/src/main/java/io/bilberrygrade/core/request/Step.java
@@ -15,5 +15,6 @@
     CONFIGURATION,
     MEMBERSHIP,
     ORDER,
-    RECLAIM
+    RECLAIM,
+    OPERATOR_CALL
 }
--- a/daemon/src/main/java/io/bilberrygrade/daemon/command/CommandLine.java
+++ b/daemon/src/main/java/io/bilberrygrade/daemon/command/CommandLine.java
@@ -50,6 +50,8 @@
         Subparsers commands = parser.addSubparsers().title("commands").metavar("COMMAND");
         EntryCommand.register(commands);
         SettingsCommand.register(commands);
+        StatusCommand.register(commands);
+        ReportCommand.register(commands);
         ScriptCommand.register(commands, "measure", "run measurements with stand-ins");
         ScriptCommand.register(commands, "demo", "run an example with stand-ins");
         return parser;
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
@@ -19,13 +19,13 @@
 import io.bilberrygrade.serving.http.CallerApi;
 import io.bilberrygrade.serving.http.HttpCalls;
 import io.bilberrygrade.serving.http.KeysApi;
-import io.bilberrygrade.serving.http.OperationsApi;
-import io.bilberrygrade.serving.metrics.RequestMetrics;
+import io.bilberrygrade.serving.metrics.ControlTraffic;
 import io.bilberrygrade.serving.peer.PeerIdentity;
 import io.bilberrygrade.serving.peer.PeerServer;
 import io.bilberrygrade.serving.peer.TcpPeerNetwork;
 import io.bilberrygrade.serving.platform.HttpConfigSource;
 import io.bilberrygrade.serving.platform.HttpInstanceSource;
+import io.bilberrygrade.serving.report.AuditTrail;
 import io.bilberrygrade.serving.service.HttpPlainService;
 import io.bilberrygrade.serving.settings.EntrySettings;
 import io.bilberrygrade.serving.time.VertxTimers;
@@ -53,7 +53,7 @@
     private final EntrySettings mSettings;
     private final Incarnation mIncarnation;
     private final InstantSource mClock;
-    private final EventLog mEvents;
+    private final AuditTrail mEvents;
     private final UniformRandomProvider mRandom = RandomSource.SPLIT_MIX_64.create();
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final DrainController mDrain = new DrainController();
@@ -63,6 +63,7 @@
     private GossipController mGossip;
     private AtMostOnceController mKeys;
     private KeyRouter mKeyRouter;
+    private Observation mObservation;
     private HttpCalls mCalls;
     private TcpPeerNetwork mPeers;
     private PeerServer mPeerServer;
@@ -76,15 +77,16 @@
         mSettings = settings;
         mIncarnation = incarnation;
         mClock = clock;
-        mEvents = events;
+        mEvents = new AuditTrail(events, clock);
     }
 
     @Override
     public void start(Promise<Void> started) {
         io.vertx.mutiny.core.Vertx mutinyVertx = io.vertx.mutiny.core.Vertx.newInstance(vertx);
         PeerIdentity self = new PeerIdentity(mSettings.instance(), mIncarnation);
-        mCalls = new HttpCalls(mutinyVertx);
-        mPeers = new TcpPeerNetwork(vertx, self, mSettings.peerKey());
+        ControlTraffic traffic = new ControlTraffic(mMetrics);
+        mCalls = new HttpCalls(mutinyVertx, traffic);
+        mPeers = new TcpPeerNetwork(vertx, self, mSettings.peerKey(), traffic);
         mConfig =
                 new ConfigController(
                         new HttpConfigSource(mCalls, mSettings.configurationService()), mEvents);
@@ -99,17 +101,34 @@
         createKeys(self);
         mConfig.onChange(mEndpoints::onDeployment);
         mConfig.onChange(d -> becomeReady());
+        createObservation(self);
         mPeerServer =
                 new PeerServer(
                         vertx,
                         self,
                         mSettings.peerKey(),
-                        new PeerCalls(mGossip, mKeyRouter),
+                        new PeerCalls(mGossip, mKeyRouter, mObservation),
+                        traffic,
                         mEvents);
         mServer = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true));
         listen(started);
     }
 
+    private void createObservation(PeerIdentity self) {
+        mObservation =
+                new Observation(
+                        mSettings,
+                        self,
+                        mClock,
+                        mMetrics,
+                        mEvents,
+                        mConfig,
+                        mMembership,
+                        mEndpoints,
+                        mDrain,
+                        mPeers);
+    }
+
     private void createKeys(PeerIdentity self) {
         KeyAuthority authority = new KeyAuthority(mSettings.peerKey().bytes());
         mKeys =
@@ -181,7 +200,6 @@
     }
 
     private Router router() {
-        RequestMetrics observer = new RequestMetrics(mMetrics, mEvents);
         RequestPath path = new RequestPath(mSettings, mClock, mEvents);
         CallerApi api =
                 new CallerApi(
@@ -195,12 +213,12 @@
                         mConfig::current,
                         this::nextRequestId,
                         mClock,
-                        observer,
+                        mObservation.requests(),
                         mEvents);
         Router router = Router.router(vertx);
         api.mount(router, mSettings.maxBodyBytes());
         new KeysApi(mKeys, mConfig::current, this::nextRequestId, mDrain).mount(router);
-        new OperationsApi(mDrain, mMetrics).mount(router);
+        mObservation.mount(router);
         return router;
     }
 
@@ -220,6 +238,7 @@
         mTasks = new PeriodicTasks(vertx, mRandom, mEvents);
         mTasks.repeat("config", CONFIG_PAUSE, this::watchConfig);
         mTasks.repeat("instance list", INSTANCE_LIST_PERIOD, mMembership::refresh);
+        mTasks.repeat("losses", Observation.LOSS_CHECK_PERIOD, mObservation::findLosses);
         mTasks.repeat("gossip", MembershipController.ROUND, mGossip::round);
     }
 
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/Observation.java
@@ -0,0 +1,142 @@
+package io.bilberrygrade.serving.entry;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.collect.ImmutableList;
+import com.sun.management.OperatingSystemMXBean;
+import io.bilberrygrade.core.config.Deployment;
+import io.bilberrygrade.core.report.ReportHistory;
+import io.bilberrygrade.serving.controller.ConfigController;
+import io.bilberrygrade.serving.controller.DrainController;
+import io.bilberrygrade.serving.controller.EndpointController;
+import io.bilberrygrade.serving.controller.MembershipController;
+import io.bilberrygrade.serving.http.OperationsApi;
+import io.bilberrygrade.serving.http.OperatorApi;
+import io.bilberrygrade.serving.http.RequestObserver;
+import io.bilberrygrade.serving.http.RequestObservers;
+import io.bilberrygrade.serving.metrics.RequestMetrics;
+import io.bilberrygrade.serving.peer.PeerIdentity;
+import io.bilberrygrade.serving.peer.PeerMessage;
+import io.bilberrygrade.serving.peer.PeerNetwork;
+import io.bilberrygrade.serving.report.AuditTrail;
+import io.bilberrygrade.serving.report.ConfigAudit;
+import io.bilberrygrade.serving.report.OutcomeRecorder;
+import io.bilberrygrade.serving.report.ReportController;
+import io.bilberrygrade.serving.report.StatusReporter;
+import io.bilberrygrade.serving.settings.EntrySettings;
+import io.smallrye.mutiny.Uni;
+import io.vertx.ext.web.Router;
+import java.lang.management.ManagementFactory;
+import java.time.Duration;
+import java.time.InstantSource;
+
+/** Puts together what shows a daemon's work: metrics, audit trail, status and reports. */
+final class Observation {
+    /** How often lost requests are looked for. */
+    static final Duration LOSS_CHECK_PERIOD = Duration.ofSeconds(5);
+
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final double MILLIS_PER_SECOND = 1e3;
+
+    private final EntrySettings mSettings;
+    private final InstantSource mClock;
+    private final MetricRegistry mMetrics;
+    private final RequestMetrics mRequests;
+    private final OutcomeRecorder mOutcomes;
+    private final ReportController mReports;
+    private final StatusReporter mStatus;
+    private final DrainController mDrain;
+
+    Observation(
+            EntrySettings settings,
+            PeerIdentity self,
+            InstantSource clock,
+            MetricRegistry metrics,
+            AuditTrail audit,
+            ConfigController config,
+            MembershipController membership,
+            EndpointController endpoints,
+            DrainController drain,
+            PeerNetwork peers) {
+        mSettings = settings;
+        mClock = clock;
+        mMetrics = metrics;
+        mDrain = drain;
+        ReportHistory history = new ReportHistory();
+        mRequests = new RequestMetrics(metrics, audit);
+        mOutcomes = new OutcomeRecorder(history);
+        mReports =
+                new ReportController(
+                        self,
+                        clock.instant(),
+                        history,
+                        peers,
+                        () -> membership.instances().instances(),
+                        config::current);
+        mStatus =
+                new StatusReporter(
+                        self,
+                        settings.dataCentre().value(),
+                        clock.instant(),
+                        drain,
+                        endpoints,
+                        membership,
+                        audit);
+        ConfigAudit configAudit = new ConfigAudit(audit);
+        config.onChange(d -> mStatus.onDeployment(d, clock.instant()));
+        config.onChange(configAudit::onDeployment);
+        registerGauges(config);
+    }
+
+    /** Returns what is told of each request. */
+    RequestObserver requests() {
+        return new RequestObservers(ImmutableList.of(mRequests, mOutcomes));
+    }
+
+    /** Answers a peer that makes a report of the fleet. */
+    PeerMessage onReport(PeerMessage.ReportRequest request) {
+        return new PeerMessage.ReportReply(mReports.own(request.periodMinutes(), mClock.instant()));
+    }
+
+    /** Looks for requests that are past their deadline and have no outcome. */
+    Uni<Void> findLosses() {
+        mOutcomes.findLosses(mClock.instant());
+        return Uni.createFrom().voidItem();
+    }
+
+    /** Adds the routes for the platform and for operators. */
+    void mount(Router router) {
+        new OperationsApi(mDrain, mMetrics).mount(router);
+        new OperatorApi(mSettings.operatorCredential(), mStatus, mReports, mClock).mount(router);
+    }
+
+    private void registerGauges(ConfigController config) {
+        gauge("config_version", () -> version(config.current()));
+        gauge(
+                "config_age_seconds",
+                () ->
+                        mStatus.configAge(mClock.instant())
+                                .map(a -> a.toMillis() / MILLIS_PER_SECOND)
+                                .orElse(Double.NaN));
+        gauge("running_requests", () -> (double) mDrain.running());
+        gauge("processor_seconds", Observation::processorSeconds);
+        gauge("heap_used_bytes", Observation::heapUsedBytes);
+    }
+
+    private void gauge(String name, Gauge<Double> gauge) {
+        mMetrics.gauge("daemon." + name, () -> gauge);
+    }
+
+    private static double version(Deployment deployment) {
+        return deployment.version();
+    }
+
+    private static double processorSeconds() {
+        return ManagementFactory.getPlatformMXBean(OperatingSystemMXBean.class).getProcessCpuTime()
+                / NANOS_PER_SECOND;
+    }
+
+    private static double heapUsedBytes() {
+        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+    }
+}
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/PeerCalls.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/PeerCalls.java
@@ -11,10 +11,12 @@
 final class PeerCalls implements PeerHandler {
     private final GossipController mGossip;
     private final KeyRouter mKeys;
+    private final Observation mObservation;
 
-    PeerCalls(GossipController gossip, KeyRouter keys) {
+    PeerCalls(GossipController gossip, KeyRouter keys, Observation observation) {
         mGossip = gossip;
         mKeys = keys;
+        mObservation = observation;
     }
 
     @Override
@@ -22,6 +24,7 @@
         return switch (message) {
             case PeerMessage.Gossip g -> Uni.createFrom().item(mGossip.onGossip(from, g));
             case PeerMessage.KeyedCall k -> mKeys.onKeyedCall(k);
+            case PeerMessage.ReportRequest r -> Uni.createFrom().item(mObservation.onReport(r));
             default -> unexpected(from);
         };
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/event/ConfigEvent.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/ConfigEvent.java
@@ -14,6 +14,11 @@
     @EventInfo(number = 2003, level = EventLevel.WARN)
     record SourceUnavailable(String peer, String error) implements ConfigEvent {}
 
+    /** A configuration changed a class, team, model or endpoint; one of both may be absent. */
+    @EventInfo(number = 2005, level = EventLevel.INFO, audited = true)
+    record ItemChanged(long version, String kind, String id, String from, String to)
+            implements ConfigEvent {}
+
     /** A source offered an older version than the one in force; it was ignored. */
     @EventInfo(number = 2004, level = EventLevel.WARN)
     record StaleOffer(String source, long offeredVersion, long version) implements ConfigEvent {}
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/Exchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/Exchange.java
@@ -118,6 +118,11 @@
         return mDeadline.orElseThrow();
     }
 
+    /** Returns the deadline, or empty before it is known. */
+    public Optional<Instant> findDeadline() {
+        return mDeadline;
+    }
+
     /** Sets the deadline. */
     public void limit(Instant deadline) {
         mDeadline = Optional.of(deadline);
--- a/serving/src/main/java/io/bilberrygrade/serving/http/CallerApi.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/CallerApi.java
@@ -84,6 +84,7 @@
 
     private void run(
             HttpServerRequest request, RequestId id, Call call, Buffer body, HttpAnswerSink sink) {
+        RelayMonitor monitor = new RelayMonitor(sink, mClock);
         Exchange exchange =
                 new Exchange(
                         id,
@@ -92,21 +93,22 @@
                         body,
                         mClock.instant(),
                         mDeployment.get(),
-                        sink);
+                        monitor);
+        mObserver.started(exchange);
         mChain.proceed(exchange)
+                .onFailure()
+                .recoverWithItem(this::internalError)
                 .subscribe()
-                .with(outcome -> end(exchange, sink, outcome), e -> fail(exchange, sink, e));
+                .with(
+                        outcome -> {
+                            mObserver.ended(exchange, monitor.relayed(), outcome, mClock.instant());
+                            sink.end(outcome);
+                        });
     }
 
-    private void end(Exchange exchange, HttpAnswerSink sink, Outcome outcome) {
-        mObserver.ended(exchange, outcome, mClock.instant());
-        sink.end(outcome);
-    }
-
-    private void fail(Exchange exchange, HttpAnswerSink sink, Throwable e) {
+    private Outcome internalError(Throwable e) {
         mEvents.record(new LifecycleEvent.UnexpectedError("request", e.toString()));
-        Outcome outcome = Outcome.unknown(Step.RELAY, Reason.ENDPOINT_FAILED, "internal error", "");
-        end(exchange, sink, outcome);
+        return Outcome.unknown(Step.RELAY, Reason.ENDPOINT_FAILED, "internal error", "");
     }
 
     private void tooLarge(RoutingContext context) {
@@ -118,7 +120,7 @@
                 mayHaveRun(context)
                         ? Outcome.unknown(Step.PARSE, reason, detail, "")
                         : Outcome.notRun(Step.PARSE, reason, detail);
-        mObserver.refused(id, outcome);
+        mObserver.refused(id, outcome, mClock.instant());
         new HttpAnswerSink(id, "", false, context.response()).end(outcome);
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/http/HttpCall.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/HttpCall.java
@@ -6,6 +6,7 @@
 import io.bilberrygrade.serving.error.CallException;
 import io.bilberrygrade.serving.error.Delivery;
 import io.bilberrygrade.serving.json.Mappers;
+import io.bilberrygrade.serving.metrics.ControlTraffic;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
@@ -22,17 +23,21 @@
     private static final int HTTP_REDIRECT = 300;
     private static final int HTTP_CONFLICT = 409;
 
+    private static final int HEADER_EXTRA_BYTES = 4;
+
     private final WebClient mClient;
     private final Address mPeer;
     private final Step mStep;
+    private final ControlTraffic mTraffic;
     private final MultiMap mHeaders = MultiMap.caseInsensitiveMultiMap();
     private int mAcceptedStatus = HTTP_OK;
     private boolean mAcceptsAnyStatus;
 
-    HttpCall(WebClient client, Address peer, Step step) {
+    HttpCall(WebClient client, Address peer, Step step, ControlTraffic traffic) {
         mClient = client;
         mPeer = peer;
         mStep = step;
+        mTraffic = traffic;
     }
 
     /** Adds a header, unless the value is empty. */
@@ -85,6 +90,7 @@
                 mClient.request(method, mPeer.port(), mPeer.host(), path)
                         .timeout(timeout.toMillis());
         mHeaders.forEach(h -> request.putHeader(h.getKey(), h.getValue()));
+        mTraffic.sent(mStep, path.length() + headerBytes(mHeaders) + body.length());
         return request.sendBuffer(io.vertx.mutiny.core.buffer.Buffer.newInstance(body))
                 .onFailure()
                 .transform(e -> failure(delivery(e), e))
@@ -94,6 +100,8 @@
 
     private Uni<HttpAnswer> check(HttpResponse<io.vertx.mutiny.core.buffer.Buffer> response) {
         int status = response.statusCode();
+        int bodyBytes = response.body() == null ? 0 : response.body().length();
+        mTraffic.received(mStep, headerBytes(response.headers().getDelegate()) + bodyBytes);
         boolean successful = status >= HTTP_OK && status < HTTP_REDIRECT;
         boolean refused = status == HTTP_CONFLICT && mAcceptedStatus != HTTP_CONFLICT;
         if (successful || status == mAcceptedStatus || (mAcceptsAnyStatus && !refused)) {
@@ -105,6 +113,12 @@
                 .failure(new CallException(mStep, mPeer.toString(), delivery, message));
     }
 
+    private static long headerBytes(MultiMap headers) {
+        return headers.entries().stream()
+                .mapToLong(h -> h.getKey().length() + h.getValue().length() + HEADER_EXTRA_BYTES)
+                .sum();
+    }
+
     private CallException failure(Delivery delivery, Throwable cause) {
         return new CallException(mStep, mPeer.toString(), delivery, cause.toString(), cause);
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/http/HttpCalls.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/HttpCalls.java
@@ -2,6 +2,7 @@
 
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.request.Step;
+import io.bilberrygrade.serving.metrics.ControlTraffic;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.mutiny.core.Vertx;
@@ -16,9 +17,16 @@
 
     private final HttpClient mClient;
     private final WebClient mWebClient;
+    private final ControlTraffic mTraffic;
 
     /** Creates the client on the given Vert.x instance. */
     public HttpCalls(Vertx vertx) {
+        this(vertx, ControlTraffic.unread());
+    }
+
+    /** Creates the client and counts its control calls. */
+    public HttpCalls(Vertx vertx, ControlTraffic traffic) {
+        mTraffic = traffic;
         HttpClientOptions options =
                 new HttpClientOptions()
                         .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
@@ -31,7 +39,7 @@
 
     /** Starts a call to a peer; failures carry the step. */
     public HttpCall to(Address peer, Step step) {
-        return new HttpCall(mWebClient, peer, step);
+        return new HttpCall(mWebClient, peer, step, mTraffic);
     }
 
     /** Returns the client for answers that are read as a stream. */
--- a/serving/src/main/java/io/bilberrygrade/serving/http/OperationsApi.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/OperationsApi.java
@@ -2,14 +2,9 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.bilberrygrade.serving.controller.DrainController;
-import io.prometheus.client.CollectorRegistry;
-import io.prometheus.client.dropwizard.DropwizardExports;
-import io.prometheus.client.exporter.common.TextFormat;
+import io.bilberrygrade.serving.metrics.PrometheusPage;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
-import java.io.IOException;
-import java.io.StringWriter;
-import java.io.UncheckedIOException;
 
 /** Health, readiness and metrics for the platform and for operators. */
 public final class OperationsApi {
@@ -17,12 +12,12 @@
     private static final int HTTP_UNAVAILABLE = 503;
 
     private final DrainController mDrain;
-    private final CollectorRegistry mCollectors = new CollectorRegistry();
+    private final PrometheusPage mPage;
 
     /** Creates the interface over a daemon's state and metrics. */
     public OperationsApi(DrainController drain, MetricRegistry registry) {
         mDrain = drain;
-        mCollectors.register(new DropwizardExports(registry));
+        mPage = new PrometheusPage(registry);
     }
 
     /** Adds the routes. */
@@ -40,14 +35,6 @@
     }
 
     private void metrics(RoutingContext context) {
-        StringWriter out = new StringWriter();
-        try {
-            TextFormat.write004(out, mCollectors.metricFamilySamples());
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-        context.response()
-                .putHeader("Content-Type", TextFormat.CONTENT_TYPE_004)
-                .end(out.toString());
+        context.response().putHeader("Content-Type", PrometheusPage.CONTENT_TYPE).end(mPage.text());
     }
 }
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/RelayMonitor.java
@@ -0,0 +1,52 @@
+package io.bilberrygrade.serving.http;
+
+import io.bilberrygrade.serving.filter.AnswerSink;
+import io.bilberrygrade.serving.service.ServiceAnswer;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Optional;
+
+/** Watches an answer at the last place before it goes to the caller. */
+final class RelayMonitor implements AnswerSink {
+    private final AnswerSink mNext;
+    private final InstantSource mClock;
+    private Optional<Instant> mFirstToken = Optional.empty();
+    private int mTokens;
+    private int mGaps;
+    private int mRepeats;
+
+    RelayMonitor(AnswerSink next, InstantSource clock) {
+        mNext = next;
+        mClock = clock;
+    }
+
+    /** Returns what has been passed on so far. */
+    Relayed relayed() {
+        return new Relayed(mFirstToken, mTokens, mGaps, mRepeats);
+    }
+
+    @Override
+    public void tokens(int offset, int count, String text) {
+        if (mFirstToken.isEmpty()) {
+            mFirstToken = Optional.of(mClock.instant());
+        }
+        if (offset > mTokens) {
+            mGaps++;
+        } else if (offset < mTokens) {
+            mRepeats++;
+        }
+        mTokens = Math.max(mTokens, offset + count);
+        mNext.tokens(offset, count, text);
+    }
+
+    @Override
+    public void serviceAnswer(ServiceAnswer answer) {
+        mFirstToken = Optional.of(mClock.instant());
+        mNext.serviceAnswer(answer);
+    }
+
+    @Override
+    public void onCallerGone(Runnable action) {
+        mNext.onCallerGone(action);
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/RequestObservers.java
@@ -0,0 +1,26 @@
+package io.bilberrygrade.serving.http;
+
+import com.google.common.collect.ImmutableList;
+import io.bilberrygrade.core.identity.RequestId;
+import io.bilberrygrade.core.request.Outcome;
+import io.bilberrygrade.serving.filter.Exchange;
+import java.time.Instant;
+
+/** Tells several observers, in their order. */
+public record RequestObservers(ImmutableList<RequestObserver> observers)
+        implements RequestObserver {
+    @Override
+    public void started(Exchange exchange) {
+        observers.forEach(o -> o.started(exchange));
+    }
+
+    @Override
+    public void ended(Exchange exchange, Relayed relayed, Outcome outcome, Instant now) {
+        observers.forEach(o -> o.ended(exchange, relayed, outcome, now));
+    }
+
+    @Override
+    public void refused(RequestId id, Outcome outcome, Instant now) {
+        observers.forEach(o -> o.refused(id, outcome, now));
+    }
+}
--- a/serving/src/main/java/io/bilberrygrade/serving/peer/PeerConnection.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/PeerConnection.java
@@ -4,6 +4,7 @@
 import io.bilberrygrade.core.request.Step;
 import io.bilberrygrade.serving.error.CallException;
 import io.bilberrygrade.serving.error.Delivery;
+import io.bilberrygrade.serving.metrics.ControlTraffic;
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.UniEmitter;
 import io.vertx.core.Vertx;
@@ -23,6 +24,7 @@
     private final Address mPeer;
     private final PeerIdentity mSelf;
     private final PeerAuthenticator mAuthenticator;
+    private final PeerFrames mFrames;
     private final String mNonce = PeerAuthenticator.nonce();
     private final Map<Long, UniEmitter<? super PeerMessage>> mPending = new HashMap<>();
     private final List<UniEmitter<? super PeerConnection>> mWaiting = new ArrayList<>();
@@ -31,11 +33,17 @@
     private boolean mClosed;
     private long mNextCall = 1;
 
-    PeerConnection(Vertx vertx, Address peer, PeerIdentity self, PeerAuthenticator authenticator) {
+    PeerConnection(
+            Vertx vertx,
+            Address peer,
+            PeerIdentity self,
+            PeerAuthenticator authenticator,
+            ControlTraffic traffic) {
         mVertx = vertx;
         mPeer = peer;
         mSelf = self;
         mAuthenticator = authenticator;
+        mFrames = new PeerFrames(traffic);
     }
 
     void connect(NetClient client) {
@@ -86,7 +94,7 @@
         mSocket = Optional.of(socket);
         socket.closeHandler(v -> fail("the connection was closed"));
         socket.exceptionHandler(e -> fail(e.toString()));
-        PeerFrames.read(socket, this::receive, this::fail);
+        mFrames.read(socket, this::receive, this::fail);
         mVertx.setTimer(HANDSHAKE_TIMEOUT_MILLIS, t -> failUnlessReady());
     }
 
@@ -136,10 +144,7 @@
 
     private void send(long call, EnvelopeKind kind, PeerMessage message) {
         mSocket.ifPresent(
-                s ->
-                        s.write(
-                                PeerFrames.encode(
-                                        new Envelope(Envelope.VERSION, call, kind, message))));
+                s -> s.write(mFrames.encode(new Envelope(Envelope.VERSION, call, kind, message))));
     }
 
     private void failUnlessReady() {
--- a/serving/src/main/java/io/bilberrygrade/serving/peer/PeerFrames.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/PeerFrames.java
@@ -1,39 +1,37 @@
 package io.bilberrygrade.serving.peer;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import io.bilberrygrade.core.request.Step;
 import io.bilberrygrade.serving.json.Mappers;
+import io.bilberrygrade.serving.metrics.ControlTraffic;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.parsetools.RecordParser;
 import java.io.IOException;
 import java.util.function.Consumer;
 
-/** Frames on a connection: four bytes of length, then one MessagePack envelope. */
+/** Frames on connections: four bytes of length, then one MessagePack envelope. */
 final class PeerFrames {
     static final int MAX_FRAME_BYTES = 2 << 20;
     private static final int LENGTH_BYTES = 4;
 
-    private final RecordParser mParser;
-    private final Consumer<Envelope> mReceiver;
-    private final Consumer<String> mOnFault;
-    private boolean mReadingLength = true;
+    private final ControlTraffic mTraffic;
 
-    private PeerFrames(NetSocket socket, Consumer<Envelope> receiver, Consumer<String> onFault) {
-        mReceiver = receiver;
-        mOnFault = onFault;
-        mParser = RecordParser.newFixed(LENGTH_BYTES, socket);
+    PeerFrames(ControlTraffic traffic) {
+        mTraffic = traffic;
     }
 
     /** Reads the socket's frames; a malformed or over-long one is reported and ends the reading. */
-    static void read(NetSocket socket, Consumer<Envelope> receiver, Consumer<String> onFault) {
-        PeerFrames frames = new PeerFrames(socket, receiver, onFault);
-        frames.mParser.handler(frames::onRecord);
+    void read(NetSocket socket, Consumer<Envelope> receiver, Consumer<String> onFault) {
+        Reader reader = new Reader(socket, receiver, onFault);
+        reader.mParser.handler(reader::onRecord);
     }
 
-    /** Returns the bytes of a frame. */
-    static Buffer encode(Envelope envelope) {
+    /** Returns the bytes of a frame that is about to be sent. */
+    Buffer encode(Envelope envelope) {
         try {
             byte[] body = Mappers.MESSAGE_PACK.writeValueAsBytes(envelope);
+            mTraffic.sent(Step.PEER_CALL, body.length + LENGTH_BYTES);
             return Buffer.buffer(body.length + LENGTH_BYTES)
                     .appendInt(body.length)
                     .appendBytes(body);
@@ -42,40 +40,55 @@
         }
     }
 
-    private void onRecord(Buffer bytes) {
-        if (mReadingLength) {
-            onLength(bytes.getInt(0));
-        } else {
-            onBody(bytes);
+    private final class Reader {
+        private final RecordParser mParser;
+        private final Consumer<Envelope> mReceiver;
+        private final Consumer<String> mOnFault;
+        private boolean mReadingLength = true;
+
+        Reader(NetSocket socket, Consumer<Envelope> receiver, Consumer<String> onFault) {
+            mReceiver = receiver;
+            mOnFault = onFault;
+            mParser = RecordParser.newFixed(LENGTH_BYTES, socket);
         }
-    }
 
-    private void onLength(int length) {
-        if (length <= 0 || length > MAX_FRAME_BYTES) {
-            fault("a frame of " + length + " bytes");
-            return;
+        private void onRecord(Buffer bytes) {
+            mTraffic.received(Step.PEER_CALL, bytes.length());
+            if (mReadingLength) {
+                onLength(bytes.getInt(0));
+            } else {
+                onBody(bytes);
+            }
         }
-        mReadingLength = false;
-        mParser.fixedSizeMode(length);
-    }
 
-    private void onBody(Buffer bytes) {
-        mReadingLength = true;
-        mParser.fixedSizeMode(LENGTH_BYTES);
-        try {
-            Envelope envelope = Mappers.MESSAGE_PACK.readValue(bytes.getBytes(), Envelope.class);
-            if (envelope.version() != Envelope.VERSION || envelope.message() == null) {
-                fault("a frame of version " + envelope.version());
+        private void onLength(int length) {
+            if (length <= 0 || length > MAX_FRAME_BYTES) {
+                fault("a frame of " + length + " bytes");
                 return;
             }
-            mReceiver.accept(envelope);
-        } catch (IOException e) {
-            fault("a frame that is no envelope");
+            mReadingLength = false;
+            mParser.fixedSizeMode(length);
         }
-    }
 
-    private void fault(String fault) {
-        mParser.handler(b -> {});
-        mOnFault.accept(fault);
+        private void onBody(Buffer bytes) {
+            mReadingLength = true;
+            mParser.fixedSizeMode(LENGTH_BYTES);
+            try {
+                Envelope envelope =
+                        Mappers.MESSAGE_PACK.readValue(bytes.getBytes(), Envelope.class);
+                if (envelope.version() != Envelope.VERSION || envelope.message() == null) {
+                    fault("a frame of version " + envelope.version());
+                    return;
+                }
+                mReceiver.accept(envelope);
+            } catch (IOException e) {
+                fault("a frame that is no envelope");
+            }
+        }
+
+        private void fault(String fault) {
+            mParser.handler(b -> {});
+            mOnFault.accept(fault);
+        }
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/peer/PeerMessage.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/PeerMessage.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import io.bilberrygrade.serving.report.DaemonReport;
 
 /** Message between entry daemons. Nonces and proofs are in lower-case hexadecimal. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
@@ -13,6 +14,8 @@
     @JsonSubTypes.Type(value = PeerMessage.GossipReply.class, name = "gossip-reply"),
     @JsonSubTypes.Type(value = PeerMessage.KeyedCall.class, name = "keyed-call"),
     @JsonSubTypes.Type(value = PeerMessage.KeyedAnswer.class, name = "keyed-answer"),
+    @JsonSubTypes.Type(value = PeerMessage.ReportRequest.class, name = "report-request"),
+    @JsonSubTypes.Type(value = PeerMessage.ReportReply.class, name = "report-reply"),
     @JsonSubTypes.Type(value = PeerMessage.Failure.class, name = "failure")
 })
 public sealed interface PeerMessage {
@@ -49,6 +52,12 @@
     /** Outcome of a call under an idempotency key. */
     record KeyedAnswer(KeyedOutcome outcome) implements PeerMessage {}
 
+    /** Asks what a peer counted in the last minutes, for a report of the whole fleet. */
+    record ReportRequest(int periodMinutes) implements PeerMessage {}
+
+    /** What a daemon counted. */
+    record ReportReply(DaemonReport report) implements PeerMessage {}
+
     /** Says that a call could not be carried out. */
     record Failure(String message) implements PeerMessage {}
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/peer/PeerServer.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/PeerServer.java
@@ -4,6 +4,7 @@
 import io.bilberrygrade.core.identity.InstanceId;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.event.MembershipEvent;
+import io.bilberrygrade.serving.metrics.ControlTraffic;
 import io.bilberrygrade.serving.settings.PeerKey;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
@@ -20,16 +21,23 @@
     private final PeerIdentity mSelf;
     private final PeerAuthenticator mAuthenticator;
     private final PeerHandler mHandler;
+    private final PeerFrames mFrames;
     private final EventLog mEvents;
     private final NetServer mServer;
 
     /** Creates the server; {@link #listen} opens its port. */
     public PeerServer(
-            Vertx vertx, PeerIdentity self, PeerKey key, PeerHandler handler, EventLog events) {
+            Vertx vertx,
+            PeerIdentity self,
+            PeerKey key,
+            PeerHandler handler,
+            ControlTraffic traffic,
+            EventLog events) {
         mVertx = vertx;
         mSelf = self;
         mAuthenticator = new PeerAuthenticator(key);
         mHandler = handler;
+        mFrames = new PeerFrames(traffic);
         mEvents = events;
         mServer = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true));
         mServer.connectHandler(s -> new Connection(s).open());
@@ -58,7 +66,7 @@
 
         void open() {
             mVertx.setTimer(HANDSHAKE_TIMEOUT_MILLIS, t -> closeUnlessAuthenticated());
-            PeerFrames.read(mSocket, this::receive, this::reject);
+            mFrames.read(mSocket, this::receive, this::reject);
             send(0, EnvelopeKind.HANDSHAKE, new PeerMessage.Challenge(mNonce));
         }
 
@@ -105,7 +113,7 @@
         }
 
         private void send(long call, EnvelopeKind kind, PeerMessage message) {
-            mSocket.write(PeerFrames.encode(new Envelope(Envelope.VERSION, call, kind, message)));
+            mSocket.write(mFrames.encode(new Envelope(Envelope.VERSION, call, kind, message)));
         }
 
         private void closeUnlessAuthenticated() {
--- a/serving/src/main/java/io/bilberrygrade/serving/peer/TcpPeerNetwork.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/TcpPeerNetwork.java
@@ -4,6 +4,7 @@
 import io.bilberrygrade.core.request.Step;
 import io.bilberrygrade.serving.error.CallException;
 import io.bilberrygrade.serving.error.Delivery;
+import io.bilberrygrade.serving.metrics.ControlTraffic;
 import io.bilberrygrade.serving.settings.PeerKey;
 import io.bilberrygrade.serving.time.Timers;
 import io.bilberrygrade.serving.time.VertxTimers;
@@ -23,14 +24,16 @@
     private final Timers mTimers;
     private final NetClient mClient;
     private final PeerIdentity mSelf;
+    private final ControlTraffic mTraffic;
     private final PeerAuthenticator mAuthenticator;
     private final Map<Address, PeerConnection> mConnections = new HashMap<>();
 
     /** Creates the network of a daemon. */
-    public TcpPeerNetwork(Vertx vertx, PeerIdentity self, PeerKey key) {
+    public TcpPeerNetwork(Vertx vertx, PeerIdentity self, PeerKey key, ControlTraffic traffic) {
         mVertx = vertx;
         mTimers = new VertxTimers(vertx);
         mSelf = self;
+        mTraffic = traffic;
         mAuthenticator = new PeerAuthenticator(key);
         mClient =
                 vertx.createNetClient(
@@ -61,7 +64,7 @@
         if (open != null && !open.closed()) {
             return open.ready();
         }
-        PeerConnection fresh = new PeerConnection(mVertx, peer, mSelf, mAuthenticator);
+        PeerConnection fresh = new PeerConnection(mVertx, peer, mSelf, mAuthenticator, mTraffic);
         mConnections.put(peer, fresh);
         fresh.connect(mClient);
         return fresh.ready();
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/report/OutcomeRecorder.java
@@ -0,0 +1,114 @@
+package io.bilberrygrade.serving.report;
+
+import io.bilberrygrade.core.identity.RequestId;
+import io.bilberrygrade.core.identity.WorkClassId;
+import io.bilberrygrade.core.report.ClassCounts;
+import io.bilberrygrade.core.report.ReportHistory;
+import io.bilberrygrade.core.request.Outcome;
+import io.bilberrygrade.core.request.Step;
+import io.bilberrygrade.serving.filter.Call;
+import io.bilberrygrade.serving.filter.Exchange;
+import io.bilberrygrade.serving.http.Relayed;
+import io.bilberrygrade.serving.http.RequestObserver;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Turns the outcome of each request into counts, and finds requests that got none or two. */
+public final class OutcomeRecorder implements RequestObserver {
+    /** Class under which requests that were refused before their class was known are counted. */
+    public static final WorkClassId UNCLASSIFIED = new WorkClassId("unclassified");
+
+    private static final Duration LOSS_GRACE = Duration.ofSeconds(5);
+
+    private final ReportHistory mHistory;
+    private final Map<RequestId, Exchange> mRunning = new HashMap<>();
+    private final Map<RequestId, Exchange> mLost = new HashMap<>();
+
+    /** Creates the recorder over the counts that it adds to. */
+    public OutcomeRecorder(ReportHistory history) {
+        mHistory = history;
+    }
+
+    @Override
+    public void started(Exchange exchange) {
+        mRunning.put(exchange.id(), exchange);
+    }
+
+    @Override
+    public void ended(Exchange exchange, Relayed relayed, Outcome outcome, Instant now) {
+        if (mRunning.remove(exchange.id()) != null) {
+            record(exchange, counts(exchange, relayed, outcome, now), now);
+            record(exchange, ClassCounts.found(missing(exchange, relayed, outcome), 0), now);
+        } else if (mLost.remove(exchange.id()) == null) {
+            record(exchange, ClassCounts.found(0, 1), now);
+        }
+        if (relayed.gaps() + relayed.repeats() > 0) {
+            record(exchange, ClassCounts.found(relayed.gaps(), relayed.repeats()), now);
+        }
+    }
+
+    @Override
+    public void refused(RequestId id, Outcome outcome, Instant now) {
+        mHistory.record(UNCLASSIFIED, ClassCounts.refused(1), now);
+    }
+
+    /** Counts requests as lost that are past their deadline and still have no outcome. */
+    public void findLosses(Instant now) {
+        mRunning.values().stream()
+                .filter(e -> overdue(e, now))
+                .toList()
+                .forEach(
+                        e -> {
+                            mRunning.remove(e.id());
+                            mLost.put(e.id(), e);
+                            record(e, ClassCounts.found(1, 0), now);
+                        });
+    }
+
+    private static boolean overdue(Exchange exchange, Instant now) {
+        return exchange.findDeadline().filter(d -> now.isAfter(d.plus(LOSS_GRACE))).isPresent();
+    }
+
+    private static long missing(Exchange exchange, Relayed relayed, Outcome outcome) {
+        boolean endedShort =
+                exchange.call() instanceof Call.Completion
+                        && outcome instanceof Outcome.Done d
+                        && d.tokens() > relayed.tokens();
+        return endedShort ? 1 : 0;
+    }
+
+    private static ClassCounts counts(
+            Exchange exchange, Relayed relayed, Outcome outcome, Instant now) {
+        double worth = exchange.headers().worth();
+        return switch (outcome) {
+            case Outcome.Done d -> ClassCounts.done(insideTarget(exchange, relayed, now), worth);
+            case Outcome.NotRun n ->
+                    wasTried(n) ? ClassCounts.failed(worth) : ClassCounts.refused(worth);
+            case Outcome.Unknown u -> ClassCounts.unknown(worth);
+        };
+    }
+
+    private static boolean insideTarget(Exchange exchange, Relayed relayed, Instant now) {
+        Duration time = Duration.between(exchange.arrival(), relayed.firstToken().orElse(now));
+        return exchange.findWorkClass()
+                .filter(c -> time.compareTo(c.timeToFirstToken()) <= 0)
+                .isPresent();
+    }
+
+    private static boolean wasTried(Outcome.NotRun outcome) {
+        return switch (outcome.reason()) {
+            case ENDPOINT_REFUSED, ENDPOINT_FAILED, NO_ENDPOINT, CALLER_GONE -> true;
+            case DEADLINE_PAST -> outcome.step() != Step.DEADLINE;
+            default -> false;
+        };
+    }
+
+    private void record(Exchange exchange, ClassCounts counts, Instant now) {
+        if (!counts.equals(ClassCounts.NONE)) {
+            WorkClassId id = exchange.findWorkClass().map(c -> c.id()).orElse(UNCLASSIFIED);
+            mHistory.record(id, counts, now);
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/report/StatusDocument.java
@@ -0,0 +1,35 @@
+package io.bilberrygrade.serving.report;
+
+import java.util.List;
+import java.util.Optional;
+
+/** What a daemon knows at one moment. Times are ISO 8601 in UTC. */
+public record StatusDocument(
+        String instance,
+        String dataCentre,
+        long incarnation,
+        String startedAt,
+        String at,
+        boolean ready,
+        boolean draining,
+        int runningRequests,
+        ConfigLine config,
+        List<PeerLine> peers,
+        List<EndpointLine> endpoints,
+        List<AuditEntry> audit) {
+    /** Configuration in force and since when it has been on this daemon. */
+    public record ConfigLine(long version, Optional<String> inForceSince) {}
+
+    /** Entry daemon on the published list; {@code incarnation} is that of a live one. */
+    public record PeerLine(String instance, String state, Optional<Long> incarnation) {}
+
+    /** Endpoint of the configuration in force as this daemon sees it. */
+    public record EndpointLine(
+            String endpoint,
+            String dataCentre,
+            String kind,
+            boolean available,
+            int ownRequests,
+            long ownQueuedTokens,
+            Optional<Long> loadAgeMillis) {}
+}
--- a/serving/src/test/java/io/bilberrygrade/serving/peer/TcpPeerNetworkTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/peer/TcpPeerNetworkTest.java
@@ -10,6 +10,7 @@
 import io.bilberrygrade.serving.error.Delivery;
 import io.bilberrygrade.serving.event.Event;
 import io.bilberrygrade.serving.event.MembershipEvent;
+import io.bilberrygrade.serving.metrics.ControlTraffic;
 import io.bilberrygrade.serving.settings.PeerKey;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
@@ -42,6 +43,7 @@
                         identity("server"),
                         KEY,
                         (from, message) -> Uni.createFrom().item(message),
+                        ControlTraffic.unread(),
                         mEvents::add);
         mServer = new Address("127.0.0.1", server.listen("127.0.0.1", 0).await().atMost(TIMEOUT));
     }
@@ -56,7 +58,7 @@
         PeerMessage gossip = gossip();
 
         PeerMessage reply =
-                new TcpPeerNetwork(mVertx, identity("client"), KEY)
+                new TcpPeerNetwork(mVertx, identity("client"), KEY, ControlTraffic.unread())
                         .call(mServer, gossip, TIMEOUT)
                         .await()
                         .atMost(TIMEOUT);
@@ -68,7 +70,7 @@
     void refusesPeerWithOtherKey() throws InterruptedException {
         PeerKey other = PeerKey.of("wrong".getBytes(StandardCharsets.UTF_8));
         Uni<PeerMessage> call =
-                new TcpPeerNetwork(mVertx, identity("client"), other)
+                new TcpPeerNetwork(mVertx, identity("client"), other, ControlTraffic.unread())
                         .call(mServer, gossip(), TIMEOUT);
 
         assertThatThrownBy(() -> call.await().atMost(TIMEOUT))
--- /dev/null
+++ b/serving/src/test/java/io/bilberrygrade/serving/report/NoSink.java
@@ -0,0 +1,16 @@
+package io.bilberrygrade.serving.report;
+
+import io.bilberrygrade.serving.filter.AnswerSink;
+import io.bilberrygrade.serving.service.ServiceAnswer;
+
+/** Sink of a request whose answer nobody reads. */
+final class NoSink implements AnswerSink {
+    @Override
+    public void tokens(int offset, int count, String text) {}
+
+    @Override
+    public void serviceAnswer(ServiceAnswer answer) {}
+
+    @Override
+    public void onCallerGone(Runnable action) {}
+}
--- /dev/null
+++ b/serving/src/test/java/io/bilberrygrade/serving/report/OutcomeRecorderTest.java
@@ -0,0 +1,151 @@
+package io.bilberrygrade.serving.report;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.primitives.ImmutableLongArray;
+import io.bilberrygrade.core.config.Deployment;
+import io.bilberrygrade.core.config.WorkClass;
+import io.bilberrygrade.core.identity.RequestId;
+import io.bilberrygrade.core.identity.WorkClassId;
+import io.bilberrygrade.core.report.ClassCounts;
+import io.bilberrygrade.core.report.MinuteCounts;
+import io.bilberrygrade.core.report.ReportHistory;
+import io.bilberrygrade.core.request.Outcome;
+import io.bilberrygrade.core.request.Prompt;
+import io.bilberrygrade.core.request.Reason;
+import io.bilberrygrade.core.request.Step;
+import io.bilberrygrade.serving.filter.Call;
+import io.bilberrygrade.serving.filter.CallerHeaders;
+import io.bilberrygrade.serving.filter.Exchange;
+import io.bilberrygrade.serving.http.CompletionBody;
+import io.bilberrygrade.serving.http.Relayed;
+import io.vertx.core.buffer.Buffer;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Checks what is counted of each outcome, and that losses and repeats are found. */
+final class OutcomeRecorderTest {
+    private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+    private static final WorkClassId CLASS = new WorkClassId("short");
+    private static final double WORTH = 3;
+
+    private final ReportHistory mHistory = new ReportHistory();
+    private final OutcomeRecorder mRecorder = new OutcomeRecorder(mHistory);
+
+    @ParameterizedTest
+    @CsvSource({"999, 1", "1000, 1", "1001, 0"})
+    void countsTargetByFirstToken(int millis, long inside) {
+        Exchange exchange = exchange("1");
+        mRecorder.started(exchange);
+        mRecorder.ended(
+                exchange,
+                new Relayed(Optional.of(START.plusMillis(millis)), 5, 0, 0),
+                new Outcome.Done(5),
+                START.plusSeconds(9));
+
+        assertThat(counts().insideTarget()).isEqualTo(inside);
+        assertThat(counts().worthInTime()).isEqualTo(WORTH);
+        assertThat(counts().losses()).isZero();
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "ADMISSION, OVERLOADED, refused",
+        "ROUTE, DEADLINE_UNREACHABLE, refused",
+        "DEADLINE, DEADLINE_PAST, refused",
+        "DISPATCH, DEADLINE_PAST, failed",
+        "ROUTE, NO_ENDPOINT, failed",
+        "DISPATCH, ENDPOINT_REFUSED, failed",
+    })
+    void tellsRefusedFromFailed(Step step, Reason reason, String counted) {
+        end(exchange("1"), Relayed.NOTHING, Outcome.notRun(step, reason, ""));
+
+        assertThat(counts())
+                .isEqualTo(
+                        counted.equals("refused")
+                                ? ClassCounts.refused(WORTH)
+                                : ClassCounts.failed(WORTH));
+    }
+
+    @Test
+    void findsAnswersThatEndedShort() {
+        end(exchange("1"), relayed(4, 0, 0), new Outcome.Done(5));
+
+        assertThat(counts().losses()).isEqualTo(1);
+    }
+
+    @Test
+    void findsGapsAndRepeatedTokens() {
+        end(exchange("1"), relayed(5, 1, 2), new Outcome.Done(5));
+
+        assertThat(counts().losses()).isEqualTo(1);
+        assertThat(counts().repeats()).isEqualTo(2);
+    }
+
+    @Test
+    void findsSecondOutcomes() {
+        Exchange exchange = exchange("1");
+        end(exchange, relayed(5, 0, 0), new Outcome.Done(5));
+        mRecorder.ended(exchange, relayed(5, 0, 0), new Outcome.Done(5), START);
+
+        assertThat(counts().requests()).isEqualTo(1);
+        assertThat(counts().repeats()).isEqualTo(1);
+    }
+
+    @Test
+    void findsRequestsWithoutOutcomeOnce() {
+        Exchange exchange = exchange("1");
+        exchange.limit(START.plusSeconds(10));
+        mRecorder.started(exchange);
+
+        mRecorder.findLosses(START.plusSeconds(15));
+        assertThat(mHistory.since(Duration.ofHours(1), START)).isEmpty();
+
+        mRecorder.findLosses(START.plusSeconds(16));
+        mRecorder.findLosses(START.plusSeconds(17));
+        assertThat(counts()).isEqualTo(ClassCounts.found(1, 0));
+    }
+
+    private void end(Exchange exchange, Relayed relayed, Outcome outcome) {
+        mRecorder.started(exchange);
+        mRecorder.ended(exchange, relayed, outcome, START.plusMillis(100));
+    }
+
+    private static Relayed relayed(int tokens, int gaps, int repeats) {
+        return new Relayed(Optional.of(START), tokens, gaps, repeats);
+    }
+
+    private ClassCounts counts() {
+        ImmutableList<MinuteCounts> minutes =
+                mHistory.since(Duration.ofHours(1), START.plusSeconds(60));
+        assertThat(minutes).hasSize(1);
+        return minutes.get(0).counts().get(CLASS);
+    }
+
+    private static Exchange exchange(String id) {
+        Prompt prompt = new Prompt(1_000, 5, ImmutableLongArray.of());
+        Exchange exchange =
+                new Exchange(
+                        new RequestId(id),
+                        new Call.Completion(
+                                new CompletionBody(Optional.empty(), prompt, true, 0, 0)),
+                        new CallerHeaders(
+                                Optional.empty(),
+                                Optional.empty(),
+                                Optional.empty(),
+                                Optional.empty(),
+                                WORTH,
+                                Optional.empty()),
+                        Buffer.buffer(),
+                        START,
+                        Deployment.EMPTY,
+                        new NoSink());
+        exchange.classify(new WorkClass(CLASS, Duration.ofSeconds(1), 1));
+        return exchange;
+    }
+}
