--- a/daemon/src/test/java/io/bilberrygrade/daemon/command/ReportCommandTest.java
+++ b/daemon/src/test/java/io/bilberrygrade/daemon/command/ReportCommandTest.java
@@ -15,8 +15,7 @@
 
 /** Checks the table and the page of a report. */
 final class ReportCommandTest {
-    private static final ClassCounts COUNTS =
-            new ClassCounts(10, 8, 7, 1, 1, 0, 2, 3, 25.5, 20);
+    private static final ClassCounts COUNTS = new ClassCounts(10, 8, 7, 1, 1, 0, 2, 3, 25.5, 20);
 
     @Test
     void tableShowsEveryCountAndWhoIsMissing() {
@@ -25,8 +24,7 @@
         assertThat(text)
                 .contains("NO ANSWER from entry-2")
                 .contains("done: whole answer")
-                .containsPattern(
-                        "short +1500 ms +10 +70.0 % +20.0 of 25.5 +1 +1 +0 +2 +3\n");
+                .containsPattern("short +1500 ms +10 +70.0 % +20.0 of 25.5 +1 +1 +0 +2 +3\n");
     }
 
     @Test
@@ -59,7 +57,9 @@
                         List.of(),
                         Map.of());
 
-        assertThat(ReportPage.of(empty)).contains("no requests in the period").doesNotContain("svg");
+        assertThat(ReportPage.of(empty))
+                .contains("no requests in the period")
+                .doesNotContain("svg");
     }
 
     private static FleetReport report(List<String> unanswered, String workClass) {
