--- a/daemon/src/main/java/io/bilberrygrade/daemon/command/StatusCommand.java
+++ b/daemon/src/main/java/io/bilberrygrade/daemon/command/StatusCommand.java
@@ -32,41 +32,55 @@
     }
 
     static String describe(StatusDocument s) {
+        return summary(s) + peers(s) + endpoints(s) + audit(s);
+    }
+
+    private static String summary(StatusDocument s) {
         String state = s.draining() ? "draining" : s.ready() ? "ready" : "not ready";
         return String.format(
-                        "%s in %s, run %d since %s: %s, %d requests running%n"
-                                + "configuration %d in force since %s%n%n",
-                        s.instance(),
-                        s.dataCentre(),
-                        s.incarnation(),
-                        s.startedAt(),
-                        state,
-                        s.runningRequests(),
-                        s.config().version(),
-                        s.config().inForceSince().orElse("never"))
-                + table(
-                        List.of("PEER", "STATE", "RUN"),
-                        s.peers(),
-                        p ->
-                                List.of(
-                                        p.instance(),
-                                        p.state(),
-                                        p.incarnation().map(String::valueOf).orElse("-")))
-                + table(
-                        List.of("ENDPOINT", "DATA CENTRE", "KIND", "STATE", "OWN", "LOAD AGE"),
-                        s.endpoints(),
-                        e ->
-                                List.of(
-                                        e.endpoint(),
-                                        e.dataCentre(),
-                                        e.kind(),
-                                        e.available() ? "in use" : "ejected",
-                                        String.valueOf(e.ownRequests()),
-                                        e.loadAgeMillis().map(m -> m + " ms").orElse("-")))
-                + table(
-                        List.of("IN FORCE AT", "EVENT", "CHANGE"),
-                        s.audit(),
-                        a -> List.of(a.at(), a.event(), a.name() + fields(a)));
+                "%s in %s, run %d since %s: %s, %d requests running%n"
+                        + "configuration %d in force since %s%n%n",
+                s.instance(),
+                s.dataCentre(),
+                s.incarnation(),
+                s.startedAt(),
+                state,
+                s.runningRequests(),
+                s.config().version(),
+                s.config().inForceSince().orElse("never"));
+    }
+
+    private static String peers(StatusDocument s) {
+        return table(
+                List.of("PEER", "STATE", "RUN"),
+                s.peers(),
+                p ->
+                        List.of(
+                                p.instance(),
+                                p.state(),
+                                p.incarnation().map(String::valueOf).orElse("-")));
+    }
+
+    private static String endpoints(StatusDocument s) {
+        return table(
+                List.of("ENDPOINT", "DATA CENTRE", "KIND", "STATE", "OWN", "BACKLOG", "FREE"),
+                s.endpoints(),
+                e ->
+                        List.of(
+                                e.endpoint(),
+                                e.dataCentre(),
+                                e.kind(),
+                                e.available() ? "in use" : "ejected",
+                                String.valueOf(e.ownRequests()),
+                                String.valueOf(e.backlogTokens()),
+                                String.valueOf(e.freeTokens())));
+    }
+
+    private static String audit(StatusDocument s) {
+        return table(
+                List.of("IN FORCE AT", "EVENT", "CHANGE"),
+                s.audit(),
+                a -> List.of(a.at(), a.event(), a.name() + fields(a)));
     }
 
     private static String fields(AuditEntry entry) {
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/PeerCalls.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/PeerCalls.java
@@ -2,6 +2,7 @@
 
 import io.bilberrygrade.serving.atmostonce.KeyRouter;
 import io.bilberrygrade.serving.controller.GossipController;
+import io.bilberrygrade.serving.gang.GangController;
 import io.bilberrygrade.serving.peer.PeerHandler;
 import io.bilberrygrade.serving.peer.PeerIdentity;
 import io.bilberrygrade.serving.peer.PeerMessage;
@@ -11,11 +12,17 @@
 final class PeerCalls implements PeerHandler {
     private final GossipController mGossip;
     private final KeyRouter mKeys;
+    private final GangController mGangs;
     private final Observation mObservation;
 
-    PeerCalls(GossipController gossip, KeyRouter keys, Observation observation) {
+    PeerCalls(
+            GossipController gossip,
+            KeyRouter keys,
+            GangController gangs,
+            Observation observation) {
         mGossip = gossip;
         mKeys = keys;
+        mGangs = gangs;
         mObservation = observation;
     }
 
@@ -25,6 +32,8 @@
             case PeerMessage.Gossip g -> Uni.createFrom().item(mGossip.onGossip(from, g));
             case PeerMessage.KeyedCall k -> mKeys.onKeyedCall(k);
             case PeerMessage.ReportRequest r -> Uni.createFrom().item(mObservation.onReport(r));
+            case PeerMessage.GangRequest r -> Uni.createFrom().item(mGangs.onRequest(r));
+            case PeerMessage.GangRelease r -> Uni.createFrom().item(mGangs.onRelease(r));
             default -> unexpected(from);
         };
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/RequestPath.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/RequestPath.java
@@ -3,7 +3,9 @@
 import com.google.common.collect.ImmutableList;
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.routing.LeastOutstandingPolicy;
+import io.bilberrygrade.core.routing.Mixing;
 import io.bilberrygrade.core.routing.PlacementPolicy;
+import io.bilberrygrade.core.routing.PredictivePolicy;
 import io.bilberrygrade.core.routing.RoundRobinPolicy;
 import io.bilberrygrade.serving.atmostonce.AtMostOnceFilter;
 import io.bilberrygrade.serving.atmostonce.KeyRouter;
@@ -19,10 +21,16 @@
 import io.bilberrygrade.serving.filter.FilterChain;
 import io.bilberrygrade.serving.filter.IdentifyFilter;
 import io.bilberrygrade.serving.filter.KeyGuardFilter;
+import io.bilberrygrade.serving.filter.Patience;
 import io.bilberrygrade.serving.filter.ReadinessFilter;
+import io.bilberrygrade.serving.gang.GangController;
+import io.bilberrygrade.serving.gang.GangDispatcher;
 import io.bilberrygrade.serving.settings.EntrySettings;
+import io.bilberrygrade.serving.settings.Mechanism;
 import io.bilberrygrade.serving.time.Timers;
 import java.time.InstantSource;
+import java.util.Optional;
+import org.apache.commons.rng.simple.RandomSource;
 
 /** Puts the filter chain together, in the order in which requests pass through it. */
 final class RequestPath {
@@ -40,14 +48,30 @@
             Incarnation incarnation,
             ModelEngine engine,
             KeyRouter keys,
+            GangController stewards,
             EndpointController endpoints,
             DrainController drain,
             Timers timers) {
+        PlacementController placement = new PlacementController(endpoints, policy());
+        GangDispatcher gangs =
+                new GangDispatcher(
+                        engine,
+                        endpoints,
+                        placement,
+                        Optional.of(stewards)
+                                .filter(s -> mSettings.policy().enabled(Mechanism.GANG_STEWARD)),
+                        incarnation,
+                        timers,
+                        mClock,
+                        RandomSource.SPLIT_MIX_64.create(),
+                        mEvents);
         CompletionDispatcher dispatcher =
                 new CompletionDispatcher(
                         engine,
                         endpoints,
-                        new PlacementController(endpoints, policy()),
+                        placement,
+                        gangs,
+                        new Patience(mSettings.policy().enabled(Mechanism.EJECTION)),
                         incarnation,
                         timers,
                         mClock,
@@ -66,7 +90,11 @@
     private PlacementPolicy policy() {
         return switch (mSettings.policy().placement()) {
             case ROUND_ROBIN -> new RoundRobinPolicy();
-            case LEAST_OUTSTANDING, PREDICTIVE -> new LeastOutstandingPolicy();
+            case LEAST_OUTSTANDING -> new LeastOutstandingPolicy();
+            case PREDICTIVE ->
+                    new PredictivePolicy(
+                            mSettings.policy().enabled(Mechanism.PREFIX_AFFINITY),
+                            Mixing.hash(mSettings.instance().value()));
         };
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/metrics/ControlTraffic.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/metrics/ControlTraffic.java
@@ -8,8 +8,8 @@
 import java.util.Map;
 
 /**
- * Counts calls and bytes between this daemon and its peers, the platform and, for orders and
- * clean-up, its endpoints. Requests of callers are not counted.
+ * Counts calls and bytes between this daemon and its peers, the platform and, for load, cache
+ * events, orders and clean-up, its endpoints. Requests of callers are not counted.
  */
 public final class ControlTraffic {
     private final Map<Step, Counters> mCounters = new EnumMap<>(Step.class);
@@ -30,7 +30,7 @@
 
     private static boolean isControl(Step step) {
         return switch (step) {
-            case PEER_CALL, CONFIGURATION, MEMBERSHIP, ORDER, RECLAIM -> true;
+            case PEER_CALL, CONFIGURATION, MEMBERSHIP, ROUTE, ORDER, RECLAIM -> true;
             default -> false;
         };
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/report/StatusDocument.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/report/StatusDocument.java
@@ -23,13 +23,16 @@
     /** Entry daemon on the published list; {@code incarnation} is that of a live one. */
     public record PeerLine(String instance, String state, Optional<Long> incarnation) {}
 
-    /** Endpoint of the configuration in force as this daemon sees it. */
+    /**
+     * Endpoint of the configuration in force as this daemon sees it; the tokens of its backlog and
+     * of its free KV memory are estimates.
+     */
     public record EndpointLine(
             String endpoint,
             String dataCentre,
             String kind,
             boolean available,
             int ownRequests,
-            long ownQueuedTokens,
-            Optional<Long> loadAgeMillis) {}
+            long backlogTokens,
+            long freeTokens) {}
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/report/StatusReporter.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/report/StatusReporter.java
@@ -6,6 +6,7 @@
 import io.bilberrygrade.core.config.EndpointKind;
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.identity.InstanceId;
+import io.bilberrygrade.core.lane.Lane;
 import io.bilberrygrade.core.routing.EndpointView;
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.controller.EndpointController;
@@ -75,7 +76,7 @@
                 new ConfigLine(mDeployment.version(), mInForceSince.map(Instant::toString)),
                 peers(now),
                 mDeployment.endpoints().values().stream()
-                        .map(e -> line(mEndpoints.view(e, now), now))
+                        .map(e -> line(mEndpoints.view(e, now)))
                         .collect(ImmutableList.toImmutableList()),
                 mAudit.entries());
     }
@@ -93,7 +94,7 @@
         return new PeerLine(instance.id(), state, alive.map(Incarnation::value));
     }
 
-    private static EndpointLine line(EndpointView view, Instant now) {
+    private static EndpointLine line(EndpointView view) {
         Endpoint endpoint = view.endpoint();
         return new EndpointLine(
                 endpoint.id().value(),
@@ -101,8 +102,8 @@
                 kind(endpoint.kind()),
                 view.available(),
                 view.ownRequests(),
-                view.ownQueuedTokens(),
-                view.load().map(l -> Duration.between(l.measuredAt(), now).toMillis()));
+                Math.round(view.backlog().ahead(Lane.LONG)),
+                view.freeTokens());
     }
 
     private static String kind(EndpointKind kind) {
--- a/serving/src/test/java/io/bilberrygrade/serving/peer/TcpPeerNetworkTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/peer/TcpPeerNetworkTest.java
@@ -13,6 +13,7 @@
 import io.bilberrygrade.serving.metrics.ControlTraffic;
 import io.bilberrygrade.serving.settings.PeerKey;
 import io.smallrye.mutiny.Uni;
+import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
@@ -57,11 +58,7 @@
     void answersPeerWithSharedKey() {
         PeerMessage gossip = gossip();
 
-        PeerMessage reply =
-                new TcpPeerNetwork(mVertx, identity("client"), KEY, ControlTraffic.unread())
-                        .call(mServer, gossip, TIMEOUT)
-                        .await()
-                        .atMost(TIMEOUT);
+        PeerMessage reply = call(network(KEY), gossip).await().atMost(TIMEOUT);
 
         assertThat(reply).isEqualTo(gossip);
     }
@@ -69,9 +66,7 @@
     @Test
     void refusesPeerWithOtherKey() throws InterruptedException {
         PeerKey other = PeerKey.of("wrong".getBytes(StandardCharsets.UTF_8));
-        Uni<PeerMessage> call =
-                new TcpPeerNetwork(mVertx, identity("client"), other, ControlTraffic.unread())
-                        .call(mServer, gossip(), TIMEOUT);
+        Uni<PeerMessage> call = call(network(other), gossip());
 
         assertThatThrownBy(() -> call.await().atMost(TIMEOUT))
                 .hasCauseInstanceOf(CallException.class)
@@ -105,7 +100,19 @@
                         List.of(new ClassUse("client", 7, "short", 1.5, 4, 9))));
     }
 
+    /** Calls on one event loop, as the network requires of its user. */
+    private Uni<PeerMessage> call(TcpPeerNetwork network, PeerMessage message) {
+        Context context = mVertx.getOrCreateContext();
+        return Uni.createFrom()
+                .deferred(() -> network.call(mServer, message, TIMEOUT))
+                .runSubscriptionOn(task -> context.runOnContext(v -> task.run()));
+    }
+
     private static PeerIdentity identity(String name) {
         return new PeerIdentity(new InstanceId(name), new Incarnation(1));
     }
+
+    private TcpPeerNetwork network(PeerKey key) {
+        return new TcpPeerNetwork(mVertx, identity("client"), key, ControlTraffic.unread());
+    }
 }
--- a/standins/src/main/java/io/bilberrygrade/standins/load/control/DaemonFleet.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/control/DaemonFleet.java
@@ -50,6 +50,7 @@
                     .join();
         }
         awaitVersion(1);
+        useModel();
         Thread.sleep(warmUp);
         Map<String, Double> before = totals();
         double callsBefore = configCalls();
@@ -63,6 +64,19 @@
         return change(before, after, seconds, processor, calls);
     }
 
+    /** Sends each daemon one short prompt, since only engines of a model in use are watched. */
+    private void useModel() {
+        for (int i = 0; i < mLayout.daemons(); i++) {
+            mClient.post(mLayout.callerPort(i), mLayout.host(), "/v1/completions")
+                    .putHeader("Authorization", "Bearer " + FleetLayout.CREDENTIAL)
+                    .putHeader("X-Work-Class", "short")
+                    .putHeader("X-Timeout-Ms", "30000")
+                    .sendBuffer(Buffer.buffer("{\"prompt\":\"good day\",\"max_tokens\":1}"))
+                    .await()
+                    .atMost(TIMEOUT);
+        }
+    }
+
     private ControlSample change(
             Map<String, Double> before,
             Map<String, Double> after,
--- a/standins/src/main/java/io/bilberrygrade/standins/load/control/FleetLayout.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/control/FleetLayout.java
@@ -12,6 +12,7 @@
     static final int CONFIG_CONTROL_PORT = 22_451;
     static final int INSTANCES_PORT = 22_402;
     static final String MODEL = "model";
+    static final String CREDENTIAL = "team-0";
 
     private static final int FIRST_ENDPOINT_PORT = 25_000;
     private static final int FIRST_CALLER_PORT = 23_000;
--- a/standins/src/test/java/io/bilberrygrade/standins/daemon/RunningDeployment.java
+++ b/standins/src/test/java/io/bilberrygrade/standins/daemon/RunningDeployment.java
@@ -28,6 +28,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Supplier;
 
 /** A whole deployment within the test's JVM: stand-ins and entry daemons on loopback. */
 public final class RunningDeployment implements AutoCloseable {
@@ -51,14 +52,22 @@
     private final List<StandInEngine> mEngines = new ArrayList<>();
     private final List<EntryDaemon> mDaemons = new ArrayList<>();
     private final StandInService mService;
-
-    private RunningDeployment(Path folder, int engines, int daemons) throws IOException {
+    private final PolicySettings mPolicy;
+    private final long mMaxBodyBytes;
+
+    private RunningDeployment(
+            Path folder,
+            int engines,
+            int daemons,
+            PolicySettings policy,
+            Supplier<EngineSettings> engine,
+            long maxBodyBytes)
+            throws IOException {
+        mPolicy = policy;
+        mMaxBodyBytes = maxBodyBytes;
         mCloser.register(() -> mVertx.closeAndAwait());
         for (int i = 0; i < engines; i++) {
-            mEngines.add(
-                    StandInEngine.start(mVertx, EngineSettings.defaults(MODEL))
-                            .await()
-                            .atMost(START_TIMEOUT));
+            mEngines.add(StandInEngine.start(mVertx, engine.get()).await().atMost(START_TIMEOUT));
         }
         mService =
                 StandInService.start(mVertx, io.bilberrygrade.standins.control.Address.free())
@@ -70,7 +79,31 @@
     /** Starts a deployment whose configuration is written to the given folder. */
     public static RunningDeployment start(Path folder, int engines, int daemons)
             throws IOException {
-        return new RunningDeployment(folder, engines, daemons);
+        return start(folder, engines, daemons, PolicySettings.FULL);
+    }
+
+    /** Starts a deployment whose daemons run with the given policy. */
+    public static RunningDeployment start(
+            Path folder, int engines, int daemons, PolicySettings policy) throws IOException {
+        return new RunningDeployment(
+                folder,
+                engines,
+                daemons,
+                policy,
+                () -> EngineSettings.defaults(MODEL),
+                MAX_BODY_BYTES);
+    }
+
+    /** Starts a deployment with the given engines and bound of bodies. */
+    public static RunningDeployment start(
+            Path folder,
+            int engines,
+            int daemons,
+            PolicySettings policy,
+            Supplier<EngineSettings> engine,
+            long maxBodyBytes)
+            throws IOException {
+        return new RunningDeployment(folder, engines, daemons, policy, engine, maxBodyBytes);
     }
 
     private void startDaemons(Path folder, int count) throws IOException {
@@ -88,7 +121,7 @@
         }
     }
 
-    private static EntryDaemon daemon(int index, int peerPort, Address config, Address instances) {
+    private EntryDaemon daemon(int index, int peerPort, Address config, Address instances) {
         EntrySettings settings =
                 new EntrySettings(
                         new InstanceId("entry-" + index),
@@ -99,10 +132,10 @@
                         config,
                         instances,
                         PeerKey.of("key".getBytes(StandardCharsets.UTF_8)),
-                        MAX_BODY_BYTES,
+                        mMaxBodyBytes,
                         Duration.ofMinutes(1),
                         Duration.ofSeconds(10),
-                        PolicySettings.FULL,
+                        mPolicy,
                         Optional.of(OperatorCredential.of(OPERATOR_CREDENTIAL)));
         return new EntryDaemon(
                 settings, new Incarnation(1), new MonotonicClock(), new JbossEventLog());
@@ -189,6 +222,11 @@
         return mDaemons.get(index);
     }
 
+    /** Returns the number of model engines. */
+    public int engines() {
+        return mEngines.size();
+    }
+
     /** Returns a model engine. */
     public StandInEngine engine(int index) {
         return mEngines.get(index);
