--- a/serving/src/main/java/io/bilberrygrade/serving/entry/Observation.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/Observation.java
@@ -15,6 +15,7 @@
 import io.bilberrygrade.serving.http.RequestObserver;
 import io.bilberrygrade.serving.http.RequestObservers;
 import io.bilberrygrade.serving.metrics.RequestMetrics;
+import io.bilberrygrade.serving.peer.PeerHandler;
 import io.bilberrygrade.serving.peer.PeerIdentity;
 import io.bilberrygrade.serving.peer.PeerMessage;
 import io.bilberrygrade.serving.peer.PeerNetwork;
@@ -93,8 +94,15 @@
         return new RequestObservers(ImmutableList.of(mRequests, mOutcomes));
     }
 
-    /** Answers a peer that makes a report of the fleet. */
-    PeerMessage onReport(PeerMessage.ReportRequest request) {
+    /** Returns a handler that answers peers that make a report, and passes on other calls. */
+    PeerHandler before(PeerHandler next) {
+        return (from, message) ->
+                message instanceof PeerMessage.ReportRequest r
+                        ? Uni.createFrom().item(report(r))
+                        : next.handle(from, message);
+    }
+
+    private PeerMessage report(PeerMessage.ReportRequest request) {
         return new PeerMessage.ReportReply(mReports.own(request.periodMinutes(), mClock.instant()));
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
@@ -7,9 +7,11 @@
 import io.bilberrygrade.core.request.Reason;
 import io.bilberrygrade.core.request.Step;
 import io.bilberrygrade.core.routing.Placement;
+import io.bilberrygrade.serving.controller.AdmissionController;
 import io.bilberrygrade.serving.controller.Dispatch;
 import io.bilberrygrade.serving.controller.EndpointController;
 import io.bilberrygrade.serving.controller.PlacementController;
+import io.bilberrygrade.serving.engine.EngineProbes;
 import io.bilberrygrade.serving.engine.GenerateCall;
 import io.bilberrygrade.serving.engine.ModelEngine;
 import io.bilberrygrade.serving.error.CallException;
@@ -23,6 +25,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Optional;
 
 /**
  * Runs a completion on an engine and, when an engine fails in the middle, resumes the answer at its
@@ -31,16 +34,20 @@
 public final class CompletionDispatcher {
     private static final int MAX_ATTEMPTS = 4;
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+    private static final Duration PLACEMENT_INTERVAL = Duration.ofMillis(100);
 
     private final ModelEngine mEngine;
     private final EndpointController mEndpoints;
     private final PlacementController mPlacement;
     private final GangDispatcher mGangs;
     private final Patience mPatience;
+    private final AdmissionController mAdmission;
     private final Incarnation mIncarnation;
     private final Timers mTimers;
     private final InstantSource mClock;
     private final EventLog mEvents;
+    private final StallGuard mStalls;
+    private final boolean mResumes;
 
     /** Creates the dispatcher. */
     public CompletionDispatcher(
@@ -49,36 +56,54 @@
             PlacementController placement,
             GangDispatcher gangs,
             Patience patience,
+            AdmissionController admission,
             Incarnation incarnation,
             Timers timers,
             InstantSource clock,
-            EventLog events) {
+            EventLog events,
+            boolean resumes) {
         mEngine = engine;
         mEndpoints = endpoints;
         mPlacement = placement;
         mGangs = gangs;
         mPatience = patience;
+        mAdmission = admission;
         mIncarnation = incarnation;
         mTimers = timers;
         mClock = clock;
         mEvents = events;
+        mStalls = new StallGuard(new EngineProbes(engine, timers), timers, clock);
+        mResumes = resumes;
     }
 
     /** Runs the request to its final outcome. */
     public Uni<Outcome> dispatch(Exchange exchange, InferenceRequest request) {
-        AnswerProgress progress = new AnswerProgress(exchange.sink());
+        Optional<Outcome> refusal =
+                mAdmission.refuse(exchange.deployment(), request, mClock.instant());
+        if (refusal.isPresent()) {
+            return Uni.createFrom().item(refusal.get());
+        }
+        AnswerProgress progress = new AnswerProgress(exchange.sink(), mResumes);
         Uni<Outcome> deadline =
                 mTimers.after(request.remaining(mClock.instant())).map(v -> deadlinePast(progress));
         Uni<Outcome> gone =
                 Uni.createFrom()
                         .emitter(e -> exchange.sink().onCallerGone(() -> e.complete(callerGone())));
         return Uni.join()
-                .first(attempt(exchange, request, progress, 1), deadline, gone)
-                .toTerminate();
+                .first(attempt(exchange, request, progress), deadline, gone)
+                .toTerminate()
+                .invoke(this::count);
+    }
+
+    private void count(Outcome outcome) {
+        if (outcome instanceof Outcome.Done) {
+            mAdmission.succeeded();
+        }
     }
 
     private Uni<Outcome> attempt(
-            Exchange exchange, InferenceRequest request, AnswerProgress progress, int number) {
+            Exchange exchange, InferenceRequest request, AnswerProgress progress) {
+        int number = progress.startAttempt();
         return run(exchange, request, progress, number)
                 .onFailure(CallException.class)
                 .recoverWithUni(
@@ -91,11 +116,33 @@
         if (mPlacement.needsGang(exchange.deployment(), request, now)) {
             return runGang(exchange, request, progress, number);
         }
-        return mPlacement
-                .place(exchange.deployment(), request, now)
-                .map(GangMember::alone)
-                .map(m -> generate(exchange, request, progress, number, m))
-                .orElseGet(() -> Uni.createFrom().item(noEndpoint(progress)));
+        Optional<Placement> chosen = place(exchange, request);
+        if (chosen.isPresent()) {
+            return generate(exchange, request, progress, number, GangMember.alone(chosen.get()));
+        }
+        if (!progress.mayHaveRun()) {
+            return Uni.createFrom().item(noEndpoint(progress));
+        }
+        return awaitPlacement(exchange, request)
+                .onItem()
+                .transformToUni(
+                        p -> generate(exchange, request, progress, number, GangMember.alone(p)));
+    }
+
+    /** Waits for an engine that can resume a begun answer; the deadline ends the wait. */
+    private Uni<Placement> awaitPlacement(Exchange exchange, InferenceRequest request) {
+        return Uni.createFrom()
+                .deferred(() -> mTimers.after(PLACEMENT_INTERVAL))
+                .map(v -> place(exchange, request))
+                .repeat()
+                .whilst(Optional::isEmpty)
+                .collect()
+                .last()
+                .map(Optional::orElseThrow);
+    }
+
+    private Optional<Placement> place(Exchange exchange, InferenceRequest request) {
+        return mPlacement.place(exchange.deployment(), request, mClock.instant());
     }
 
     private Uni<Outcome> runGang(
@@ -129,7 +176,8 @@
                         placement,
                         request.prompt(),
                         mClock.instant());
-        return new Attempt(mEngine, mEndpoints, mTimers, mClock, endpoint, dispatch, progress)
+        return new Attempt(
+                        mEngine, mEndpoints, mStalls, mTimers, mClock, endpoint, dispatch, progress)
                 .run(
                         call(exchange, request, progress, number, member),
                         mPatience.of(placement, number, request.remaining(mClock.instant())));
@@ -166,10 +214,13 @@
                         e.peer(),
                         progress.nextOffset(),
                         e.getMessage()));
-        if (number == MAX_ATTEMPTS || !request.remaining(mClock.instant()).isPositive()) {
+        if (Attempt.tooLate(request, mClock.instant())) {
+            return Uni.createFrom().item(deadlinePast(progress));
+        }
+        if (number == MAX_ATTEMPTS || !mAdmission.tryRetry()) {
             return Uni.createFrom().item(exhausted(progress, e));
         }
-        return attempt(exchange, request, progress, number + 1);
+        return attempt(exchange, request, progress);
     }
 
     private static Outcome noEndpoint(AnswerProgress progress) {
