--- a/serving/src/main/java/io/bilberrygrade/serving/controller/EndpointController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/EndpointController.java
@@ -101,6 +101,17 @@
         return state.view(endpoint, available, prior, mDaemons, now);
     }
 
+    /** Returns the prompt tokens a second that all engines in use prefill together. */
+    public double capacity(Instant now) {
+        Map<EndpointId, Double> rates = new HashMap<>();
+        for (ModelFleet fleet : mFleets.values()) {
+            fleet.engines().stream()
+                    .filter(e -> !mEjected.contains(e.id()))
+                    .forEach(e -> rates.put(e.id(), fleet.view(e, now).rate().tokensPerSecond()));
+        }
+        return rates.values().stream().mapToDouble(Double::doubleValue).sum();
+    }
+
     /** Counts a request that is sent to an engine. */
     public Dispatch dispatched(
             Deployment deployment, ModelId model, Placement placement, Prompt prompt, Instant now) {
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
@@ -2,7 +2,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.bilberrygrade.core.atmostonce.KeyAuthority;
-import io.bilberrygrade.core.config.Deployment;
 import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.identity.RequestId;
@@ -30,13 +29,13 @@
 import io.bilberrygrade.serving.http.CallerApi;
 import io.bilberrygrade.serving.http.HttpCalls;
 import io.bilberrygrade.serving.http.KeysApi;
-import io.bilberrygrade.serving.http.OperationsApi;
-import io.bilberrygrade.serving.metrics.RequestMetrics;
+import io.bilberrygrade.serving.metrics.ControlTraffic;
 import io.bilberrygrade.serving.peer.PeerIdentity;
 import io.bilberrygrade.serving.peer.PeerServer;
 import io.bilberrygrade.serving.peer.TcpPeerNetwork;
 import io.bilberrygrade.serving.platform.HttpConfigSource;
 import io.bilberrygrade.serving.platform.HttpInstanceSource;
+import io.bilberrygrade.serving.report.AuditTrail;
 import io.bilberrygrade.serving.service.HttpPlainService;
 import io.bilberrygrade.serving.settings.EntrySettings;
 import io.bilberrygrade.serving.settings.Mechanism;
@@ -73,13 +72,12 @@
     private static final Duration ENDPOINTS_PERIOD = Duration.ofSeconds(1);
     private static final Duration INSTANCE_LIST_PERIOD = Duration.ofSeconds(2);
 
-    private static final double UNKNOWN_CAPACITY = 0;
     private static final Duration SHARES_PERIOD = Duration.ofMillis(500);
 
     private final EntrySettings mSettings;
     private final Incarnation mIncarnation;
     private final InstantSource mClock;
-    private final EventLog mEvents;
+    private final AuditTrail mEvents;
     private final UniformRandomProvider mRandom = RandomSource.SPLIT_MIX_64.create();
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final DrainController mDrain = new DrainController();
@@ -90,6 +88,7 @@
     private ShareController mShares;
     private AtMostOnceController mKeys;
     private KeyRouter mKeyRouter;
+    private Observation mObservation;
     private GangController mGangs;
     private HttpCalls mCalls;
     private TcpPeerNetwork mPeers;
@@ -112,24 +111,28 @@
         mEndpoints = new EndpointController(settings.instance(), settings.policy());
         mIncarnation = incarnation;
         mClock = clock;
-        mEvents = events;
+        mEvents = new AuditTrail(events, clock);
     }
 
     @Override
     public void start(Promise<Void> started) {
         io.vertx.mutiny.core.Vertx mutinyVertx = io.vertx.mutiny.core.Vertx.newInstance(vertx);
         PeerIdentity self = new PeerIdentity(mSettings.instance(), mIncarnation);
+        ControlTraffic traffic = new ControlTraffic(mMetrics);
         mTimers = new VertxTimers(vertx);
-        mCalls = new HttpCalls(mutinyVertx);
-        mPeers = new TcpPeerNetwork(vertx, self, mSettings.peerKey());
+        mCalls = new HttpCalls(mutinyVertx, traffic);
+        mPeers = new TcpPeerNetwork(vertx, self, mSettings.peerKey(), traffic);
         mEngine = new HttpModelEngine(mCalls, mClock);
         createControllers(self);
+        createObservation(self);
         mPeerServer =
                 new PeerServer(
                         vertx,
                         self,
                         mSettings.peerKey(),
-                        new PeerCalls(mGossip, mKeyRouter, mGangs, mConfigGossip),
+                        mObservation.before(
+                                new PeerCalls(mGossip, mKeyRouter, mGangs, mConfigGossip)),
+                        traffic,
                         mEvents);
         mServer = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true));
         listen(started);
@@ -206,6 +209,21 @@
                         .equals(Optional.of(mSettings.instance()));
     }
 
+    private void createObservation(PeerIdentity self) {
+        mObservation =
+                new Observation(
+                        mSettings,
+                        self,
+                        mClock,
+                        mMetrics,
+                        mEvents,
+                        mConfig,
+                        mMembership,
+                        mEndpoints,
+                        mDrain,
+                        mPeers);
+    }
+
     private void createKeys(PeerIdentity self) {
         KeyAuthority authority = new KeyAuthority(mSettings.peerKey().bytes());
         mKeys =
@@ -277,7 +295,6 @@
     }
 
     private Router router() {
-        RequestMetrics observer = new RequestMetrics(mMetrics, mEvents);
         RequestPath path = new RequestPath(mSettings, mClock, mEvents);
         CallerApi api =
                 new CallerApi(
@@ -295,13 +312,13 @@
                         mConfig::current,
                         this::nextRequestId,
                         mClock,
-                        observer,
+                        mObservation.requests(),
                         mEvents);
         Router router = Router.router(vertx);
         router.route().handler(this::closeConnectionsOfDrain);
         api.mount(router, mSettings.maxBodyBytes());
         new KeysApi(mKeys, mConfig::current, this::nextRequestId, mDrain).mount(router);
-        new OperationsApi(mDrain, mMetrics).mount(router);
+        mObservation.mount(router);
         return router;
     }
 
@@ -340,6 +357,7 @@
         if (mSettings.policy().enabled(Mechanism.RECLAIM)) {
             mTasks.repeat("reclaim", ReclaimController.PERIOD, mReclaim::sweep);
         }
+        mTasks.repeat("losses", Observation.LOSS_CHECK_PERIOD, mObservation::findLosses);
         mTasks.repeat("shares", SHARES_PERIOD, this::renewShares);
         mTasks.repeatUntil("startup", STARTUP_PAUSE, this::advanceStartup, mStartup::done);
         mTasks.repeat("gossip", MembershipController.ROUND, mGossip::round);
@@ -356,8 +374,8 @@
     }
 
     private Uni<Void> renewShares() {
-        Deployment deployment = mConfig.current();
-        mShares.renew(deployment, UNKNOWN_CAPACITY, mClock.instant());
+        Instant now = mClock.instant();
+        mShares.renew(mConfig.current(), mEndpoints.capacity(now), now);
         return Uni.createFrom().voidItem();
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/peer/PeerMessage.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/PeerMessage.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import io.bilberrygrade.serving.report.DaemonReport;
 import io.bilberrygrade.serving.wire.PartReference;
 import java.util.List;
 
@@ -18,6 +19,8 @@
     @JsonSubTypes.Type(value = PeerMessage.GossipReply.class, name = "gossip-reply"),
     @JsonSubTypes.Type(value = PeerMessage.KeyedCall.class, name = "keyed-call"),
     @JsonSubTypes.Type(value = PeerMessage.KeyedAnswer.class, name = "keyed-answer"),
+    @JsonSubTypes.Type(value = PeerMessage.ReportRequest.class, name = "report-request"),
+    @JsonSubTypes.Type(value = PeerMessage.ReportReply.class, name = "report-reply"),
     @JsonSubTypes.Type(value = PeerMessage.ManifestRequest.class, name = "manifest-request"),
     @JsonSubTypes.Type(value = PeerMessage.ManifestReply.class, name = "manifest-reply"),
     @JsonSubTypes.Type(value = PeerMessage.PartRequest.class, name = "part-request"),
@@ -58,6 +61,12 @@
     /** Outcome of a call under an idempotency key. */
     record KeyedAnswer(KeyedOutcome outcome) implements PeerMessage {}
 
+    /** Asks what a peer counted in the last minutes, for a report of the whole fleet. */
+    record ReportRequest(int periodMinutes) implements PeerMessage {}
+
+    /** What a daemon counted. */
+    record ReportReply(DaemonReport report) implements PeerMessage {}
+
     /** Asks a steward for engines of a gang, all or none, for a time in milliseconds. */
     record GangRequest(String request, List<String> engines, long lifetimeMillis)
             implements PeerMessage {}
--- a/serving/src/test/java/io/bilberrygrade/serving/peer/TcpPeerNetworkTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/peer/TcpPeerNetworkTest.java
@@ -10,6 +10,7 @@
 import io.bilberrygrade.serving.error.Delivery;
 import io.bilberrygrade.serving.event.Event;
 import io.bilberrygrade.serving.event.MembershipEvent;
+import io.bilberrygrade.serving.metrics.ControlTraffic;
 import io.bilberrygrade.serving.settings.PeerKey;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Context;
@@ -43,6 +44,7 @@
                         identity("server"),
                         KEY,
                         (from, message) -> Uni.createFrom().item(message),
+                        ControlTraffic.unread(),
                         mEvents::add);
         mServer = new Address("127.0.0.1", server.listen("127.0.0.1", 0).await().atMost(TIMEOUT));
     }
@@ -56,10 +58,7 @@
     void answersPeerWithSharedKey() {
         PeerMessage gossip = gossip();
 
-        PeerMessage reply =
-                call(new TcpPeerNetwork(mVertx, identity("client"), KEY), gossip)
-                        .await()
-                        .atMost(TIMEOUT);
+        PeerMessage reply = call(network(KEY), gossip).await().atMost(TIMEOUT);
 
         assertThat(reply).isEqualTo(gossip);
     }
@@ -67,8 +66,7 @@
     @Test
     void refusesPeerWithOtherKey() throws InterruptedException {
         PeerKey other = PeerKey.of("wrong".getBytes(StandardCharsets.UTF_8));
-        Uni<PeerMessage> call =
-                call(new TcpPeerNetwork(mVertx, identity("client"), other), gossip());
+        Uni<PeerMessage> call = call(network(other), gossip());
 
         assertThatThrownBy(() -> call.await().atMost(TIMEOUT))
                 .hasCauseInstanceOf(CallException.class)
@@ -113,4 +111,8 @@
     private static PeerIdentity identity(String name) {
         return new PeerIdentity(new InstanceId(name), new Incarnation(1));
     }
+
+    private TcpPeerNetwork network(PeerKey key) {
+        return new TcpPeerNetwork(mVertx, identity("client"), key, ControlTraffic.unread());
+    }
 }
