--- a/core/src/main/java/io/bilberrygrade/core/membership/MemberTable.java
+++ b/core/src/main/java/io/bilberrygrade/core/membership/MemberTable.java
@@ -42,7 +42,7 @@
      */
     public void beat(Instant now) {
         Duration gap = Duration.between(mLastBeat, now);
-        if (gap.compareTo(mPolicy.round().multipliedBy(PAUSE_ROUNDS)) > 0) {
+        if (gap.compareTo(mPolicy.rounds(PAUSE_ROUNDS)) > 0) {
             mEntries.values().forEach(e -> e.mHeardAt = e.mHeardAt.plus(gap));
         }
         mLastBeat = now;
--- a/core/src/main/java/io/bilberrygrade/core/membership/SuspicionPolicy.java
+++ b/core/src/main/java/io/bilberrygrade/core/membership/SuspicionPolicy.java
@@ -11,7 +11,6 @@
 public record SuspicionPolicy(Duration round, int digestMembers) {
     private static final int BASE_ROUNDS = 4;
     private static final int TURNS_OF_DIGEST = 3;
-    private static final int DEAD_FACTOR = 2;
 
     /** Creates the policy; refuses a round or a digest that is not positive. */
     public SuspicionPolicy {
@@ -22,11 +21,16 @@
     /** Returns the silence after which a peer of a fleet of {@code members} is suspected. */
     public Duration suspectAfter(int members) {
         int turns = (members + digestMembers - 1) / digestMembers;
-        return round.multipliedBy(BASE_ROUNDS + (long) TURNS_OF_DIGEST * (turns - 1));
+        return rounds(BASE_ROUNDS + (long) TURNS_OF_DIGEST * (turns - 1));
     }
 
     /** Returns the silence after which a peer of a fleet of {@code members} is dead. */
     public Duration deadAfter(int members) {
-        return suspectAfter(members).multipliedBy(DEAD_FACTOR);
+        return suspectAfter(members).plus(suspectAfter(members));
+    }
+
+    /** Returns the length of several rounds, in whole milliseconds. */
+    Duration rounds(long count) {
+        return Duration.ofMillis(round.toMillis() * count);
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/peer/GossipDigest.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/GossipDigest.java
@@ -1,5 +1,7 @@
 package io.bilberrygrade.serving.peer;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonPropertyOrder;
 import java.util.List;
 
 /**
@@ -7,6 +9,8 @@
  * the fleet; what doesn't fit has its turn in a later round. {@code configVersion} is the version
  * in force at the sender.
  */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+@JsonPropertyOrder({"members", "configVersion", "leaving", "classUse"})
 public record GossipDigest(
         List<MemberEntry> members,
         long configVersion,
--- a/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedDaemon.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedDaemon.java
@@ -39,7 +39,7 @@
 import org.apache.commons.rng.simple.RandomSource;
 
 /** One run of an entry daemon, put together from the real controllers and filters. */
-final class SimulatedDaemon {
+final class SimulatedDaemon implements SimulatedPeer {
     private static final Duration CONFIG_WAIT = Duration.ofSeconds(4);
     private static final Duration CONFIG_RETRY = Duration.ofSeconds(1);
     private static final Duration STARTUP_PAUSE = Duration.ofMillis(100);
@@ -88,41 +88,47 @@
                 new ConfigGossip(
                         mConfig, fleet.network().of(this), mMembership::address, mDrain::serving);
         mGossip.register(configGossip);
-        SimulatedEngines engines = new SimulatedEngines(fleet::engine, process);
-        mStartup =
-                new StartupController(
-                        mConfig,
-                        configGossip,
-                        mMembership::publishedPeers,
-                        engines,
-                        process,
-                        e -> {});
+        mStartup = startup(fleet, configGossip);
         KeyAuthority authority = new KeyAuthority(settings.peerKey().bytes());
         mKeys = keys(fleet, settings, authority);
         KeyRouter router =
                 new KeyRouter(authority, mKeys, mMembership, fleet.network().of(this), process);
-        ShareController shares = new ShareController(mSelf, settings.policy(), e -> {});
-        mGossip.register(shares);
         GangController gangs =
                 new GangController(
                         settings.instance(), mMembership, fleet.network().of(this), process);
         mPeerCalls = new PeerCalls(mGossip, router, gangs, configGossip);
-        mChain =
-                new RequestPath(settings, process, e -> {})
-                        .chain(
-                                new RequestPath.Parts(
-                                        incarnation,
-                                        engines,
-                                        router,
-                                        gangs,
-                                        mEndpoints,
-                                        shares,
-                                        mDrain,
-                                        process,
-                                        RandomSource.SPLIT_MIX_64.create(fleet.nextSeed())));
+        mChain = chain(fleet, settings, router, gangs);
         listen(fleet);
     }
 
+    private StartupController startup(Fleet fleet, ConfigGossip configGossip) {
+        return new StartupController(
+                mConfig,
+                configGossip,
+                mMembership::publishedPeers,
+                new SimulatedEngines(fleet::engine, mProcess),
+                mProcess,
+                e -> {});
+    }
+
+    private FilterChain chain(
+            Fleet fleet, EntrySettings settings, KeyRouter router, GangController gangs) {
+        ShareController shares = new ShareController(mSelf, settings.policy(), e -> {});
+        mGossip.register(shares);
+        return new RequestPath(settings, mProcess, e -> {})
+                .chain(
+                        new RequestPath.Parts(
+                                mSelf.incarnation(),
+                                new SimulatedEngines(fleet::engine, mProcess),
+                                router,
+                                gangs,
+                                mEndpoints,
+                                shares,
+                                mDrain,
+                                mProcess,
+                                RandomSource.SPLIT_MIX_64.create(fleet.nextSeed())));
+    }
+
     private AtMostOnceController keys(Fleet fleet, EntrySettings settings, KeyAuthority authority) {
         PlainServiceDispatch dispatch =
                 new PlainServiceDispatch(
@@ -191,7 +197,8 @@
         return mChain.proceed(exchange);
     }
 
-    Uni<PeerMessage> handle(PeerIdentity from, PeerMessage message) {
+    @Override
+    public Uni<PeerMessage> handle(PeerIdentity from, PeerMessage message) {
         return mPeerCalls.handle(from, message);
     }
 
@@ -216,15 +223,18 @@
                 mSelf.instance() + "-" + mSelf.incarnation().value() + "-" + mNextRequest++);
     }
 
-    SimulatedProcess process() {
+    @Override
+    public SimulatedProcess process() {
         return mProcess;
     }
 
-    PeerIdentity identity() {
+    @Override
+    public PeerIdentity identity() {
         return mSelf;
     }
 
-    Address address() {
+    @Override
+    public Address address() {
         return mAddress;
     }
 
--- a/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedNetwork.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedNetwork.java
@@ -28,7 +28,7 @@
     private static final ObjectReader READER = Mappers.MESSAGE_PACK.readerFor(PeerMessage.class);
 
     private final UniformRandomProvider mRandom;
-    private final Map<Address, SimulatedDaemon> mDaemons = new HashMap<>();
+    private final Map<Address, SimulatedPeer> mDaemons = new HashMap<>();
     private final Set<Link> mCuts = new HashSet<>();
     private boolean mDoubles;
     private long mSentBytes;
@@ -37,7 +37,7 @@
         mRandom = random;
     }
 
-    void attach(Address address, SimulatedDaemon daemon) {
+    void attach(Address address, SimulatedPeer daemon) {
         mDaemons.put(address, daemon);
     }
 
@@ -66,19 +66,19 @@
     }
 
     /** Returns the network as a daemon sees it. */
-    PeerNetwork of(SimulatedDaemon from) {
+    PeerNetwork of(SimulatedPeer from) {
         return (peer, message, timeout) ->
                 Uni.createFrom().emitter(e -> send(e, from, peer, message, timeout));
     }
 
     private void send(
             UniEmitter<? super PeerMessage> emitter,
-            SimulatedDaemon from,
+            SimulatedPeer from,
             Address to,
             PeerMessage message,
             Duration timeout) {
         SimulatedProcess caller = from.process();
-        SimulatedDaemon target = mDaemons.get(to);
+        SimulatedPeer target = mDaemons.get(to);
         if (target == null || !target.process().alive()) {
             caller.schedule(delay(), () -> emitter.fail(failure(to, Delivery.NOT_DELIVERED)));
             return;
@@ -100,8 +100,8 @@
 
     private void deliver(
             UniEmitter<? super PeerMessage> emitter,
-            SimulatedDaemon from,
-            SimulatedDaemon target,
+            SimulatedPeer from,
+            SimulatedPeer target,
             PeerMessage message) {
         target.handle(from.identity(), message)
                 .subscribe()
@@ -110,8 +110,8 @@
 
     private void answer(
             UniEmitter<? super PeerMessage> emitter,
-            SimulatedDaemon target,
-            SimulatedDaemon from,
+            SimulatedPeer target,
+            SimulatedPeer from,
             PeerMessage reply) {
         if (!mCuts.contains(new Link(target.address(), from.address()))) {
             from.process().schedule(delay(), () -> emitter.complete(reply));
