--- /dev/null
+++ b/bench/src/main/java/io/bilberrygrade/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Micro-benchmarks of the decisions. */
+package io.bilberrygrade.bench;
--- a/core/src/main/java/io/bilberrygrade/core/routing/PredictivePolicy.java
+++ b/core/src/main/java/io/bilberrygrade/core/routing/PredictivePolicy.java
@@ -20,6 +20,7 @@
  * stale reports don't all choose alike.
  */
 public final class PredictivePolicy implements PlacementPolicy {
+    private static final int FREE_CANDIDATES = 4;
     private static final int SHORT_CANDIDATES = 4;
     private static final int LONG_CANDIDATES = 16;
     private static final int MAX_DRAWS_FACTOR = 3;
@@ -68,10 +69,12 @@
                 set.add(fleet.engines().get(i), true);
             }
         }
-        ImmutableList<Endpoint> pool = lane == Lane.LONG ? fleet.longEngines() : fleet.watched();
-        draw(pool, set, lane == Lane.LONG ? LONG_CANDIDATES : SHORT_CANDIDATES, random);
-        if (set.mCandidates.isEmpty()) {
-            pool.forEach(e -> set.add(e, false));
+        switch (lane) {
+            case SHORT -> {
+                draw(fleet.freeEngines(), set, FREE_CANDIDATES, random);
+                draw(fleet.watched(), set, SHORT_CANDIDATES, random);
+            }
+            case LONG -> draw(fleet.longEngines(), set, LONG_CANDIDATES, random);
         }
         if (set.mCandidates.isEmpty()) {
             fleet.engines().forEach(e -> set.add(e, false));
--- a/serving/src/main/java/io/bilberrygrade/serving/controller/ModelFleet.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/ModelFleet.java
@@ -37,6 +37,7 @@
     private LongBoundary mBoundary;
     private LanePlan mLanes;
     private ImmutableList<Endpoint> mLongEngines;
+    private ImmutableList<Endpoint> mFreeEngines;
     private PrefillRate mPrior = PrefillRate.prior(PrefillRate.DEFAULT_TOKENS_PER_SECOND);
 
     ModelFleet(
@@ -88,6 +89,12 @@
         ImmutableSet<EndpointId> confinedTo =
                 mConfined ? LongEngines.choose(mEngines, mBoundary.engines()) : ImmutableSet.of();
         mLanes = new LanePlan(mTightestTarget, mPrior.tokensPerSecond(), confinedTo);
+        mFreeEngines =
+                confinedTo.isEmpty()
+                        ? ImmutableList.of()
+                        : mWatched.stream()
+                                .filter(e -> !confinedTo.contains(e.id()))
+                                .collect(ImmutableList.toImmutableList());
         mLongEngines =
                 confinedTo.isEmpty()
                         ? mEngines
@@ -110,6 +117,11 @@
         return mWatched;
     }
 
+    @Override
+    public ImmutableList<Endpoint> freeEngines() {
+        return mFreeEngines;
+    }
+
     @Override
     public ImmutableList<Endpoint> longEngines() {
         return mLongEngines;
--- a/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedDaemon.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedDaemon.java
@@ -88,7 +88,8 @@
                 new ConfigGossip(
                         mConfig, fleet.network().of(this), mMembership::address, mDrain::serving);
         mGossip.register(configGossip);
-        mStartup = startup(fleet, configGossip);
+        SimulatedEngines engines = new SimulatedEngines(fleet::engine, process);
+        mStartup = startup(configGossip, engines);
         KeyAuthority authority = new KeyAuthority(settings.peerKey().bytes());
         mKeys = keys(fleet, settings, authority);
         KeyRouter router =
@@ -97,29 +98,28 @@
                 new GangController(
                         settings.instance(), mMembership, fleet.network().of(this), process);
         mPeerCalls = new PeerCalls(mGossip, router, gangs, configGossip);
-        mChain = chain(fleet, settings, router, gangs);
+        mChain = chain(fleet, settings, engines, router, gangs);
         listen(fleet);
     }
 
-    private StartupController startup(Fleet fleet, ConfigGossip configGossip) {
+    private StartupController startup(ConfigGossip configGossip, SimulatedEngines engines) {
         return new StartupController(
-                mConfig,
-                configGossip,
-                mMembership::publishedPeers,
-                new SimulatedEngines(fleet::engine, mProcess),
-                mProcess,
-                e -> {});
+                mConfig, configGossip, mMembership::publishedPeers, engines, mProcess, e -> {});
     }
 
     private FilterChain chain(
-            Fleet fleet, EntrySettings settings, KeyRouter router, GangController gangs) {
+            Fleet fleet,
+            EntrySettings settings,
+            SimulatedEngines engines,
+            KeyRouter router,
+            GangController gangs) {
         ShareController shares = new ShareController(mSelf, settings.policy(), e -> {});
         mGossip.register(shares);
         return new RequestPath(settings, mProcess, e -> {})
                 .chain(
                         new RequestPath.Parts(
                                 mSelf.incarnation(),
-                                new SimulatedEngines(fleet::engine, mProcess),
+                                engines,
                                 router,
                                 gangs,
                                 mEndpoints,
