--- a/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedDaemon.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedDaemon.java
@@ -39,7 +39,7 @@
 import org.apache.commons.rng.simple.RandomSource;
 
 /** One run of an entry daemon, put together from the real controllers and filters. */
-final class SimulatedDaemon {
+final class SimulatedDaemon implements SimulatedPeer {
     private static final Duration CONFIG_WAIT = Duration.ofSeconds(4);
     private static final Duration CONFIG_RETRY = Duration.ofSeconds(1);
     private static final Duration STARTUP_PAUSE = Duration.ofMillis(100);
@@ -197,7 +197,8 @@
         return mChain.proceed(exchange);
     }
 
-    Uni<PeerMessage> handle(PeerIdentity from, PeerMessage message) {
+    @Override
+    public Uni<PeerMessage> handle(PeerIdentity from, PeerMessage message) {
         return mPeerCalls.handle(from, message);
     }
 
@@ -222,15 +223,18 @@
                 mSelf.instance() + "-" + mSelf.incarnation().value() + "-" + mNextRequest++);
     }
 
-    SimulatedProcess process() {
+    @Override
+    public SimulatedProcess process() {
         return mProcess;
     }
 
-    PeerIdentity identity() {
+    @Override
+    public PeerIdentity identity() {
         return mSelf;
     }
 
-    Address address() {
+    @Override
+    public Address address() {
         return mAddress;
     }
 
