--- a/core/src/main/java/io/bilberrygrade/core/routing/PredictivePolicy.java
+++ b/core/src/main/java/io/bilberrygrade/core/routing/PredictivePolicy.java
@@ -100,15 +100,21 @@
     }
 
     private static Candidate choose(List<Candidate> candidates, UniformRandomProvider random) {
-        Duration best =
-                candidates.stream()
-                        .map(Candidate::predicted)
-                        .min(Duration::compareTo)
-                        .orElseThrow();
-        long limit = (long) (best.toNanos() * NEARLY_EQUAL_FACTOR) + NEARLY_EQUAL.toNanos();
-        List<Candidate> near =
-                candidates.stream().filter(c -> c.predicted().toNanos() <= limit).toList();
-        List<Candidate> preferred = near.stream().filter(Candidate::preferred).toList();
+        long best = Long.MAX_VALUE;
+        for (Candidate c : candidates) {
+            best = Math.min(best, c.predicted().toNanos());
+        }
+        long limit = (long) (best * NEARLY_EQUAL_FACTOR) + NEARLY_EQUAL.toNanos();
+        List<Candidate> near = new ArrayList<>(candidates.size());
+        List<Candidate> preferred = new ArrayList<>(RendezvousTable.PREFERRED);
+        for (Candidate c : candidates) {
+            if (c.predicted().toNanos() <= limit) {
+                near.add(c);
+                if (c.preferred()) {
+                    preferred.add(c);
+                }
+            }
+        }
         List<Candidate> pool = preferred.isEmpty() ? near : preferred;
         return pool.get(random.nextInt(pool.size()));
     }
@@ -123,6 +129,7 @@
         private final EngineFleet mFleet;
         private final Lane mLane;
         private final Instant mNow;
+        private final boolean mHeld;
         private final List<Candidate> mCandidates = new ArrayList<>();
 
         CandidateSet(Prompt prompt, EngineFleet fleet, Lane lane, Instant now) {
@@ -130,18 +137,21 @@
             mFleet = fleet;
             mLane = lane;
             mNow = now;
+            mHeld = fleet.prefixes().known(prompt);
         }
 
         boolean add(Endpoint engine, boolean preferred) {
-            if (mCandidates.stream().anyMatch(c -> c.view().endpoint().equals(engine))) {
-                return false;
+            for (Candidate c : mCandidates) {
+                if (c.view().endpoint().id().equals(engine.id())) {
+                    return false;
+                }
             }
             EndpointView view = mFleet.view(engine, mNow);
             if (!view.available() || engine.memoryTokens() < mPrompt.memoryTokens()) {
                 return false;
             }
             double cached =
-                    mAffinity
+                    mAffinity && mHeld
                             ? mFleet.prefixes().cachedTokens(engine.id(), mPrompt)
                                     * PrefixIndex.TRUST
                             : 0;
--- a/core/src/main/java/io/bilberrygrade/core/routing/PrefixIndex.java
+++ b/core/src/main/java/io/bilberrygrade/core/routing/PrefixIndex.java
@@ -87,6 +87,12 @@
         return known * Prompt.BLOCK_TOKENS;
     }
 
+    /** Returns whether any engine is believed to hold the beginning of the prompt. */
+    public boolean known(Prompt prompt) {
+        return !prompt.prefixHashes().isEmpty()
+                && mBlocks.containsKey(prompt.prefixHashes().get(0));
+    }
+
     private boolean holds(EndpointId engine, long hash) {
         Map<EndpointId, Integer> engines = mBlocks.get(hash);
         return engines != null && engines.getOrDefault(engine, -1).intValue() == generation(engine);
