--- a/serving/src/main/java/io/bilberrygrade/serving/controller/EndpointController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/EndpointController.java
@@ -18,12 +18,14 @@
 import io.bilberrygrade.core.routing.Placement;
 import io.bilberrygrade.core.routing.PrefillRate;
 import io.bilberrygrade.core.routing.PrefixIndex;
+import io.bilberrygrade.serving.error.CallException;
 import io.bilberrygrade.serving.settings.Mechanism;
 import io.bilberrygrade.serving.settings.PolicySettings;
 import io.bilberrygrade.serving.wire.LoadDocument;
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Function;
 
 /** Owns what this daemon knows of each endpoint: reported load, own dispatches and failures. */
@@ -37,6 +39,7 @@
     private ImmutableSet<EndpointId> mEjected = ImmutableSet.of();
     private ImmutableList<ImmutableSet<EndpointId>> mPools = ImmutableList.of();
     private int mDaemons = 1;
+    private Optional<LeavingController> mLeaving = Optional.empty();
 
     /** Creates the controller of the daemon on the given instance. */
     public EndpointController(InstanceId self, PolicySettings policy) {
@@ -44,6 +47,20 @@
         mPolicy = policy;
     }
 
+    /** Leaves out endpoints that are leaving, which their refusals tell. */
+    public void attach(LeavingController leaving) {
+        mLeaving = Optional.of(leaving);
+    }
+
+    private boolean leaving(EndpointId endpoint, Instant now) {
+        return mLeaving.map(l -> l.leaving(endpoint, now)).orElse(false);
+    }
+
+    /** Passes on why an endpoint has refused a call, if it gave a reason. */
+    public void noteRefusal(EndpointId endpoint, CallException refusal, Instant now) {
+        refusal.refusal().ifPresent(r -> mLeaving.ifPresent(l -> l.refused(endpoint, r, now)));
+    }
+
     /** Drops what is known of endpoints that a new configuration no longer has. */
     public void onDeployment(Deployment deployment) {
         mStates.keySet().retainAll(deployment.endpoints().keySet());
@@ -79,10 +96,22 @@
 
     EndpointView view(Endpoint endpoint, PrefillRate prior, Instant now) {
         EndpointState state = state(endpoint.id());
-        boolean available = !mEjected.contains(endpoint.id()) || state.health().available(now);
+        boolean healthy = !mEjected.contains(endpoint.id()) || state.health().available(now);
+        boolean available = healthy && !leaving(endpoint.id(), now);
         return state.view(endpoint, available, prior, mDaemons, now);
     }
 
+    /** Returns the prompt tokens a second that all engines in use prefill together. */
+    public double capacity(Instant now) {
+        Map<EndpointId, Double> rates = new HashMap<>();
+        for (ModelFleet fleet : mFleets.values()) {
+            fleet.engines().stream()
+                    .filter(e -> !mEjected.contains(e.id()))
+                    .forEach(e -> rates.put(e.id(), fleet.view(e, now).rate().tokensPerSecond()));
+        }
+        return rates.values().stream().mapToDouble(Double::doubleValue).sum();
+    }
+
     /** Counts a request that is sent to an engine. */
     public Dispatch dispatched(
             Deployment deployment, ModelId model, Placement placement, Prompt prompt, Instant now) {
