--- a/core/src/main/java/io/bilberrygrade/core/lane/LongEngines.java
+++ b/core/src/main/java/io/bilberrygrade/core/lane/LongEngines.java
@@ -16,7 +16,7 @@
  */
 public final class LongEngines {
     private static final long SALT = Mixing.hash("long lane");
-    private static final double MOST_OF_DATA_CENTRE = 0.75;
+    private static final int FREE_ONE_IN = 4;
 
     private LongEngines() {}
 
@@ -45,7 +45,7 @@
     }
 
     private static int mostOf(int engines) {
-        return engines == 1 ? 1 : (int) Math.floor(engines * MOST_OF_DATA_CENTRE);
+        return engines == 1 ? 1 : engines - Math.max(1, engines / FREE_ONE_IN);
     }
 
     private static ImmutableListMultimap<DataCentreId, Endpoint> byDataCentre(
--- a/serving/src/main/java/io/bilberrygrade/serving/controller/AdmissionController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/AdmissionController.java
@@ -25,6 +25,7 @@
  */
 public final class AdmissionController {
     private static final Duration DECODE_PER_TOKEN = Duration.ofMillis(30);
+    private static final double NANOS_PER_SECOND = 1e9;
     private static final int MAX_RUNNING = 4_096;
     private static final Duration FULL_WAIT = Duration.ofSeconds(1);
 
@@ -56,7 +57,7 @@
                     refusal(Reason.OVERLOADED, "too many requests are running", FULL_WAIT));
         }
         Optional<Placement> placement = mPlacement.place(deployment, request, now);
-        boolean inShare = mShares.arrived(request, request.prompt().tokens(), now);
+        boolean inShare = mShares.arrived(request, work(request, placement), now);
         if (placement.isEmpty() || !mPolicy.enabled(Mechanism.ADMISSION)) {
             return Optional.empty();
         }
@@ -67,8 +68,23 @@
         };
     }
 
+    /** Returns the tokens of the prompt that are expected to need prefill. */
+    private static long work(InferenceRequest request, Optional<Placement> placement) {
+        long tokens = request.prompt().tokens();
+        if (placement.isEmpty() || placement.get().predictedTimeToFirstToken().isZero()) {
+            return tokens;
+        }
+        Placement p = placement.get();
+        Duration own = p.predictedTimeToFirstToken().minus(p.backlog());
+        double perSecond = p.endpoint().rate().tokensPerSecond();
+        return Math.clamp(Math.round(own.toNanos() / NANOS_PER_SECOND * perSecond), 1, tokens);
+    }
+
     private Forecast forecast(
             Deployment deployment, InferenceRequest request, Placement placement, Instant now) {
+        if (placement.endpoint().rate().observations() == 0) {
+            return Forecast.UNKNOWN;
+        }
         Forecast alone =
                 new Forecast(
                         placement.predictedTimeToFirstToken(),
--- a/serving/src/main/java/io/bilberrygrade/serving/document/KeyCheck.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/document/KeyCheck.java
@@ -14,6 +14,16 @@
 /** Compares the keys of a parsed document with a record type and fills in defaults. */
 final class KeyCheck {
     private static final String EMPTY_SECTION = "{}";
+    private static final ClassValue<ImmutableMap<String, RecordComponent>> COMPONENTS =
+            new ClassValue<>() {
+                @Override
+                protected ImmutableMap<String, RecordComponent> computeValue(Class<?> type) {
+                    return Arrays.stream(type.getRecordComponents())
+                            .collect(
+                                    ImmutableMap.toImmutableMap(
+                                            c -> Pointers.name(c.getName()), c -> c));
+                }
+            };
 
     private final BiConsumer<String, String> mFaults;
 
@@ -23,11 +33,7 @@
 
     /** Reports unknown and missing keys below a pointer and sets those that have a default. */
     void check(ObjectNode node, Class<?> type, String pointer) {
-        ImmutableMap<String, RecordComponent> known =
-                Arrays.stream(type.getRecordComponents())
-                        .collect(
-                                ImmutableMap.toImmutableMap(
-                                        c -> Pointers.name(c.getName()), c -> c));
+        ImmutableMap<String, RecordComponent> known = COMPONENTS.get(type);
         for (String name : List.copyOf(fieldNames(node))) {
             if (!known.containsKey(name)) {
                 mFaults.accept(
--- a/serving/src/main/java/io/bilberrygrade/serving/http/RelayMonitor.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/RelayMonitor.java
@@ -49,4 +49,9 @@
     public void onCallerGone(Runnable action) {
         mNext.onCallerGone(action);
     }
+
+    @Override
+    public void onWritten(Runnable action) {
+        mNext.onWritten(action);
+    }
 }
--- a/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedCaller.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedCaller.java
@@ -22,6 +22,7 @@
     private final Instant mLatest;
     private final List<String> mTokens = new ArrayList<>();
     private final List<Runnable> mGoneActions = new ArrayList<>();
+    private final List<Runnable> mWrittenActions = new ArrayList<>();
     private Optional<String> mServiceAnswer = Optional.empty();
     private Optional<Outcome> mOutcome = Optional.empty();
     private Optional<Instant> mAnsweredAt = Optional.empty();
@@ -50,6 +51,11 @@
         mGoneActions.add(action);
     }
 
+    @Override
+    public void onWritten(Runnable action) {
+        mWrittenActions.add(action);
+    }
+
     /** Goes away without waiting for the answer. */
     void leave() {
         mGoneActions.forEach(Runnable::run);
@@ -60,6 +66,8 @@
         boolean first = mOutcome.isEmpty();
         mOutcome = Optional.of(outcome);
         mAnsweredAt = Optional.of(mNow.get());
+        mWrittenActions.forEach(Runnable::run);
+        mWrittenActions.clear();
         return first;
     }
 
--- a/serving/src/test/java/io/bilberrygrade/serving/report/NoSink.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/report/NoSink.java
@@ -13,4 +13,7 @@
 
     @Override
     public void onCallerGone(Runnable action) {}
+
+    @Override
+    public void onWritten(Runnable action) {}
 }
