--- a/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/EntryDaemon.java
@@ -353,11 +353,11 @@
         LoadController loads = new LoadController(mEngine, mEndpoints, mClock);
         mTasks.repeat("load", LOAD_PERIOD, loads::readOldest);
         mTasks.repeat("endpoints", ENDPOINTS_PERIOD, this::renewEndpoints);
+        mTasks.repeat("losses", Observation.LOSS_CHECK_PERIOD, mObservation::findLosses);
         mTasks.repeat("orders", OrderController.PERIOD, mOrders::round);
         if (mSettings.policy().enabled(Mechanism.RECLAIM)) {
             mTasks.repeat("reclaim", ReclaimController.PERIOD, mReclaim::sweep);
         }
-        mTasks.repeat("losses", Observation.LOSS_CHECK_PERIOD, mObservation::findLosses);
         mTasks.repeat("shares", SHARES_PERIOD, this::renewShares);
         mTasks.repeatUntil("startup", STARTUP_PAUSE, this::advanceStartup, mStartup::done);
         mTasks.repeat("gossip", MembershipController.ROUND, mGossip::round);
