--- a/serving/src/main/java/io/bilberrygrade/serving/http/RelayMonitor.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/RelayMonitor.java
@@ -51,11 +51,6 @@
         return mNext.writable();
     }
 
-    @Override
-    public void onWritten(Runnable action) {
-        mNext.onWritten(action);
-    }
-
     @Override
     public void onCallerGone(Runnable action) {
         mNext.onCallerGone(action);
--- a/serving/src/test/java/io/bilberrygrade/serving/peer/PeerServerProperties.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/peer/PeerServerProperties.java
@@ -7,6 +7,7 @@
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.identity.InstanceId;
 import io.bilberrygrade.serving.json.Mappers;
+import io.bilberrygrade.serving.metrics.ControlTraffic;
 import io.bilberrygrade.serving.settings.PeerKey;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Context;
@@ -47,6 +48,7 @@
                             HANDLED.incrementAndGet();
                             return Uni.createFrom().item(message);
                         },
+                        ControlTraffic.unread(),
                         e -> {});
         sServer = new Address("127.0.0.1", server.listen("127.0.0.1", 0).await().atMost(TIMEOUT));
     }
@@ -77,7 +79,8 @@
         sVertx.createNetClient()
                 .connect(sServer.port(), sServer.host())
                 .onSuccess(s -> s.write(Buffer.buffer(bytes)));
-        TcpPeerNetwork network = new TcpPeerNetwork(sVertx, identity("client"), KEY);
+        TcpPeerNetwork network =
+                new TcpPeerNetwork(sVertx, identity("client"), KEY, ControlTraffic.unread());
         Context context = sVertx.getOrCreateContext();
         PeerMessage reply =
                 Uni.createFrom()
