--- a/serving/src/main/java/io/bilberrygrade/serving/http/RelayMonitor.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/RelayMonitor.java
@@ -2,6 +2,7 @@
 
 import io.bilberrygrade.serving.filter.AnswerSink;
 import io.bilberrygrade.serving.service.ServiceAnswer;
+import io.smallrye.mutiny.Uni;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Optional;
@@ -45,6 +46,16 @@
         mNext.serviceAnswer(answer);
     }
 
+    @Override
+    public Uni<Void> writable() {
+        return mNext.writable();
+    }
+
+    @Override
+    public void onWritten(Runnable action) {
+        mNext.onWritten(action);
+    }
+
     @Override
     public void onCallerGone(Runnable action) {
         mNext.onCallerGone(action);
