--- a/core/src/test/java/io/bilberrygrade/core/gang/GangLeasesTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/gang/GangLeasesTest.java
@@ -3,13 +3,13 @@
 import static io.bilberrygrade.core.routing.FakeFleet.START;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import io.bilberrygrade.core.identity.DataCentreId;
 import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.core.identity.InstanceId;
 import io.bilberrygrade.core.identity.ModelId;
 import io.bilberrygrade.core.identity.RequestId;
-import com.google.common.collect.ImmutableList;
 import java.time.Duration;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
@@ -39,8 +39,7 @@
 
     @Test
     void releaseFreesTheEnginesOfOneRequestOnly() {
-        GangLeases both =
-                mLeases.grant(SECOND, engines("d"), LIFETIME, START).orElseThrow();
+        GangLeases both = mLeases.grant(SECOND, engines("d"), LIFETIME, START).orElseThrow();
         GangLeases released = both.release(FIRST, START);
         assertThat(released.busy(new RequestId("r3"), engines("a", "d"), START))
                 .isEqualTo(engines("d"));
@@ -50,7 +49,8 @@
     void ranksCloseUpWhenTheFirstIsGone() {
         ImmutableSet<InstanceId> live =
                 ImmutableSet.of(new InstanceId("1"), new InstanceId("2"), new InstanceId("3"));
-        ImmutableList<InstanceId> order = StewardOrder.of(new ModelId("m"), new DataCentreId("dc"), live);
+        ImmutableList<InstanceId> order =
+                StewardOrder.of(new ModelId("m"), new DataCentreId("dc"), live);
         ImmutableSet<InstanceId> rest =
                 ImmutableSet.copyOf(order.subList(1, order.size()).reverse());
         assertThat(StewardOrder.of(new ModelId("m"), new DataCentreId("dc"), rest))
--- a/core/src/test/java/io/bilberrygrade/core/gang/GangPlannerTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/gang/GangPlannerTest.java
@@ -68,8 +68,7 @@
             next = segment.to();
         }
         assertThat(next).isEqualTo(prompt.tokens());
-        assertThat(plan.last().reservedTokens())
-                .isEqualTo(plan.last().tokens() + ANSWER_TOKENS);
+        assertThat(plan.last().reservedTokens()).isEqualTo(plan.last().tokens() + ANSWER_TOKENS);
         assertThat(plan.engines()).hasSameSizeAs(plan.segments());
     }
 
