Assemble daemon and simulated daemon from one set of controllers; read parts off the event loop

Ruled out: parsing in slices on the event loop, since the YAML reader can't be paused. Change: Controllers puts the controllers together over the interfaces of Outside; a DeploymentLoader reads parts on a worker thread and the version is looked at again when it is done. Also: the timer of a weight load ended up to a millisecond before its slot, so that the order slipped by a whole cycle.

--- a/serving/src/main/java/io/bilberrygrade/serving/controller/ConfigController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/ConfigController.java
@@ -9,7 +9,7 @@
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.platform.ConfigParts;
 import io.bilberrygrade.serving.platform.ConfigSource;
-import io.bilberrygrade.serving.platform.DeploymentParser;
+import io.bilberrygrade.serving.platform.DeploymentLoader;
 import io.bilberrygrade.serving.platform.InvalidConfigException;
 import io.bilberrygrade.serving.wire.ManifestDocument;
 import io.smallrye.mutiny.Uni;
@@ -28,6 +28,7 @@
     private static final String SERVICE = "configuration service";
 
     private final ConfigSource mService;
+    private final DeploymentLoader mLoader;
     private final boolean mGuarded;
     private final EventLog mEvents;
     private final List<Consumer<Deployment>> mListeners = new ArrayList<>();
@@ -40,12 +41,14 @@
 
     /** Creates the controller; nothing is in force yet. */
     public ConfigController(ConfigSource service, EventLog events) {
-        this(service, true, events);
+        this(service, DeploymentLoader.immediate(), true, events);
     }
 
     /** Creates the controller; without the guard, versions may go back. */
-    public ConfigController(ConfigSource service, boolean guarded, EventLog events) {
+    public ConfigController(
+            ConfigSource service, DeploymentLoader loader, boolean guarded, EventLog events) {
         mService = service;
+        mLoader = loader;
         mGuarded = guarded;
         mEvents = events;
     }
@@ -99,27 +102,37 @@
         }
         return new ConfigFetcher(source, name, mPartsByDigest)
                 .fetch(manifest)
-                .invoke(parts -> offer(manifest, parts, name))
-                .replaceWithVoid();
+                .onItem()
+                .transformToUni(parts -> load(manifest, parts, name));
+    }
+
+    private Uni<Void> load(ManifestDocument manifest, ConfigParts parts, String source) {
+        return mLoader.load(parts)
+                .invoke(next -> offer(manifest, parts, next, source))
+                .replaceWithVoid()
+                .onFailure(InvalidConfigException.class)
+                .recoverWithItem(e -> reject(manifest, source, e));
     }
 
-    private void offer(ManifestDocument manifest, ConfigParts parts, String source) {
+    /** Looks at the version again, since another source may have been faster. */
+    private void offer(
+            ManifestDocument manifest, ConfigParts parts, Deployment next, String source) {
         if (!supersedes(manifest.version())) {
             return;
         }
-        try {
-            Deployment next = DeploymentParser.parse(parts);
-            mManifest = manifest;
-            mPartsByDigest =
-                    parts.parts().values().stream()
-                            .collect(
-                                    ImmutableMap.toImmutableMap(
-                                            ConfigFetcher::digest, b -> b, (a, b) -> a));
-            bringIntoForce(next, source);
-        } catch (InvalidConfigException e) {
-            mRejected = manifest.version();
-            mEvents.record(new ConfigEvent.Rejected(mRejected, source, e.getMessage()));
-        }
+        mManifest = manifest;
+        mPartsByDigest =
+                parts.parts().values().stream()
+                        .collect(
+                                ImmutableMap.toImmutableMap(
+                                        ConfigFetcher::digest, b -> b, (a, b) -> a));
+        bringIntoForce(next, source);
+    }
+
+    private Void reject(ManifestDocument manifest, String source, Throwable e) {
+        mRejected = manifest.version();
+        mEvents.record(new ConfigEvent.Rejected(mRejected, source, e.getMessage()));
+        return null;
     }
 
     private void bringIntoForce(Deployment next, String source) {
--- a/serving/src/main/java/io/bilberrygrade/serving/controller/OrderController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/OrderController.java
@@ -43,6 +43,7 @@
     /** Time between two rounds. */
     public static final Duration PERIOD = Duration.ofSeconds(2);
 
+    private static final Duration TIMER_RESOLUTION = Duration.ofMillis(1);
     private static final Duration LOAD_PATIENCE = Duration.ofMinutes(2);
     private static final int CONCURRENT_ENGINES = 8;
 
@@ -119,7 +120,7 @@
         if (!order.readsWeights()) {
             return send(engine, order, planned, report);
         }
-        return mTimers.after(untilSlot(engine.id(), planned))
+        return mTimers.after(untilSlot(engine.id(), planned).plus(TIMER_RESOLUTION))
                 .onItem()
                 .transformToUni(
                         v ->
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/Controllers.java
@@ -0,0 +1,261 @@
+package io.bilberrygrade.serving.entry;
+
+import io.bilberrygrade.core.atmostonce.KeyAuthority;
+import io.bilberrygrade.core.identity.EndpointId;
+import io.bilberrygrade.serving.atmostonce.AtMostOnceController;
+import io.bilberrygrade.serving.atmostonce.KeyRouter;
+import io.bilberrygrade.serving.atmostonce.PlainServiceDispatch;
+import io.bilberrygrade.serving.controller.ConfigController;
+import io.bilberrygrade.serving.controller.ConfigGossip;
+import io.bilberrygrade.serving.controller.DrainController;
+import io.bilberrygrade.serving.controller.EndpointController;
+import io.bilberrygrade.serving.controller.GossipController;
+import io.bilberrygrade.serving.controller.LeavingController;
+import io.bilberrygrade.serving.controller.LoadController;
+import io.bilberrygrade.serving.controller.MembershipController;
+import io.bilberrygrade.serving.controller.OrderController;
+import io.bilberrygrade.serving.controller.ReclaimController;
+import io.bilberrygrade.serving.controller.ShareController;
+import io.bilberrygrade.serving.controller.StartupController;
+import io.bilberrygrade.serving.error.CallException;
+import io.bilberrygrade.serving.event.EventLog;
+import io.bilberrygrade.serving.event.LifecycleEvent;
+import io.bilberrygrade.serving.filter.FilterChain;
+import io.bilberrygrade.serving.gang.GangController;
+import io.bilberrygrade.serving.peer.PeerHandler;
+import io.bilberrygrade.serving.peer.PeerIdentity;
+import io.bilberrygrade.serving.settings.EntrySettings;
+import io.bilberrygrade.serving.settings.Mechanism;
+import io.smallrye.mutiny.Uni;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+
+/**
+ * The controllers and the filter chain of one daemon, put together over its interfaces to the
+ * outside, so that a daemon on sockets and one in a test are the same.
+ */
+public final class Controllers {
+    private static final Duration CONFIG_WAIT = Duration.ofSeconds(4);
+    private static final Duration CONFIG_RETRY = Duration.ofSeconds(1);
+
+    private final EntrySettings mSettings;
+    private final PeerIdentity mSelf;
+    private final Outside mOutside;
+    private final EventLog mEvents;
+    private final DrainController mDrain = new DrainController();
+    private final EndpointController mEndpoints;
+    private final ConfigController mConfig;
+    private final MembershipController mMembership;
+    private final GossipController mGossip;
+    private final ShareController mShares;
+    private final ConfigGossip mConfigGossip;
+    private final StartupController mStartup;
+    private final AtMostOnceController mKeys;
+    private final KeyRouter mKeyRouter;
+    private final GangController mGangs;
+    private final LeavingController mLeaving;
+    private final ReclaimController mReclaim;
+    private final OrderController mOrders;
+
+    /** Creates the controllers of a run that knows nothing yet. */
+    public Controllers(
+            EntrySettings settings, PeerIdentity self, Outside outside, EventLog events) {
+        mSettings = settings;
+        mSelf = self;
+        mOutside = outside;
+        mEvents = events;
+        mEndpoints = new EndpointController(settings.instance(), settings.policy());
+        mConfig =
+                new ConfigController(
+                        outside.configuration(),
+                        outside.loader(),
+                        enabled(Mechanism.VERSION_GUARD),
+                        events);
+        mMembership = createMembership();
+        mGossip = new GossipController(mMembership, outside.peers(), outside.clock());
+        mShares = new ShareController(self, settings.policy(), events);
+        mConfigGossip =
+                new ConfigGossip(mConfig, outside.peers(), mMembership::address, mDrain::serving);
+        mStartup = startup();
+        KeyAuthority authority = new KeyAuthority(settings.peerKey().bytes());
+        mKeys = keys(authority);
+        mKeyRouter = new KeyRouter(authority, mKeys, mMembership, outside.peers(), outside.clock());
+        mGangs =
+                new GangController(
+                        settings.instance(), mMembership, outside.peers(), outside.clock());
+        mLeaving =
+                new LeavingController(
+                        enabled(Mechanism.LEAVING_GOSSIP), mGossip::spreadNews, events);
+        mReclaim = reclaim();
+        mOrders = orders();
+        connect();
+    }
+
+    private void connect() {
+        mGossip.register(mShares);
+        mGossip.register(mConfigGossip);
+        mGossip.register(mLeaving);
+        mEndpoints.attach(mLeaving);
+        mConfig.onChange(mEndpoints::onDeployment);
+        mConfig.onChange(d -> mGossip.spreadNews());
+    }
+
+    private boolean enabled(Mechanism mechanism) {
+        return mSettings.policy().enabled(mechanism);
+    }
+
+    private MembershipController createMembership() {
+        return new MembershipController(
+                mSelf,
+                mOutside.instances(),
+                mOutside.random(),
+                mEvents,
+                mOutside.clock().instant());
+    }
+
+    private StartupController startup() {
+        return new StartupController(
+                mConfig,
+                mConfigGossip,
+                mMembership::publishedPeers,
+                mOutside.engine(),
+                mOutside.clock(),
+                mEvents);
+    }
+
+    private AtMostOnceController keys(KeyAuthority authority) {
+        return new AtMostOnceController(
+                mSelf,
+                authority,
+                mDrain,
+                new PlainServiceDispatch(
+                        mOutside.service(), mEndpoints, mConfig::current, mOutside.clock()),
+                mOutside.timers(),
+                mSettings.policy(),
+                mOutside.clock());
+    }
+
+    private ReclaimController reclaim() {
+        return new ReclaimController(
+                mSettings.instance(),
+                mOutside.engine(),
+                mMembership,
+                mConfig::current,
+                mOutside.clock(),
+                mEvents);
+    }
+
+    private OrderController orders() {
+        return new OrderController(
+                mOutside.engine(),
+                mConfig::current,
+                this::issuesOrders,
+                enabled(Mechanism.FENCING),
+                mOutside.timers(),
+                mOutside.clock(),
+                mEvents);
+    }
+
+    private boolean issuesOrders(EndpointId engine) {
+        return mDrain.serving()
+                && mMembership
+                        .firstAlive(engine, mOutside.clock().instant())
+                        .equals(Optional.of(mSettings.instance()));
+    }
+
+    /** Returns the chain through which callers' requests pass. */
+    public FilterChain chain() {
+        RequestPath.Parts parts =
+                new RequestPath.Parts(
+                        mSelf.incarnation(),
+                        mOutside.engine(),
+                        mKeyRouter,
+                        mGangs,
+                        mEndpoints,
+                        mShares,
+                        mDrain,
+                        mOutside.timers(),
+                        mOutside.random());
+        return new RequestPath(mSettings, mOutside.clock(), mEvents).chain(parts);
+    }
+
+    /** Returns the handler of peers' calls. */
+    public PeerHandler peerCalls() {
+        return new PeerCalls(mGossip, mKeyRouter, mGangs, mConfigGossip);
+    }
+
+    /** Starts the work that the controllers do again and again. */
+    public void start(PeriodicTasks tasks) {
+        LoadController loads = new LoadController(mOutside.engine(), mEndpoints, mOutside.clock());
+        tasks.repeat("config", Duration.ofMillis(300), this::watchConfig);
+        tasks.repeat("instance list", Duration.ofSeconds(2), this::refreshInstances);
+        tasks.repeat("load", Duration.ofMillis(250), loads::readOldest);
+        tasks.repeat("endpoints", Duration.ofSeconds(1), this::renewEndpoints);
+        tasks.repeat("shares", Duration.ofMillis(500), this::renewShares);
+        tasks.repeat("orders", OrderController.PERIOD, mOrders::round);
+        if (enabled(Mechanism.RECLAIM)) {
+            tasks.repeat("reclaim", ReclaimController.PERIOD, mReclaim::sweep);
+        }
+        tasks.repeatUntil("startup", Duration.ofMillis(100), this::advanceStartup, mStartup::done);
+        tasks.repeat("gossip", MembershipController.ROUND, mGossip::round);
+    }
+
+    private Uni<Void> watchConfig() {
+        return mConfig.refresh(CONFIG_WAIT)
+                .onFailure(CallException.class)
+                .recoverWithUni(() -> mOutside.timers().after(CONFIG_RETRY));
+    }
+
+    private Uni<Void> refreshInstances() {
+        return mMembership.refresh().invoke(() -> mLeaving.published(mMembership.instances()));
+    }
+
+    private Uni<Void> renewEndpoints() {
+        Instant now = mOutside.clock().instant();
+        mEndpoints.renew(mMembership.alive(now).size() + 1, now);
+        return Uni.createFrom().voidItem();
+    }
+
+    private Uni<Void> renewShares() {
+        Instant now = mOutside.clock().instant();
+        mShares.renew(mConfig.current(), mEndpoints.capacity(now), now);
+        return Uni.createFrom().voidItem();
+    }
+
+    private Uni<Void> advanceStartup() {
+        return mStartup.advance(mGossip::spreadNews).invoke(this::becomeReady);
+    }
+
+    private void becomeReady() {
+        if (mStartup.done() && !mDrain.serving()) {
+            mDrain.becomeReady();
+            mEvents.record(new LifecycleEvent.Ready(mConfig.current().version()));
+        }
+    }
+
+    /** Returns the owner of the configuration in force. */
+    public ConfigController config() {
+        return mConfig;
+    }
+
+    /** Returns the owner of what is known of peers. */
+    public MembershipController membership() {
+        return mMembership;
+    }
+
+    /** Returns the owner of what is known of endpoints. */
+    public EndpointController endpoints() {
+        return mEndpoints;
+    }
+
+    /** Returns the owner of the drain. */
+    public DrainController drain() {
+        return mDrain;
+    }
+
+    /** Returns the owner of the idempotency keys that this run issued. */
+    public AtMostOnceController keys() {
+        return mKeys;
+    }
+}
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/Observation.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/Observation.java
@@ -8,7 +8,6 @@
 import io.bilberrygrade.core.report.ReportHistory;
 import io.bilberrygrade.serving.controller.ConfigController;
 import io.bilberrygrade.serving.controller.DrainController;
-import io.bilberrygrade.serving.controller.EndpointController;
 import io.bilberrygrade.serving.controller.MembershipController;
 import io.bilberrygrade.serving.http.OperationsApi;
 import io.bilberrygrade.serving.http.OperatorApi;
@@ -54,15 +53,14 @@
             InstantSource clock,
             MetricRegistry metrics,
             AuditTrail audit,
-            ConfigController config,
-            MembershipController membership,
-            EndpointController endpoints,
-            DrainController drain,
+            Controllers controllers,
             PeerNetwork peers) {
         mSettings = settings;
         mClock = clock;
         mMetrics = metrics;
-        mDrain = drain;
+        mDrain = controllers.drain();
+        ConfigController config = controllers.config();
+        MembershipController membership = controllers.membership();
         ReportHistory history = new ReportHistory();
         mRequests = new RequestMetrics(metrics, audit);
         mOutcomes = new OutcomeRecorder(history);
@@ -79,8 +77,8 @@
                         self,
                         settings.dataCentre().value(),
                         clock.instant(),
-                        drain,
-                        endpoints,
+                        mDrain,
+                        controllers.endpoints(),
                         membership,
                         audit);
         ConfigAudit configAudit = new ConfigAudit(audit);
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/Outside.java
@@ -0,0 +1,23 @@
+package io.bilberrygrade.serving.entry;
+
+import io.bilberrygrade.serving.engine.ModelEngine;
+import io.bilberrygrade.serving.peer.PeerNetwork;
+import io.bilberrygrade.serving.platform.ConfigSource;
+import io.bilberrygrade.serving.platform.DeploymentLoader;
+import io.bilberrygrade.serving.platform.InstanceSource;
+import io.bilberrygrade.serving.service.PlainService;
+import io.bilberrygrade.serving.time.Timers;
+import java.time.InstantSource;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/** Everything outside a daemon's own state: the platform, endpoints, peers, time and chance. */
+public record Outside(
+        ConfigSource configuration,
+        DeploymentLoader loader,
+        InstanceSource instances,
+        PeerNetwork peers,
+        ModelEngine engine,
+        PlainService service,
+        Timers timers,
+        InstantSource clock,
+        UniformRandomProvider random) {}
--- a/serving/src/main/java/io/bilberrygrade/serving/entry/PeriodicTasks.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/PeriodicTasks.java
@@ -2,8 +2,8 @@
 
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.event.LifecycleEvent;
+import io.bilberrygrade.serving.time.Timers;
 import io.smallrye.mutiny.Uni;
-import io.vertx.core.Vertx;
 import java.time.Duration;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -13,16 +13,17 @@
  * Runs background work again and again. A pause starts when the work has ended, so that slow work
  * never piles up, and varies by a quarter, so that daemons don't act in step.
  */
-final class PeriodicTasks implements AutoCloseable {
+public final class PeriodicTasks implements AutoCloseable {
     private static final double JITTER = 0.25;
 
-    private final Vertx mVertx;
+    private final Timers mTimers;
     private final UniformRandomProvider mRandom;
     private final EventLog mEvents;
     private boolean mClosed;
 
-    PeriodicTasks(Vertx vertx, UniformRandomProvider random, EventLog events) {
-        mVertx = vertx;
+    /** Creates an empty set of tasks. */
+    public PeriodicTasks(Timers timers, UniformRandomProvider random, EventLog events) {
+        mTimers = timers;
         mRandom = random;
         mEvents = events;
     }
@@ -30,12 +31,13 @@
     /**
      * Runs the work now and then again after each pause. A failure is logged and changes nothing.
      */
-    void repeat(String name, Duration pause, Supplier<Uni<Void>> work) {
+    public void repeat(String name, Duration pause, Supplier<Uni<Void>> work) {
         repeatUntil(name, pause, work, () -> false);
     }
 
     /** Runs the work as {@link #repeat} does, until it is done. */
-    void repeatUntil(String name, Duration pause, Supplier<Uni<Void>> work, BooleanSupplier done) {
+    public void repeatUntil(
+            String name, Duration pause, Supplier<Uni<Void>> work, BooleanSupplier done) {
         if (mClosed || done.getAsBoolean()) {
             return;
         }
@@ -43,8 +45,9 @@
                 .onTermination()
                 .invoke(
                         () ->
-                                mVertx.setTimer(
-                                        jittered(pause), t -> repeatUntil(name, pause, work, done)))
+                                mTimers.after(jittered(pause))
+                                        .subscribe()
+                                        .with(t -> repeatUntil(name, pause, work, done)))
                 .subscribe()
                 .with(
                         v -> {},
@@ -53,9 +56,9 @@
                                         new LifecycleEvent.UnexpectedError(name, e.toString())));
     }
 
-    private long jittered(Duration pause) {
+    private Duration jittered(Duration pause) {
         double factor = 1 - JITTER + 2 * JITTER * mRandom.nextDouble();
-        return Math.max(1, Math.round(pause.toMillis() * factor));
+        return Duration.ofMillis(Math.max(1, Math.round(pause.toMillis() * factor)));
     }
 
     @Override
--- a/standins/src/test/java/io/bilberrygrade/standins/daemon/OrderControllerTest.java
+++ b/standins/src/test/java/io/bilberrygrade/standins/daemon/OrderControllerTest.java
@@ -15,13 +15,15 @@
 import io.bilberrygrade.serving.controller.OrderController;
 import io.bilberrygrade.serving.engine.HttpModelEngine;
 import io.bilberrygrade.serving.http.HttpCalls;
-import io.bilberrygrade.serving.time.VertxTimers;
+import io.bilberrygrade.serving.time.Timers;
 import io.bilberrygrade.serving.wire.OrderDocument;
 import io.bilberrygrade.serving.wire.OrderKind;
 import io.bilberrygrade.standins.engine.EngineSettings;
 import io.bilberrygrade.standins.engine.StandInEngine;
+import io.smallrye.mutiny.Uni;
 import io.vertx.mutiny.core.Vertx;
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -45,12 +47,18 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"true,5", "false,1"})
-    void givesNoOrdersOfOlderVersions(boolean fenced, long expectedVersion) {
+    @CsvSource({
+        "true,5,2026-01-01T00:00:00Z",
+        "false,1,2026-01-01T00:00:00Z",
+        "true,5,2026-01-01T00:00:00.5007Z",
+        "false,1,2026-01-01T00:00:00.5007Z",
+        "false,1,2026-01-01T00:00:01.0007Z",
+    })
+    void givesNoOrdersOfOlderVersions(boolean fenced, long expectedVersion, Instant now) {
         Endpoint endpoint = engine();
         load(endpoint, 5, NEWER_TOKEN);
 
-        controller(endpoint, deployment(endpoint, OLDER_TOKEN, 1), fenced)
+        controller(endpoint, deployment(endpoint, OLDER_TOKEN, 1), fenced, new MillisClock(now))
                 .round()
                 .await()
                 .atMost(BOUND);
@@ -90,17 +98,38 @@
         return mEngine.state(endpoint).await().atMost(BOUND).models().get(0).version();
     }
 
-    private OrderController controller(Endpoint endpoint, Deployment deployment, boolean fenced) {
+    private OrderController controller(
+            Endpoint endpoint, Deployment deployment, boolean fenced, MillisClock clock) {
         return new OrderController(
                 mEngine,
                 () -> deployment,
                 id -> id.equals(endpoint.id()),
                 fenced,
-                new VertxTimers(mVertx.getDelegate()),
-                InstantSource.system(),
+                clock,
+                clock,
                 event -> {});
     }
 
+    /** Clock that its own timers move on, by whole milliseconds as real timers do. */
+    private static final class MillisClock implements InstantSource, Timers {
+        private Instant mNow;
+
+        MillisClock(Instant now) {
+            mNow = now;
+        }
+
+        @Override
+        public Instant instant() {
+            return mNow;
+        }
+
+        @Override
+        public Uni<Void> after(Duration delay) {
+            mNow = mNow.plusMillis(delay.toMillis());
+            return Uni.createFrom().voidItem();
+        }
+    }
+
     private static Deployment deployment(Endpoint endpoint, long version, long modelVersion) {
         return new Deployment(
                 version,
