Use one set of length bands for metrics, reports and measurements

Cause: the bands stood twice, with different bounds, so that a page of metrics and a measurement could not be compared.

--- a/core/src/main/java/io/bilberrygrade/core/request/LengthBand.java
+++ b/core/src/main/java/io/bilberrygrade/core/request/LengthBand.java
@@ -2,7 +2,8 @@
 
 /** Bands of prompt length, by which times to first token are told apart. */
 public enum LengthBand {
-    UP_TO_8K("up-to-8k", 8_192),
+    UP_TO_4K("up-to-4k", 4_096),
+    UP_TO_32K("up-to-32k", 32_768),
     UP_TO_100K("up-to-100k", 100_000),
     UP_TO_400K("up-to-400k", 400_000),
     OVER_400K("over-400k", Integer.MAX_VALUE);
@@ -27,7 +28,7 @@
 
     /** Returns whether prompts of the band count as short, whose slowdown is watched. */
     public boolean isShort() {
-        return this == UP_TO_8K;
+        return this == UP_TO_4K;
     }
 
     /** Returns whether prompts of the band count as long, which may slow short ones down. */
@@ -35,7 +36,12 @@
         return this == UP_TO_400K || this == OVER_400K;
     }
 
-    /** Returns the name of the band in metrics. */
+    /** Returns the length of the longest prompts of the band in tokens. */
+    public int maxTokens() {
+        return mMaxTokens;
+    }
+
+    /** Returns the name of the band in metrics and reports. */
     public String label() {
         return mLabel;
     }
--- a/standins/src/main/java/io/bilberrygrade/standins/load/measure/CellCommand.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/measure/CellCommand.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.ImmutableMap;
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.identity.WorkClassId;
+import io.bilberrygrade.core.request.LengthBand;
 import io.bilberrygrade.serving.json.Mappers;
 import io.bilberrygrade.serving.settings.Units;
 import java.io.IOException;
--- a/standins/src/main/java/io/bilberrygrade/standins/load/measure/CellReport.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/measure/CellReport.java
@@ -1,5 +1,6 @@
 package io.bilberrygrade.standins.load.measure;
 
+import io.bilberrygrade.core.request.LengthBand;
 import java.util.List;
 import java.util.Map;
 
--- a/standins/src/main/java/io/bilberrygrade/standins/load/measure/CellStatistics.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/measure/CellStatistics.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.ImmutableMap;
 import io.bilberrygrade.core.identity.TeamId;
 import io.bilberrygrade.core.identity.WorkClassId;
+import io.bilberrygrade.core.request.LengthBand;
 import io.bilberrygrade.standins.load.CallerOutcome;
 import java.time.Duration;
 import java.util.Arrays;
--- a/standins/src/main/java/io/bilberrygrade/standins/load/measure/ReportTable.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/measure/ReportTable.java
@@ -1,6 +1,7 @@
 package io.bilberrygrade.standins.load.measure;
 
 import com.google.common.collect.ImmutableList;
+import io.bilberrygrade.core.request.LengthBand;
 import java.io.PrintStream;
 import java.util.Locale;
 import java.util.Optional;
--- a/standins/src/main/java/io/bilberrygrade/standins/load/measure/Workload.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/measure/Workload.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import io.bilberrygrade.core.identity.TeamId;
 import io.bilberrygrade.core.identity.WorkClassId;
+import io.bilberrygrade.core.request.LengthBand;
 import java.time.Duration;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
