--- a/standins/src/main/java/io/bilberrygrade/standins/load/measure/LengthPlot.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/measure/LengthPlot.java
@@ -35,6 +35,7 @@
                         .yAxisTitle("p95 in ms")
                         .build();
         chart.getStyler().setYAxisLogarithmic(true);
+        chart.getStyler().setYAxisMin(MIN_MILLIS);
         for (String policy : POLICIES) {
             cells.stream()
                     .filter(c -> c.policy().equals(policy) && c.load() == load)
