--- a/serving/src/test/java/io/bilberrygrade/serving/fuzz/FoundChainTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/fuzz/FoundChainTest.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -18,6 +19,13 @@
                     new FaultStep.Advance(2_627),
                     new FaultStep.LeaveCaller(2));
 
+    private static final ImmutableList<FaultStep> PEER_ENDS_BETWEEN_PAUSES =
+            ImmutableList.of(
+                    new FaultStep.Pause(0, 20_000),
+                    new FaultStep.Advance(4_264),
+                    new FaultStep.ShutDown(3),
+                    new FaultStep.Pause(0, 20_000));
+
     @ParameterizedTest
     @ValueSource(longs = {6308871931868213323L, 7})
     void deadDaemonAnswersNoMore(long fleetSeed) {
@@ -25,4 +33,11 @@
         CALLER_LEAVES_AFTER_KILL.forEach(fleet::apply);
         fleet.finish();
     }
+
+    @Test
+    void peerThatEndedBetweenPausesIsForgotten() {
+        Fleet fleet = new Fleet(8313984888824645412L, ImmutableSet.of());
+        PEER_ENDS_BETWEEN_PAUSES.forEach(fleet::apply);
+        fleet.finish();
+    }
 }
