--- a/bin/lib/demo.sh
+++ b/bin/lib/demo.sh
@@ -30,10 +30,7 @@
         *) echo "unknown option $1" >&2; usage >&2; exit 2 ;;
     esac
 done
-case $host in
-    127.*) ;;
-    *) echo "--host takes a loopback address" >&2; exit 2 ;;
-esac
+require_loopback "$host"
 [ -d "$ROOT/examples/$example" ] || { echo "no example '$example'" >&2; exit 2; }
 
 find_java
--- a/bin/lib/measure-control.sh
+++ b/bin/lib/measure-control.sh
@@ -35,10 +35,7 @@
         *) echo "unknown option $1" >&2; usage >&2; exit 2 ;;
     esac
 done
-case $host in
-    127.*) ;;
-    *) echo "--host takes a loopback address" >&2; exit 2 ;;
-esac
+require_loopback "$host"
 
 readonly CONFIG_PORT=22401
 
--- a/bin/lib/measure-routing.sh
+++ b/bin/lib/measure-routing.sh
@@ -52,10 +52,7 @@
         *) echo "unknown option $1" >&2; usage >&2; exit 2 ;;
     esac
 done
-case $host in
-    127.*) ;;
-    *) echo "--host takes a loopback address" >&2; exit 2 ;;
-esac
+require_loopback "$host"
 
 readonly ENGINES=16 FIRST_ENGINE_CONTROL_PORT=21051 DATA_CENTRES=3 MEMORY_TOKENS=400000 FAULT_LOAD=0.8
 
--- a/bin/lib/processes.sh
+++ b/bin/lib/processes.sh
@@ -19,6 +19,14 @@
     fi
 }
 
+# Ends the script unless an address is a loopback one.
+require_loopback() { # host
+    case $1 in
+        127.*) ;;
+        *) echo "--host takes a loopback address" >&2; exit 2 ;;
+    esac
+}
+
 # Builds the programs unless they are newer than their sources.
 build_if_needed() {
     if [ -f "$DAEMON_JAR" ] && [ -f "$STANDINS_JAR" ] &&
