--- a/bench/src/main/java/io/bilberrygrade/bench/BenchFleet.java
+++ b/bench/src/main/java/io/bilberrygrade/bench/BenchFleet.java
@@ -16,10 +16,10 @@
 import io.bilberrygrade.core.routing.EndpointLoad;
 import io.bilberrygrade.core.routing.EndpointView;
 import io.bilberrygrade.core.routing.EngineFleet;
+import io.bilberrygrade.core.routing.FleetLayout;
 import io.bilberrygrade.core.routing.OwnDispatch;
 import io.bilberrygrade.core.routing.PrefillRate;
 import io.bilberrygrade.core.routing.PrefixIndex;
-import io.bilberrygrade.core.routing.RendezvousTable;
 import io.bilberrygrade.core.routing.WatchedEngines;
 import java.time.Duration;
 import java.time.Instant;
@@ -40,13 +40,8 @@
     private static final int LIVE_DAEMONS = 5;
     private static final Duration TARGET = Duration.ofMillis(1_500);
 
-    private final ImmutableList<Endpoint> mEngines;
-    private final ImmutableList<Endpoint> mWatched;
-    private final ImmutableList<Endpoint> mLong;
-    private final ImmutableList<Endpoint> mFree;
-    private final RendezvousTable mPreferred;
+    private final FleetLayout mLayout;
     private final PrefixIndex mPrefixes = new PrefixIndex();
-    private final LanePlan mLanes;
     private final Map<EndpointId, EndpointLoad> mLoads = new HashMap<>();
     private final Map<EndpointId, ImmutableList<OwnDispatch>> mOwn = new HashMap<>();
 
@@ -56,14 +51,14 @@
         for (int i = 0; i < engines; i++) {
             all.add(engine(i));
         }
-        mEngines = all.build();
-        mWatched = WatchedEngines.of(new InstanceId("entry-1"), mEngines);
-        ImmutableSet<EndpointId> confinedTo = LongEngines.choose(mEngines, engines / 4);
-        mLanes = new LanePlan(TARGET, RATE.tokensPerSecond(), confinedTo);
-        mLong = with(confinedTo, mEngines, true);
-        mFree = with(confinedTo, mWatched, false);
-        mPreferred = new RendezvousTable(mEngines);
-        mEngines.forEach(e -> fill(e, random, now));
+        ImmutableList<Endpoint> built = all.build();
+        ImmutableSet<EndpointId> confinedTo = LongEngines.choose(built, engines / 4);
+        mLayout =
+                FleetLayout.of(
+                        built,
+                        WatchedEngines.of(new InstanceId("entry-1"), built),
+                        new LanePlan(TARGET, RATE.tokensPerSecond(), confinedTo));
+        built.forEach(e -> fill(e, random, now));
     }
 
     private void fill(Endpoint engine, UniformRandomProvider random, Instant now) {
@@ -86,46 +81,9 @@
                 new EndpointKind.Engine(ImmutableSet.of(MODEL), MEMORY_TOKENS, true));
     }
 
-    private static ImmutableList<Endpoint> with(
-            ImmutableSet<EndpointId> chosen, ImmutableList<Endpoint> engines, boolean contained) {
-        return engines.stream()
-                .filter(e -> chosen.contains(e.id()) == contained)
-                .collect(ImmutableList.toImmutableList());
-    }
-
-    @Override
-    public ImmutableList<Endpoint> engines() {
-        return mEngines;
-    }
-
-    @Override
-    public ImmutableList<Endpoint> watched() {
-        return mWatched;
-    }
-
-    @Override
-    public ImmutableList<Endpoint> freeEngines() {
-        return mFree;
-    }
-
-    @Override
-    public ImmutableList<Endpoint> longEngines() {
-        return mLong;
-    }
-
-    @Override
-    public RendezvousTable preferred() {
-        return mPreferred;
-    }
-
-    @Override
-    public long largestMemoryTokens() {
-        return MEMORY_TOKENS;
-    }
-
     @Override
-    public LanePlan lanes() {
-        return mLanes;
+    public FleetLayout layout() {
+        return mLayout;
     }
 
     @Override
--- a/bench/src/main/java/io/bilberrygrade/bench/PlacementBenchmark.java
+++ b/bench/src/main/java/io/bilberrygrade/bench/PlacementBenchmark.java
@@ -55,7 +55,7 @@
         for (int i = 0; i < REQUESTS; i++) {
             mRequests[i] = request(i);
             mFleet.prefixes()
-                    .prefilled(mFleet.engines().get(i % mEngines).id(), mRequests[i].prompt());
+                    .prefilled(mFleet.layout().engines().get(i % mEngines).id(), mRequests[i].prompt());
         }
     }
 
--- a/core/src/main/java/io/bilberrygrade/core/gang/GangPlanner.java
+++ b/core/src/main/java/io/bilberrygrade/core/gang/GangPlanner.java
@@ -26,7 +26,7 @@
 
     /** Returns whether no engine can hold the prompt by itself. */
     public static boolean needed(Prompt prompt, EngineFleet fleet) {
-        return prompt.memoryTokens() > fleet.largestMemoryTokens();
+        return prompt.memoryTokens() > fleet.layout().largestMemoryTokens();
     }
 
     /** Returns whether some data centre has memory enough for the prompt, were it all free. */
--- a/core/src/main/java/io/bilberrygrade/core/routing/EngineFleet.java
+++ b/core/src/main/java/io/bilberrygrade/core/routing/EngineFleet.java
@@ -1,8 +1,6 @@
 package io.bilberrygrade.core.routing;
 
-import com.google.common.collect.ImmutableList;
 import io.bilberrygrade.core.config.Endpoint;
-import io.bilberrygrade.core.lane.LanePlan;
 import java.time.Instant;
 
 /**
@@ -10,26 +8,8 @@
  * only for the engines that it looks at.
  */
 public interface EngineFleet {
-    /** Returns the engines in an order that is the same on all daemons. */
-    ImmutableList<Endpoint> engines();
-
-    /** Returns the engines of which this daemon keeps fresh reports. */
-    ImmutableList<Endpoint> watched();
-
-    /** Returns the watched engines that are kept free of long work; none if it isn't confined. */
-    ImmutableList<Endpoint> freeEngines();
-
-    /** Returns the engines that long work is confined to, or all when it is not confined. */
-    ImmutableList<Endpoint> longEngines();
-
-    /** Returns the preferred engines of a prefix, by position in {@link #engines()}. */
-    RendezvousTable preferred();
-
-    /** Returns the KV memory of the largest engine in tokens. */
-    long largestMemoryTokens();
-
-    /** Returns how requests are divided into lanes. */
-    LanePlan lanes();
+    /** Returns how the engines are divided now. */
+    FleetLayout layout();
 
     /** Returns which prefixes engines are believed to have cached. */
     PrefixIndex prefixes();
--- a/core/src/main/java/io/bilberrygrade/core/routing/LeastOutstandingPolicy.java
+++ b/core/src/main/java/io/bilberrygrade/core/routing/LeastOutstandingPolicy.java
@@ -9,7 +9,7 @@
 public final class LeastOutstandingPolicy implements PlacementPolicy {
     @Override
     public Optional<Placement> place(InferenceRequest request, EngineFleet fleet, Instant now) {
-        return fleet.engines().stream()
+        return fleet.layout().engines().stream()
                 .map(e -> fleet.view(e, now))
                 .filter(EndpointView::available)
                 .min(Comparator.comparingInt(EndpointView::ownRequests))
--- a/core/src/main/java/io/bilberrygrade/core/routing/PredictivePolicy.java
+++ b/core/src/main/java/io/bilberrygrade/core/routing/PredictivePolicy.java
@@ -15,15 +15,19 @@
 
 /**
  * Chooses the engine with the shortest predicted time to first token among a few candidates: those
- * that rendezvous hashing prefers for the prompt's prefix and some drawn at random. Among nearly
- * equal predictions the preferred engines win, else chance decides, so that daemons with the same
- * stale reports don't all choose alike.
+ * that rendezvous hashing prefers for the prompt's prefix and some drawn at random, or all of a
+ * small fleet. Among nearly equal predictions the preferred engines win, else chance decides, so
+ * that daemons with the same stale reports don't all choose alike.
  */
 public final class PredictivePolicy implements PlacementPolicy {
     private static final int FREE_CANDIDATES = 4;
     private static final int SHORT_CANDIDATES = 4;
     private static final int LONG_CANDIDATES = 16;
     private static final int MAX_DRAWS_FACTOR = 3;
+
+    /** Engines of a fleet up to which all are compared: so few cost less than a poor choice. */
+    private static final int SMALL_FLEET = 16;
+
     private static final double NEARLY_EQUAL_FACTOR = 1.02;
     private static final Duration NEARLY_EQUAL = Duration.ofMillis(2);
 
@@ -40,7 +44,7 @@
 
     @Override
     public Optional<Placement> place(InferenceRequest request, EngineFleet fleet, Instant now) {
-        Lane lane = fleet.lanes().lane(request.prompt().tokens());
+        Lane lane = fleet.layout().lanes().lane(request.prompt().tokens());
         UniformRandomProvider random = random(request, now);
         List<Candidate> candidates = candidates(request, fleet, lane, random, now);
         if (candidates.isEmpty()) {
@@ -53,7 +57,9 @@
                         chosen.predicted(),
                         TimeToFirstToken.backlog(chosen.view(), lane),
                         lane,
-                        fleet.lanes().priority(request.workClass(), request.prompt().tokens())));
+                        fleet.layout()
+                                .lanes()
+                                .priority(request.workClass(), request.prompt().tokens())));
     }
 
     private List<Candidate> candidates(
@@ -65,19 +71,19 @@
         CandidateSet set = new CandidateSet(request.prompt(), fleet, lane, now);
         Prompt prompt = request.prompt();
         if (mAffinity && lane == Lane.SHORT && !prompt.prefixHashes().isEmpty()) {
-            for (int i : fleet.preferred().preferred(prompt.prefixHashes().get(0))) {
-                set.add(fleet.engines().get(i), true);
+            for (int i : fleet.layout().preferred().preferred(prompt.prefixHashes().get(0))) {
+                set.add(fleet.layout().engines().get(i), true);
             }
         }
         switch (lane) {
             case SHORT -> {
-                draw(fleet.freeEngines(), set, FREE_CANDIDATES, random);
-                draw(fleet.watched(), set, SHORT_CANDIDATES, random);
+                draw(fleet.layout().freeEngines(), set, FREE_CANDIDATES, random);
+                draw(fleet.layout().watched(), set, SHORT_CANDIDATES, random);
             }
-            case LONG -> draw(fleet.longEngines(), set, LONG_CANDIDATES, random);
+            case LONG -> draw(fleet.layout().longEngines(), set, LONG_CANDIDATES, random);
         }
         if (set.mCandidates.isEmpty()) {
-            fleet.engines().forEach(e -> set.add(e, false));
+            fleet.layout().engines().forEach(e -> set.add(e, false));
         }
         return set.mCandidates;
     }
@@ -87,7 +93,7 @@
             CandidateSet set,
             int wanted,
             UniformRandomProvider random) {
-        if (pool.size() <= wanted) {
+        if (pool.size() <= wanted || set.mFleet.layout().engines().size() <= SMALL_FLEET) {
             pool.forEach(e -> set.add(e, false));
             return;
         }
--- a/core/src/main/java/io/bilberrygrade/core/routing/RoundRobinPolicy.java
+++ b/core/src/main/java/io/bilberrygrade/core/routing/RoundRobinPolicy.java
@@ -12,7 +12,7 @@
     @Override
     public Optional<Placement> place(InferenceRequest request, EngineFleet fleet, Instant now) {
         ImmutableList<EndpointView> available =
-                fleet.engines().stream()
+                fleet.layout().engines().stream()
                         .map(e -> fleet.view(e, now))
                         .filter(EndpointView::available)
                         .collect(ImmutableList.toImmutableList());
--- a/core/src/test/java/io/bilberrygrade/core/gang/GangPlannerTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/gang/GangPlannerTest.java
@@ -77,7 +77,7 @@
                 mFleet.engines().stream()
                         .map(e -> mFleet.view(e, START))
                         .collect(ImmutableList.toImmutableList());
-        return GangPlanner.plan(prompt, views, mFleet.lanes(), busy);
+        return GangPlanner.plan(prompt, views, mFleet.layout().lanes(), busy);
     }
 
     private EndpointId id(int engine) {
--- a/core/src/test/java/io/bilberrygrade/core/routing/FakeFleet.java
+++ b/core/src/test/java/io/bilberrygrade/core/routing/FakeFleet.java
@@ -29,17 +29,15 @@
 
     private static final ModelId MODEL = new ModelId("m");
 
-    private final ImmutableList<Endpoint> mEngines;
     private final Map<EndpointId, EndpointView> mViews = new HashMap<>();
     private final PrefixIndex mPrefixes = new PrefixIndex();
-    private final RendezvousTable mPreferred;
-    private ImmutableSet<EndpointId> mLong = ImmutableSet.of();
+    private FleetLayout mLayout;
 
     /** Creates idle engines. */
     public FakeFleet(int engines) {
-        mEngines = engines(engines);
-        mEngines.forEach(e -> set(e, 0, 0, true));
-        mPreferred = new RendezvousTable(mEngines);
+        ImmutableList<Endpoint> all = engines(engines);
+        mLayout = FleetLayout.of(all, all, lanes(ImmutableSet.of()));
+        all.forEach(e -> set(e, 0, 0, true));
     }
 
     /** Returns engines that are spread over three data centres. */
@@ -85,50 +83,21 @@
 
     /** Confines long work. */
     public void confine(ImmutableSet<EndpointId> engines) {
-        mLong = engines;
+        mLayout = mLayout.with(lanes(engines));
     }
 
-    @Override
-    public ImmutableList<Endpoint> engines() {
-        return mEngines;
-    }
-
-    @Override
-    public ImmutableList<Endpoint> watched() {
-        return mEngines;
-    }
-
-    @Override
-    public ImmutableList<Endpoint> freeEngines() {
-        return mLong.isEmpty()
-                ? ImmutableList.of()
-                : mEngines.stream()
-                        .filter(e -> !mLong.contains(e.id()))
-                        .collect(ImmutableList.toImmutableList());
+    private static LanePlan lanes(ImmutableSet<EndpointId> confinedTo) {
+        return new LanePlan(Duration.ofSeconds(1), RATE, confinedTo);
     }
 
-    @Override
-    public ImmutableList<Endpoint> longEngines() {
-        return mLong.isEmpty()
-                ? mEngines
-                : mEngines.stream()
-                        .filter(e -> mLong.contains(e.id()))
-                        .collect(ImmutableList.toImmutableList());
-    }
-
-    @Override
-    public RendezvousTable preferred() {
-        return mPreferred;
-    }
-
-    @Override
-    public long largestMemoryTokens() {
-        return MEMORY_TOKENS;
+    /** Returns the engines. */
+    public ImmutableList<Endpoint> engines() {
+        return mLayout.engines();
     }
 
     @Override
-    public LanePlan lanes() {
-        return new LanePlan(Duration.ofSeconds(1), RATE, mLong);
+    public FleetLayout layout() {
+        return mLayout;
     }
 
     @Override
--- a/core/src/test/java/io/bilberrygrade/core/routing/PredictivePolicyTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/routing/PredictivePolicyTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class PredictivePolicyTest {
     private static final PredictivePolicy POLICY = new PredictivePolicy(true, 1);
@@ -83,6 +84,20 @@
         assertThat(chosen.values()).allMatch(n -> n <= 16);
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {0, 5, 11, 15})
+    void comparesAllEnginesOfSmallFleet(int idle) {
+        FakeFleet fleet = new FakeFleet(16);
+        fleet.engines().forEach(e -> fleet.set(e, 50_000, 0, true));
+        Endpoint best = fleet.engines().get(idle);
+        fleet.set(best, 0, 0, true);
+        for (int number = 0; number < 64; number++) {
+            Placement placement =
+                    POLICY.place(request("r" + number, 1_000), fleet, START).orElseThrow();
+            assertThat(placement.endpoint().endpoint()).isEqualTo(best);
+        }
+    }
+
     @ParameterizedTest
     @CsvSource({"39999, SHORT", "40001, LONG"})
     void confinesLongWork(int prompt, Lane lane) {
--- a/serving/src/main/java/io/bilberrygrade/serving/controller/EndpointController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/EndpointController.java
@@ -84,7 +84,7 @@
     /** Returns the engines of all models that requests have asked for, which are to be watched. */
     public ImmutableList<Endpoint> watched() {
         return mFleets.values().stream()
-                .flatMap(f -> f.watched().stream())
+                .flatMap(f -> f.layout().watched().stream())
                 .distinct()
                 .collect(ImmutableList.toImmutableList());
     }
@@ -105,7 +105,7 @@
     public double capacity(Instant now) {
         Map<EndpointId, Double> rates = new HashMap<>();
         for (ModelFleet fleet : mFleets.values()) {
-            fleet.engines().stream()
+            fleet.layout().engines().stream()
                     .filter(e -> !mEjected.contains(e.id()))
                     .forEach(e -> rates.put(e.id(), fleet.view(e, now).rate().tokensPerSecond()));
         }
--- a/serving/src/main/java/io/bilberrygrade/serving/controller/ModelFleet.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/ModelFleet.java
@@ -14,9 +14,9 @@
 import io.bilberrygrade.core.lane.LongEngines;
 import io.bilberrygrade.core.routing.EndpointView;
 import io.bilberrygrade.core.routing.EngineFleet;
+import io.bilberrygrade.core.routing.FleetLayout;
 import io.bilberrygrade.core.routing.PrefillRate;
 import io.bilberrygrade.core.routing.PrefixIndex;
-import io.bilberrygrade.core.routing.RendezvousTable;
 import io.bilberrygrade.core.routing.WatchedEngines;
 import java.time.Duration;
 import java.time.Instant;
@@ -28,16 +28,11 @@
     private final EndpointController mEndpoints;
     private final Deployment mDeployment;
     private final ImmutableList<Endpoint> mEngines;
-    private final ImmutableList<Endpoint> mWatched;
-    private final RendezvousTable mPreferred;
-    private final long mLargestMemoryTokens;
     private final Duration mTightestTarget;
     private final boolean mConfined;
     private LongDemand mDemand;
     private LongBoundary mBoundary;
-    private LanePlan mLanes;
-    private ImmutableList<Endpoint> mLongEngines;
-    private ImmutableList<Endpoint> mFreeEngines;
+    private FleetLayout mLayout;
     private PrefillRate mPrior = PrefillRate.prior(PrefillRate.DEFAULT_TOKENS_PER_SECOND);
 
     ModelFleet(
@@ -50,9 +45,6 @@
         mEndpoints = endpoints;
         mDeployment = deployment;
         mEngines = deployment.enginesOf(model);
-        mWatched = WatchedEngines.of(self, mEngines);
-        mPreferred = new RendezvousTable(mEngines);
-        mLargestMemoryTokens = mEngines.stream().mapToLong(Endpoint::memoryTokens).max().orElse(0);
         mTightestTarget =
                 deployment.classes().values().stream()
                         .map(WorkClass::timeToFirstToken)
@@ -61,7 +53,7 @@
         mConfined = confined;
         mDemand = LongDemand.none(now);
         mBoundary = LongBoundary.initial(now);
-        renew(1, now);
+        mLayout = FleetLayout.of(mEngines, WatchedEngines.of(self, mEngines), lanes(1, now));
     }
 
     Deployment deployment() {
@@ -82,25 +74,17 @@
 
     /** Derives the prior rate and the long lane anew. */
     void renew(int daemons, Instant now) {
+        mLayout = mLayout.with(lanes(daemons, now));
+    }
+
+    private LanePlan lanes(int daemons, Instant now) {
         mPrior = PrefillRate.prior(mEndpoints.medianRate(mEngines));
         double demand = mDemand.at(now).tokensPerSecond() * daemons;
         int most = LongEngines.most(mEngines);
         mBoundary = mBoundary.next(demand, mPrior.tokensPerSecond(), most, now);
         ImmutableSet<EndpointId> confinedTo =
                 mConfined ? LongEngines.choose(mEngines, mBoundary.engines()) : ImmutableSet.of();
-        mLanes = new LanePlan(mTightestTarget, mPrior.tokensPerSecond(), confinedTo);
-        mFreeEngines =
-                confinedTo.isEmpty()
-                        ? ImmutableList.of()
-                        : mWatched.stream()
-                                .filter(e -> !confinedTo.contains(e.id()))
-                                .collect(ImmutableList.toImmutableList());
-        mLongEngines =
-                confinedTo.isEmpty()
-                        ? mEngines
-                        : mEngines.stream()
-                                .filter(e -> confinedTo.contains(e.id()))
-                                .collect(ImmutableList.toImmutableList());
+        return new LanePlan(mTightestTarget, mPrior.tokensPerSecond(), confinedTo);
     }
 
     PrefillRate prior() {
@@ -108,38 +92,8 @@
     }
 
     @Override
-    public ImmutableList<Endpoint> engines() {
-        return mEngines;
-    }
-
-    @Override
-    public ImmutableList<Endpoint> watched() {
-        return mWatched;
-    }
-
-    @Override
-    public ImmutableList<Endpoint> freeEngines() {
-        return mFreeEngines;
-    }
-
-    @Override
-    public ImmutableList<Endpoint> longEngines() {
-        return mLongEngines;
-    }
-
-    @Override
-    public RendezvousTable preferred() {
-        return mPreferred;
-    }
-
-    @Override
-    public long largestMemoryTokens() {
-        return mLargestMemoryTokens;
-    }
-
-    @Override
-    public LanePlan lanes() {
-        return mLanes;
+    public FleetLayout layout() {
+        return mLayout;
     }
 
     @Override
--- a/serving/src/main/java/io/bilberrygrade/serving/controller/PlacementController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/PlacementController.java
@@ -39,8 +39,8 @@
             return mPolicy.place(request, fleet, now);
         }
         ImmutableList<EndpointView> views = views(fleet, now);
-        return GangPlanner.plan(request.prompt(), views, fleet.lanes(), ImmutableSet.of())
-                .or(() -> GangPlanner.planOnIdle(request.prompt(), views, fleet.lanes()))
+        return GangPlanner.plan(request.prompt(), views, fleet.layout().lanes(), ImmutableSet.of())
+                .or(() -> GangPlanner.planOnIdle(request.prompt(), views, fleet.layout().lanes()))
                 .map(p -> ofGang(request, fleet, p));
     }
 
@@ -53,7 +53,7 @@
     /** Returns whether some data centre has memory enough for the prompt, were it all free. */
     public boolean fitsGang(Deployment deployment, InferenceRequest request, Instant now) {
         EngineFleet fleet = mEndpoints.fleet(deployment, request.model(), now);
-        return GangPlanner.fits(request.prompt(), fleet.engines());
+        return GangPlanner.fits(request.prompt(), fleet.layout().engines());
     }
 
     /** Returns a gang that could serve the prompt now without the busy engines. */
@@ -63,13 +63,13 @@
             ImmutableSet<EndpointId> busy,
             Instant now) {
         EngineFleet fleet = mEndpoints.fleet(deployment, request.model(), now);
-        return GangPlanner.plan(request.prompt(), views(fleet, now), fleet.lanes(), busy);
+        return GangPlanner.plan(request.prompt(), views(fleet, now), fleet.layout().lanes(), busy);
     }
 
     /** Returns the placement of one segment of a gang. */
     public Placement ofSegment(
             Deployment deployment, InferenceRequest request, GangSegment segment, Instant now) {
-        LanePlan lanes = mEndpoints.fleet(deployment, request.model(), now).lanes();
+        LanePlan lanes = mEndpoints.fleet(deployment, request.model(), now).layout().lanes();
         EndpointView engine = segment.engine();
         Duration backlog = engine.rate().timeFor(engine.backlog().ahead(Lane.LONG));
         return new Placement(
@@ -87,11 +87,11 @@
                 plan.predictedTimeToFirstToken(),
                 first.rate().timeFor(first.backlog().ahead(Lane.LONG)),
                 Lane.LONG,
-                fleet.lanes().priority(request.workClass(), request.prompt().tokens()));
+                fleet.layout().lanes().priority(request.workClass(), request.prompt().tokens()));
     }
 
     private static ImmutableList<EndpointView> views(EngineFleet fleet, Instant now) {
-        return fleet.engines().stream()
+        return fleet.layout().engines().stream()
                 .map(e -> fleet.view(e, now))
                 .collect(ImmutableList.toImmutableList());
     }
