Hold callers to the published limits; tell missing secrets from faults of settings

Cause: limits on headers and connections were read and not enforced, and a caller that stopped in the middle of a body held its connection for ever. Change: headers over the bound get 431, a body of which nothing comes for the idle limit gets 408, both with a promise that nothing ran; an endpoint with as many known requests as it takes connections is left out. Ruled out: a header timer of our own under the server library; the idle limit bounds it already. Before: 17,000 bytes of headers where 16,384 are published were passed on; three bytes of nine waited for ever; the example's settings failed on a fresh checkout.

--- a/core/src/main/java/io/bilberrygrade/core/request/Reason.java
+++ b/core/src/main/java/io/bilberrygrade/core/request/Reason.java
@@ -4,6 +4,8 @@
 public enum Reason {
     MALFORMED,
     TOO_LARGE,
+    HEADERS_TOO_LARGE,
+    BODY_STALLED,
     BAD_CREDENTIALS,
     UNKNOWN_CLASS,
     UNKNOWN_MODEL,
--- a/daemon/src/main/java/io/bilberrygrade/daemon/command/ExitCodes.java
+++ b/daemon/src/main/java/io/bilberrygrade/daemon/command/ExitCodes.java
@@ -20,5 +20,8 @@
     /** A report lacks the figures of some daemons. */
     public static final int INCOMPLETE = 5;
 
+    /** Settings are well formed, but files with secrets that they name don't exist yet. */
+    public static final int SECRETS_MISSING = 6;
+
     private ExitCodes() {}
 }
--- a/daemon/src/main/java/io/bilberrygrade/daemon/command/SettingsCommand.java
+++ b/daemon/src/main/java/io/bilberrygrade/daemon/command/SettingsCommand.java
@@ -74,24 +74,39 @@
 
     private static int check(Namespace arguments) {
         Path path = Path.of(arguments.getString("path"));
-        ImmutableList<Fault> faults =
-                Files.isDirectory(path) ? configurationFaults(path) : settingsFaults(path);
+        CheckDocument found = Files.isDirectory(path) ? ofConfiguration(path) : ofSettings(path);
         if (arguments.getBoolean("json")) {
-            System.out.println(Output.json(new CheckDocument(path.toString(), faults)));
-        } else if (faults.isEmpty()) {
-            System.out.println(path + ": ok");
+            System.out.println(Output.json(found));
         } else {
-            faults.forEach(System.err::println);
+            write(found);
+        }
+        if (!found.faults().isEmpty()) {
+            return ExitCodes.INVALID;
+        }
+        return found.missingSecrets().isEmpty() ? ExitCodes.OK : ExitCodes.SECRETS_MISSING;
+    }
+
+    private static void write(CheckDocument found) {
+        found.faults().forEach(System.err::println);
+        found.missingSecrets().forEach(System.err::println);
+        if (found.faults().isEmpty()) {
+            int missing = found.missingSecrets().size();
+            String secrets = missing == 0 ? "" : ", " + missing + " secrets are missing";
+            System.out.println(found.path() + ": ok" + secrets);
         }
-        return faults.isEmpty() ? ExitCodes.OK : ExitCodes.INVALID;
     }
 
-    private static ImmutableList<Fault> settingsFaults(Path file) {
+    private static CheckDocument ofConfiguration(Path folder) {
+        return new CheckDocument(
+                folder.toString(), configurationFaults(folder), ImmutableList.of());
+    }
+
+    private static CheckDocument ofSettings(Path file) {
         try {
             SettingsReader.read(file);
-            return ImmutableList.of();
+            return new CheckDocument(file.toString(), ImmutableList.of(), ImmutableList.of());
         } catch (InvalidSettingsException e) {
-            return e.faults();
+            return new CheckDocument(file.toString(), e.faults(), e.missingSecrets());
         }
     }
 
@@ -126,5 +141,6 @@
         return new Fault(file, fault.line(), fault.key(), fault.message());
     }
 
-    private record CheckDocument(String path, ImmutableList<Fault> faults) {}
+    private record CheckDocument(
+            String path, ImmutableList<Fault> faults, ImmutableList<Fault> missingSecrets) {}
 }
--- a/daemon/src/main/java/io/bilberrygrade/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/io/bilberrygrade/daemon/settings/SettingsReader.java
@@ -16,6 +16,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -27,6 +28,7 @@
 
     private final Path mFolder;
     private final List<Fault> mFaults = new ArrayList<>();
+    private final List<Fault> mMissingSecrets = new ArrayList<>();
 
     private SettingsReader(Path folder) {
         mFolder = folder;
@@ -39,8 +41,11 @@
     public static DaemonSettings read(Path file) throws InvalidSettingsException {
         SettingsReader reader = new SettingsReader(file.toAbsolutePath().getParent());
         Optional<DaemonSettings> settings = reader.load(file);
-        if (settings.isEmpty() || !reader.mFaults.isEmpty()) {
-            throw new InvalidSettingsException(ImmutableList.copyOf(reader.mFaults));
+        boolean whole = reader.mFaults.isEmpty() && reader.mMissingSecrets.isEmpty();
+        if (settings.isEmpty() || !whole) {
+            throw new InvalidSettingsException(
+                    ImmutableList.copyOf(reader.mFaults),
+                    ImmutableList.copyOf(reader.mMissingSecrets));
         }
         return settings.get();
     }
@@ -98,6 +103,8 @@
             mFaults.add(
                     document.fault(
                             pointer, "the file has fewer than " + MIN_SECRET_BYTES + " bytes"));
+        } catch (NoSuchFileException e) {
+            mMissingSecrets.add(document.fault(pointer, "no such file: " + file));
         } catch (IOException e) {
             mFaults.add(document.fault(pointer, "the file can't be read: " + e));
         }
--- a/daemon/src/test/java/io/bilberrygrade/daemon/command/CommandLineTest.java
+++ b/daemon/src/test/java/io/bilberrygrade/daemon/command/CommandLineTest.java
@@ -69,6 +69,26 @@
                 .isZero();
     }
 
+    @Test
+    void tellsFaultsFromSecretsThatAreNotThereYet(@TempDir Path folder) throws IOException {
+        Path example = Path.of("..", "examples", "lantern", "entry-1.yaml");
+        Path file = Files.copy(example, folder.resolve("entry-1.yaml"));
+        assertThat(CommandLine.run("settings", "check", file.toString())).isEqualTo(6);
+        assertThat(output())
+                .contains("entry-1.yaml:12: peers.key_file: no such file: peer.key")
+                .contains("operators.credential_file: no such file: operator.key")
+                .contains("ok, 2 secrets are missing");
+        Files.writeString(file, Files.readString(file).replace("port: 21301", "port: x"));
+        assertThat(CommandLine.run("settings", "check", file.toString())).isEqualTo(3);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"--version", "settings check no-such-file"})
+    void writesNoBanner(String line) {
+        CommandLine.run(line.split(" "));
+        assertThat(output()).doesNotContain("Hibernate");
+    }
+
     @Test
     void writesFaultsAsJson(@TempDir Path folder) {
         assertThat(CommandLine.run("settings", "check", "--json", folder.toString())).isEqualTo(3);
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -176,7 +176,7 @@
                 "idle connections",
                 IDLE_CHECK_PERIOD,
                 () -> {
-                    mFront.closeIdle(mClocks.now());
+                    mFront.enforceIdleLimit(mClocks.now());
                     mReadiness.ready();
                     mBook.forgetUnknown();
                     return Uni.createFrom().voidItem();
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardStatus.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardStatus.java
@@ -23,7 +23,9 @@
             case MALFORMED -> 400;
             case BAD_CREDENTIALS -> 401;
             case UNKNOWN_SERVICE -> 404;
+            case BODY_STALLED -> 408;
             case TOO_LARGE -> 413;
+            case HEADERS_TOO_LARGE -> 431;
             default -> 503;
         };
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/FrontServer.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/FrontServer.java
@@ -3,7 +3,6 @@
 import io.bilberrygrade.core.forward.ForwardingConfig;
 import io.bilberrygrade.core.forward.RequestLimits;
 import io.bilberrygrade.core.identity.Address;
-import io.bilberrygrade.core.identity.RequestId;
 import io.bilberrygrade.core.request.Outcome;
 import io.bilberrygrade.core.request.Reason;
 import io.bilberrygrade.core.request.Step;
@@ -40,6 +39,7 @@
     private final FilterChain<ForwardExchange> mChain;
     private final RequestJournal mJournal;
     private final Clocks mClocks;
+    private final Uploads mUploads;
     private final Map<HttpConnection, CallerConnection> mConnections = new HashMap<>();
 
     FrontServer(
@@ -54,6 +54,7 @@
         mChain = chain;
         mJournal = journal;
         mClocks = clocks;
+        mUploads = new Uploads(clocks);
         mServer =
                 vertx.createHttpServer(
                         new HttpServerOptions()
@@ -75,19 +76,20 @@
 
     private void opened(HttpConnection connection) {
         mConnections.put(connection, new CallerConnection(mClocks.now()));
-        connection.closeHandler(v -> mConnections.remove(connection));
+        connection.closeHandler(
+                v -> {
+                    mConnections.remove(connection);
+                    mUploads.closed(connection);
+                });
         connection.exceptionHandler(e -> mJournal.connectionFailed(e));
     }
 
     private void receive(HttpServerRequest request) {
-        Instant arrival = mClocks.now();
         CallerConnection connection = mConnections.get(request.connection());
         if (connection != null) {
             connection.mBusy++;
         }
-        CallerAnswer answer = new CallerAnswer(request);
         request.exceptionHandler(mJournal::connectionFailed);
-        BodyReader.read(request, maxBodyBytes(), b -> received(request, b, arrival, answer));
         request.response()
                 .endHandler(
                         v -> {
@@ -96,40 +98,60 @@
                                 connection.mIdleSince = mClocks.now();
                             }
                         });
+        long maxBytes = limits().map(RequestLimits::maxBodyBytes).orElse(MAX_BODY_BYTES);
+        mUploads.read(request, maxBytes, this::received);
     }
 
-    private long maxBodyBytes() {
-        return mState.config().map(c -> c.limits().maxBodyBytes()).orElse(MAX_BODY_BYTES);
+    private Optional<RequestLimits> limits() {
+        return mState.config().map(ForwardingConfig::limits);
     }
 
-    private void received(
-            HttpServerRequest request, BodyReader body, Instant arrival, CallerAnswer answer) {
-        RequestHead head = mProtocol.readRequest(request);
-        RequestId id = mJournal.newId(head);
-        Optional<ForwardingConfig> config = mState.config();
-        ForwardExchange exchange =
-                new ForwardExchange(id, head, body.body(), arrival, config, answer);
-        if (body.tooLarge()) {
-            answer.closeAfterwards();
-            mJournal.ended(
-                    exchange, Outcome.notRun(Step.PARSE, Reason.TOO_LARGE, "the body is too long"));
-            return;
+    private void received(Uploads.Upload upload) {
+        ForwardExchange exchange = exchange(upload);
+        if (limits().filter(l -> HeaderSize.of(upload.request()) > l.maxHeaderBytes())
+                .isPresent()) {
+            refuse(exchange, Reason.HEADERS_TOO_LARGE, "the headers are too long");
+        } else if (upload.body().tooLarge()) {
+            refuse(exchange, Reason.TOO_LARGE, "the body is too long");
+        } else {
+            mChain.proceed(exchange)
+                    .subscribe()
+                    .with(
+                            outcome -> mJournal.ended(exchange, outcome),
+                            e -> mJournal.broke(exchange, e));
         }
-        mChain.proceed(exchange)
-                .subscribe()
-                .with(
-                        outcome -> mJournal.ended(exchange, outcome),
-                        e -> mJournal.broke(exchange, e));
     }
 
-    /** Closes kept connections that callers have left idle for longer than is published. */
-    void closeIdle(Instant now) {
-        Optional<Duration> bound =
-                mState.config()
-                        .map(ForwardingConfig::limits)
-                        .map(RequestLimits::idleTimeout)
-                        .map(IDLE_MARGIN::plus);
-        bound.ifPresent(b -> closeIdleFor(b, now));
+    private ForwardExchange exchange(Uploads.Upload upload) {
+        RequestHead head = mProtocol.readRequest(upload.request());
+        return new ForwardExchange(
+                mJournal.newId(head),
+                head,
+                upload.body().body(),
+                upload.arrival(),
+                mState.config(),
+                new CallerAnswer(upload.request()));
+    }
+
+    private void refuse(ForwardExchange exchange, Reason reason, String detail) {
+        exchange.answer().closeAfterwards();
+        mJournal.ended(exchange, Outcome.notRun(Step.PARSE, reason, detail));
+    }
+
+    /** Refuses requests whose bodies have stopped coming, and closes connections left idle. */
+    void enforceIdleLimit(Instant now) {
+        Optional<Duration> bound = limits().map(l -> l.idleTimeout().plus(IDLE_MARGIN));
+        bound.ifPresent(
+                b -> {
+                    closeIdleFor(b, now);
+                    mUploads.takeStalled(b, now)
+                            .forEach(
+                                    u ->
+                                            refuse(
+                                                    exchange(u),
+                                                    Reason.BODY_STALLED,
+                                                    "the body has stopped coming"));
+                });
     }
 
     /** Closes kept connections that have been idle for at least the given time. */
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/SendPlanner.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/SendPlanner.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import io.bilberrygrade.core.forward.Candidate;
+import io.bilberrygrade.core.forward.ConnectionBound;
 import io.bilberrygrade.core.forward.EndpointWork;
 import io.bilberrygrade.core.forward.EngineCost;
 import io.bilberrygrade.core.forward.ForwardService;
@@ -48,7 +49,8 @@
             Optional<PromptShape> prompt,
             ImmutableSet<EndpointId> tried,
             Instant now) {
-        ImmutableList<Candidate> candidates = shuffled(mBook.candidates(service.id(), tried, now));
+        ImmutableList<Candidate> candidates =
+                shuffled(ConnectionBound.open(service, mBook.candidates(service.id(), tried, now)));
         if (service.engine().isPresent() && prompt.isPresent()) {
             return stream(need(route, prompt.get()), service.engine().get(), candidates);
         }
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/Uploads.java
@@ -0,0 +1,82 @@
+package io.bilberrygrade.serving.forward;
+
+import com.google.common.collect.ImmutableList;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServerRequest;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+/**
+ * Owns the requests whose bodies are still coming, so that a caller that stops half way doesn't
+ * hold a connection for ever.
+ */
+final class Uploads {
+    private final Clocks mClocks;
+    private final List<Upload> mOpen = new ArrayList<>();
+
+    Uploads(Clocks clocks) {
+        mClocks = clocks;
+    }
+
+    /** Reads a body; {@code whole} is called unless the caller breaks off or stalls. */
+    void read(HttpServerRequest request, long maxBytes, Consumer<Upload> whole) {
+        Upload upload = new Upload(request, new BodyReader(maxBytes), mClocks.now());
+        mOpen.add(upload);
+        request.handler(
+                part -> {
+                    upload.mLastPartAt = mClocks.now();
+                    upload.mBody.add(part);
+                });
+        request.endHandler(
+                v -> {
+                    if (mOpen.remove(upload)) {
+                        whole.accept(upload);
+                    }
+                });
+    }
+
+    /** Forgets the uploads of a connection that has closed. */
+    void closed(HttpConnection connection) {
+        mOpen.removeIf(u -> u.mRequest.connection().equals(connection));
+    }
+
+    /** Takes out the uploads of which nothing has come for at least the given time. */
+    ImmutableList<Upload> takeStalled(Duration span, Instant now) {
+        ImmutableList<Upload> stalled =
+                mOpen.stream()
+                        .filter(u -> !u.mLastPartAt.plus(span).isAfter(now))
+                        .collect(ImmutableList.toImmutableList());
+        mOpen.removeAll(stalled);
+        return stalled;
+    }
+
+    /** A request and what has come of its body. */
+    static final class Upload {
+        private final HttpServerRequest mRequest;
+        private final BodyReader mBody;
+        private final Instant mArrival;
+        private Instant mLastPartAt;
+
+        private Upload(HttpServerRequest request, BodyReader body, Instant arrival) {
+            mRequest = request;
+            mBody = body;
+            mArrival = arrival;
+            mLastPartAt = arrival;
+        }
+
+        HttpServerRequest request() {
+            return mRequest;
+        }
+
+        BodyReader body() {
+            return mBody;
+        }
+
+        Instant arrival() {
+            return mArrival;
+        }
+    }
+}
--- a/serving/src/main/java/io/bilberrygrade/serving/http/StatusCodes.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/StatusCodes.java
@@ -41,7 +41,9 @@
             case UNKNOWN_SERVICE -> 404;
             case KEY_EXPIRED, KEY_ANSWER_NOT_KEPT -> 410;
             case KEY_REUSED -> 422;
+            case BODY_STALLED -> 408;
             case TOO_LARGE -> 413;
+            case HEADERS_TOO_LARGE -> 431;
             case CLASS_OVER_SHARE, OVERLOADED, DEADLINE_UNREACHABLE -> 429;
             case NOT_READY,
                     DRAINING,
