Apply changed settings in a running daemon; read them without a signal too

Cause: SIGHUP read the settings and did nothing but log, every reading counted as a change since PeerKey had no equals, and a file that changed without a signal was not noticed before a restart. Ruled out: changing the repeat figures at once, since a fresh window would allow twice the slack. Before: SettingsInForceTest#equalReadingChangesNothing red for lack of equals.

--- a/core/src/main/java/io/bilberrygrade/core/forward/FreshnessLease.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/FreshnessLease.java
@@ -14,7 +14,7 @@
     /** Clocks of one machine that disagree by more have been stepped, or the machine was asleep. */
     private static final Duration MAX_DRIFT = Duration.ofMillis(250);
 
-    private final Duration mBound;
+    private Duration mBound;
     private Optional<ClockReading> mConfirmedAt = Optional.empty();
 
     /**
@@ -24,6 +24,11 @@
         mBound = bound;
     }
 
+    /** Changes the longest time that keys may be stale, also for what was confirmed already. */
+    public void setBound(Duration bound) {
+        mBound = bound;
+    }
+
     /** States that a linearizable read that was sent at the given time found the configuration. */
     public void confirm(ClockReading sentAt) {
         mConfirmedAt = Optional.of(sentAt);
--- a/daemon/src/main/java/io/bilberrygrade/daemon/ForwardProcess.java
+++ b/daemon/src/main/java/io/bilberrygrade/daemon/ForwardProcess.java
@@ -4,7 +4,6 @@
 import io.bilberrygrade.daemon.settings.InvalidSettingsException;
 import io.bilberrygrade.daemon.settings.LogLevel;
 import io.bilberrygrade.serving.event.EventLog;
-import io.bilberrygrade.serving.event.ForwardEvent;
 import io.bilberrygrade.serving.event.LifecycleEvent;
 import io.bilberrygrade.serving.forward.Clocks;
 import io.bilberrygrade.serving.forward.ForwardDaemon;
@@ -47,11 +46,16 @@
         LogSetup.Output log = LogSetup.toStandardOutput(LogLevel.INFO);
         ForwardDaemon daemon = daemon(settings, mAdapter.apply(settings), log);
         EventLog events = daemon.events();
-        HangupSignal.handle(() -> reload(settings, events));
+        SettingsWatch watch = new SettingsWatch(mSettings, settings, daemon::reload, events);
+        HangupSignal.handle(watch::look);
         CountDownLatch failed = new CountDownLatch(1);
         Thread hook = new Thread(() -> drain(daemon, vertx, log), "drain");
         vertx.deployVerticle(daemon)
-                .onSuccess(id -> Runtime.getRuntime().addShutdownHook(hook))
+                .onSuccess(
+                        id -> {
+                            Runtime.getRuntime().addShutdownHook(hook);
+                            watch.start();
+                        })
                 .onFailure(
                         e -> {
                             events.record(
@@ -84,15 +88,6 @@
                                         .setClassPathResolvingEnabled(false)));
     }
 
-    private void reload(ForwardSettings inForce, EventLog events) {
-        try {
-            boolean same = mSettings.read().equals(inForce);
-            events.record(new ForwardEvent.SettingsReloaded(same ? "nothing" : "next start"));
-        } catch (InvalidSettingsException e) {
-            events.record(new LifecycleEvent.UnexpectedError("reload", e.getMessage()));
-        }
-    }
-
     private static void drain(ForwardDaemon daemon, Vertx vertx, LogSetup.Output log) {
         daemon.drain().await().indefinitely();
         vertx.close().toCompletionStage().toCompletableFuture().join();
--- a/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
@@ -85,7 +85,7 @@
     record ReadinessChanged(boolean ready, String reason, long confirmedAgoMillis)
             implements ForwardEvent {}
 
-    /** The settings were read again. */
+    /** Settings were read again and differ. */
     @EventInfo(number = 7015, level = EventLevel.INFO, audited = true)
-    record SettingsReloaded(String changed) implements ForwardEvent {}
+    record SettingsReloaded(String inForce, String atNextStart) implements ForwardEvent {}
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -7,6 +7,7 @@
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.entry.PeriodicTasks;
 import io.bilberrygrade.serving.event.EventLog;
+import io.bilberrygrade.serving.event.ForwardEvent;
 import io.bilberrygrade.serving.event.LifecycleEvent;
 import io.bilberrygrade.serving.filter.FilterChain;
 import io.bilberrygrade.serving.metrics.ControlTraffic;
@@ -41,7 +42,7 @@
 
     private static final Duration IDLE_CHECK_PERIOD = Duration.ofSeconds(1);
 
-    private final ForwardSettings mSettings;
+    private final SettingsInForce mSettings;
     private final ForwardOutside mOutside;
     private final Clocks mClocks;
     private final ForwardMetrics mEvents;
@@ -69,7 +70,7 @@
             Clocks clocks,
             EventLog events,
             LongSupplier droppedLines) {
-        mSettings = settings;
+        mSettings = new SettingsInForce(settings);
         mOutside = outside;
         mClocks = clocks;
         mEvents = new ForwardMetrics(mMetrics, events);
@@ -88,11 +89,11 @@
         mTimers = new VertxTimers(vertx);
         mTasks = new PeriodicTasks(mTimers, mRandom, mEvents);
         mClient = new EndpointClient(vertx, mOutside.protocol());
-        mState = new StateController(mSettings.keyStaleness(), mClocks, mTimers, mEvents);
+        mState = new StateController(mSettings.get().keyStaleness(), mClocks, mTimers, mEvents);
         mReader = new StateReader(mOutside.store(vertx), mState, mClocks, mTimers, mRandom);
         mReadiness = new ReadinessController(mState, mEvents);
         RequestJournal journal =
-                new RequestJournal(mSettings.instance(), mClocks, mRandom, mEvents);
+                new RequestJournal(mSettings.get().instance(), mClocks, mRandom, mEvents);
         mFront = new FrontServer(vertx, mOutside.protocol(), mState, chain(), journal, mClocks);
         ReadinessServer readiness =
                 new ReadinessServer(
@@ -105,23 +106,30 @@
                 new PeerServer(
                         vertx,
                         mSelf,
-                        mSettings.peerKey(),
+                        mSettings.get().peerKey(),
                         exchange,
                         ControlTraffic.unread(),
                         mEvents);
         showState();
         mReader.start();
-        mFront.listen(mSettings.callers())
-                .chain(() -> readiness.listen(mSettings.readiness()))
-                .chain(() -> peers.listen(mSettings.peers().host(), mSettings.peers().port()))
+        mFront.listen(mSettings.get().callers())
+                .chain(() -> readiness.listen(mSettings.get().readiness()))
+                .chain(
+                        () ->
+                                peers.listen(
+                                        mSettings.get().peers().host(),
+                                        mSettings.get().peers().port()))
                 .invoke(exchange::start)
                 .subscribe()
                 .with(v -> opened(started), started::fail);
     }
 
     private WorkExchange exchange() {
-        mPeers = new TcpPeerNetwork(vertx, mSelf, mSettings.peerKey(), ControlTraffic.unread());
-        return new WorkExchange(mPeers, mPeerBook, mWork, mSettings.peers(), mClocks, mTimers);
+        mPeers =
+                new TcpPeerNetwork(
+                        vertx, mSelf, mSettings.get().peerKey(), ControlTraffic.unread());
+        return new WorkExchange(
+                mPeers, mPeerBook, mWork, mSettings.get().peers(), mClocks, mTimers);
     }
 
     private FilterChain<ForwardExchange> chain() {
@@ -130,13 +138,13 @@
                 new ForwardParts(
                         mState,
                         mBook,
-                        new SendPlanner(mBook, mSettings.dataCentre(), mRandom),
+                        new SendPlanner(mBook, mSettings.get().dataCentre(), mRandom),
                         new ReadQueue(mBook, mClocks, mTimers),
-                        new RepeatBudgets(mSettings, mPeerBook::known),
+                        new RepeatBudgets(mSettings.get(), mPeerBook::known),
                         mClient,
                         new MemoryReservations(
                                 mOutside.memory(vertx),
-                                mSettings.instance(),
+                                mSettings.get().instance(),
                                 mRandom,
                                 mTimers,
                                 mClocks,
@@ -168,10 +176,10 @@
     private void opened(Promise<Void> started) {
         mEvents.record(
                 new LifecycleEvent.Started(
-                        mSettings.instance().value(),
+                        mSettings.get().instance().value(),
                         mSelf.incarnation().value(),
-                        mSettings.callers().port(),
-                        mSettings.peers().port()));
+                        mSettings.get().callers().port(),
+                        mSettings.get().peers().port()));
         mTasks.repeat(
                 "idle connections",
                 IDLE_CHECK_PERIOD,
@@ -194,6 +202,24 @@
                 .emitter(e -> context.runOnContext(v -> drainOnContext(e::complete)));
     }
 
+    /**
+     * Takes over settings that were read again and logs what has changed and what waits for the
+     * next start. Safe to call from any thread.
+     */
+    public void reload(ForwardSettings newer) {
+        context.runOnContext(
+                v -> {
+                    SettingsInForce.Change change = mSettings.replace(newer);
+                    mState.setKeyStaleness(mSettings.get().keyStaleness());
+                    mPeerBook.setSeeds(mSettings.get().seeds());
+                    if (!change.none()) {
+                        mEvents.record(
+                                new ForwardEvent.SettingsReloaded(
+                                        change.inForce().toString(), change.atStart().toString()));
+                    }
+                });
+    }
+
     private void drainOnContext(Consumer<Void> done) {
         mReadiness.stop();
         mEvents.record(new LifecycleEvent.DrainStarted(mDrain.running()));
@@ -202,7 +228,7 @@
                         .invoke(() -> mFront.closeIdleFor(Duration.ZERO, mClocks.now()))
                         .chain(mDrain::drain);
         Uni.join()
-                .first(idle, mTimers.after(mSettings.stopGrace().minus(EXIT_MARGIN)))
+                .first(idle, mTimers.after(mSettings.get().stopGrace().minus(EXIT_MARGIN)))
                 .toTerminate()
                 .subscribe()
                 .with(v -> done.accept(null));
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardSettings.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardSettings.java
@@ -1,6 +1,7 @@
 package io.bilberrygrade.serving.forward;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSortedSet;
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.identity.DataCentreId;
 import io.bilberrygrade.core.identity.InstanceId;
@@ -34,4 +35,48 @@
         Duration stopGrace,
         double repeatRatio,
         Duration repeatWindow,
-        int repeatSlack) {}
+        int repeatSlack) {
+
+    /** Returns these settings with those of another reading that may change in a running daemon. */
+    ForwardSettings withChangeable(ForwardSettings newer) {
+        return new ForwardSettings(
+                instance,
+                dataCentre,
+                callers,
+                readiness,
+                peers,
+                newer.seeds,
+                peerKey,
+                store,
+                newer.keyStaleness,
+                newer.stopGrace,
+                repeatRatio,
+                repeatWindow,
+                repeatSlack);
+    }
+
+    /** Returns the names of the settings that differ. */
+    ImmutableSortedSet<String> differences(ForwardSettings other) {
+        ImmutableSortedSet.Builder<String> names = ImmutableSortedSet.naturalOrder();
+        addIf(names, "instance", !instance.equals(other.instance));
+        addIf(names, "data centre", !dataCentre.equals(other.dataCentre));
+        addIf(names, "callers", !callers.equals(other.callers));
+        addIf(names, "readiness", !readiness.equals(other.readiness));
+        addIf(names, "peers", !peers.equals(other.peers));
+        addIf(names, "seeds", !seeds.equals(other.seeds));
+        addIf(names, "store", !store.equals(other.store));
+        addIf(names, "key staleness", !keyStaleness.equals(other.keyStaleness));
+        addIf(names, "stop grace", !stopGrace.equals(other.stopGrace));
+        addIf(names, "repeat window", !repeatWindow.equals(other.repeatWindow));
+        addIf(names, "repeat slack", repeatSlack != other.repeatSlack);
+        addIf(names, "repeat ratio", Double.compare(repeatRatio, other.repeatRatio) != 0);
+        return names.build();
+    }
+
+    private static void addIf(
+            ImmutableSortedSet.Builder<String> names, String name, boolean differs) {
+        if (differs) {
+            names.add(name);
+        }
+    }
+}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/PeerBook.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/PeerBook.java
@@ -20,11 +20,16 @@
     private static final Duration LIFETIME = Duration.ofSeconds(10);
 
     private final Address mSelf;
-    private final ImmutableSet<Address> mSeeds;
+    private ImmutableSet<Address> mSeeds = ImmutableSet.of();
     private final Map<Address, Peer> mPeers = new HashMap<>();
 
     PeerBook(Address self, ImmutableList<Address> seeds) {
         mSelf = self;
+        setSeeds(seeds);
+    }
+
+    /** Replaces the seeds; what was learnt from earlier ones stays. */
+    void setSeeds(ImmutableList<Address> seeds) {
         mSeeds = ImmutableSet.copyOf(seeds);
         mSeeds.forEach(s -> learn(s, Instant.MIN));
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/StateController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/StateController.java
@@ -93,6 +93,11 @@
         }
     }
 
+    /** Changes the longest time for which a key may be honoured after it was taken away. */
+    void setKeyStaleness(Duration keyStaleness) {
+        mLease.setBound(keyStaleness);
+    }
+
     /** Returns whether keys may be honoured now. */
     boolean fresh() {
         return mLease.held(mClocks.read());
--- a/serving/src/main/java/io/bilberrygrade/serving/settings/PeerKey.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/settings/PeerKey.java
@@ -30,6 +30,16 @@
         return copy;
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof PeerKey key && mBytes.equals(key.mBytes);
+    }
+
+    @Override
+    public int hashCode() {
+        return mBytes.hashCode();
+    }
+
     @Override
     public String toString() {
         return "PeerKey(" + mBytes.length() + " bytes)";
--- /dev/null
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/SettingsInForceTest.java
@@ -0,0 +1,55 @@
+package io.bilberrygrade.serving.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import io.bilberrygrade.core.identity.Address;
+import io.bilberrygrade.core.identity.DataCentreId;
+import io.bilberrygrade.core.identity.InstanceId;
+import io.bilberrygrade.serving.settings.PeerKey;
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+final class SettingsInForceTest {
+    private static ForwardSettings settings(int callerPort, int staleSeconds, int seedPort) {
+        return new ForwardSettings(
+                new InstanceId("i"),
+                new DataCentreId("z"),
+                new Address("127.0.0.1", callerPort),
+                new Address("127.0.0.1", 2),
+                new Address("127.0.0.1", 3),
+                ImmutableList.of(new Address("127.0.0.1", seedPort)),
+                PeerKey.of(new byte[] {1, 2}),
+                new Address("127.0.0.1", 4),
+                Duration.ofSeconds(staleSeconds),
+                Duration.ofSeconds(8),
+                0.2,
+                Duration.ofSeconds(10),
+                100);
+    }
+
+    @Test
+    void equalReadingChangesNothing() {
+        SettingsInForce inForce = new SettingsInForce(settings(1, 5, 9));
+        assertThat(settings(1, 5, 9)).isEqualTo(settings(1, 5, 9));
+        assertThat(inForce.replace(settings(1, 5, 9)).none()).isTrue();
+    }
+
+    @Test
+    void whatNoOpenPortHangsOnChangesAtOnce() {
+        SettingsInForce inForce = new SettingsInForce(settings(1, 5, 9));
+        SettingsInForce.Change change = inForce.replace(settings(1, 4, 8));
+        assertThat(change.inForce()).containsExactly("key staleness", "seeds");
+        assertThat(change.atStart()).isEmpty();
+        assertThat(inForce.get()).isEqualTo(settings(1, 4, 8));
+    }
+
+    @Test
+    void addressesWaitForTheNextStart() {
+        SettingsInForce inForce = new SettingsInForce(settings(1, 5, 9));
+        SettingsInForce.Change change = inForce.replace(settings(7, 5, 9));
+        assertThat(change.inForce()).isEmpty();
+        assertThat(change.atStart()).containsExactly("callers");
+        assertThat(inForce.get()).isEqualTo(settings(1, 5, 9));
+    }
+}
