Let daemons vouch for each other's configuration; gather changes before the next watch

Change: the answer to a statement of work says which revision was read and how long ago; the daemon that asked takes that over if it has the same revision, counting the age from its own question, so that an answer held up on its way gives no time. Reads are due at a drawn age, so that the first read serves all. Changes are gathered for 120 ms before the next watch. Ruled out: counting the age from the answer's arrival (a frozen peer's answer would extend the right to honour revoked keys); vouching for a revision that the cut daemon doesn't have.

--- a/core/src/main/java/io/bilberrygrade/core/forward/ClockReading.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/ClockReading.java
@@ -13,6 +13,11 @@
         return Duration.between(earlier.steady, steady);
     }
 
+    /** Returns the reading that both clocks would have shown the given time earlier. */
+    public ClockReading minus(Duration span) {
+        return new ClockReading(steady.minus(span), timeOfDay.minus(span));
+    }
+
     /** Returns by how much the clocks have moved apart since an earlier reading. */
     public Duration drift(ClockReading earlier) {
         return Duration.between(earlier.timeOfDay, timeOfDay).minus(since(earlier)).abs();
--- a/core/src/main/java/io/bilberrygrade/core/forward/FreshnessLease.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/FreshnessLease.java
@@ -29,9 +29,19 @@
         mBound = bound;
     }
 
-    /** States that a linearizable read that was sent at the given time found the configuration. */
+    /**
+     * States that a linearizable read that was sent at the given time, by this daemon or by a peer,
+     * found the configuration. One that is older than what is known changes nothing.
+     */
     public void confirm(ClockReading sentAt) {
-        mConfirmedAt = Optional.of(sentAt);
+        boolean older =
+                mConfirmedAt
+                        .filter(c -> sentAt.drift(c).compareTo(MAX_DRIFT) <= 0)
+                        .filter(c -> sentAt.since(c).isNegative())
+                        .isPresent();
+        if (!older) {
+            mConfirmedAt = Optional.of(sentAt);
+        }
     }
 
     /** Returns whether keys may be honoured now. */
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -129,7 +129,13 @@
                 new TcpPeerNetwork(
                         vertx, mSelf, mSettings.get().peerKey(), ControlTraffic.unread());
         return new WorkExchange(
-                mPeers, mPeerBook, mWork, mSettings.get().peers(), mClocks, mTimers);
+                mPeers,
+                mPeerBook,
+                mWork,
+                new Vouching(mState, mReader),
+                mSettings.get().peers(),
+                mClocks,
+                mTimers);
     }
 
     private FilterChain<ForwardExchange> chain() {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/StateController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/StateController.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import io.bilberrygrade.core.config.VersionGuard;
 import io.bilberrygrade.core.forward.ClockReading;
+import io.bilberrygrade.core.forward.Confirmation;
 import io.bilberrygrade.core.forward.EndpointDirectory;
 import io.bilberrygrade.core.forward.ForwardingConfig;
 import io.bilberrygrade.core.forward.FreshnessLease;
@@ -42,6 +43,7 @@
     private final EndpointDirectory mDirectory = new EndpointDirectory();
     private Optional<ForwardingConfig> mConfig = Optional.empty();
     private long mRevision;
+    private long mStoreRevision;
     private final Timers mTimers;
     private final List<Runnable> mAwaiting = new ArrayList<>();
     private Optional<Instant> mLostAt = Optional.empty();
@@ -127,12 +129,36 @@
     void confirmed(PublishedState.ConfigReading reading, ClockReading sentAt) {
         reading.config().ifPresent(c -> apply(c, reading.revision()));
         if (mConfig.isPresent() && reading.revision() <= mRevision) {
+            mStoreRevision = Math.max(mStoreRevision, reading.storeRevision());
             mLease.confirm(sentAt);
         }
         answered("configuration");
         noteKnowledge();
     }
 
+    /**
+     * Takes over what a peer that was asked at the given time says of its reading; returns whether
+     * that speaks of the configuration in force here.
+     */
+    boolean confirmed(Confirmation said, ClockReading askedAt) {
+        Optional<ClockReading> at = mConfig.flatMap(c -> said.confirms(mRevision, askedAt));
+        at.ifPresent(
+                t -> {
+                    mStoreRevision = Math.max(mStoreRevision, said.storeRevision());
+                    mLease.confirm(t);
+                    noteKnowledge();
+                });
+        return at.isPresent();
+    }
+
+    /** Returns what peers may rely on of the last confirmation; empty if it is void or too old. */
+    Optional<Confirmation> confirmation() {
+        ClockReading now = mClocks.read();
+        return mLease.held(now)
+                ? mLease.age(now).map(a -> new Confirmation(mRevision, mStoreRevision, a))
+                : Optional.empty();
+    }
+
     /** Takes over all entries of endpoints. */
     void endpointsRead(PublishedState.EndpointsReading reading) {
         answered("endpoints");
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/StateReader.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/StateReader.java
@@ -7,15 +7,25 @@
 import org.apache.commons.rng.UniformRandomProvider;
 
 /**
- * Keeps the published state read. A watch brings changes at once; a linearizable read of the
- * configuration now and then renews the right to honour keys and finds what a watch that has fallen
- * silent would miss.
+ * Keeps the published state read. A watch brings changes within a moment; a linearizable read of
+ * the configuration, by this daemon or a peer, renews the right to honour keys now and then and
+ * finds what a watch that has fallen silent would miss.
  */
 final class StateReader {
     /**
-     * Pause between confirmations; the keys' bound of some seconds leaves room for a second try.
+     * Age of the last confirmation, by whomever, at which this daemon reads at the latest; the
+     * keys' bound of some seconds leaves room for a second try.
      */
-    private static final Duration CONFIRM_PERIOD = Duration.ofMillis(2_500);
+    private static final Duration CONFIRM_PERIOD = Duration.ofMillis(2_800);
+
+    /** Part of that age after which the first daemons read; the others then needn't. */
+    private static final double EARLIEST_CONFIRM = 0.4;
+
+    /** Least pause between two looks at the age. */
+    private static final Duration LEAST_PAUSE = Duration.ofMillis(50);
+
+    /** Time for which changes are gathered before the next watch, since each costs a call. */
+    private static final Duration WATCH_GATHER = Duration.ofMillis(120);
 
     /** Wait of one watch; each costs a call, and confirmations tell a watch that hears nothing. */
     private static final Duration WATCH_WAIT = Duration.ofSeconds(15);
@@ -78,7 +88,7 @@
                 .with(
                         v -> {
                             mConfirmRetry = FIRST_RETRY;
-                            later(CONFIRM_PERIOD, this::confirmAndRepeat);
+                            confirmOnceDue(nextAge());
                         },
                         e -> {
                             later(mConfirmRetry, this::confirmAndRepeat);
@@ -86,6 +96,22 @@
                         });
     }
 
+    private Duration nextAge() {
+        double part = EARLIEST_CONFIRM + (1 - EARLIEST_CONFIRM) * mRandom.nextDouble();
+        return Duration.ofMillis(Math.round(CONFIRM_PERIOD.toMillis() * part));
+    }
+
+    /** Reads once the last confirmation is of the given age, unless peers keep it younger. */
+    private void confirmOnceDue(Duration age) {
+        Duration left = age.minus(mState.confirmedAgo().orElse(age));
+        if (left.isNegative() || left.isZero()) {
+            confirmAndRepeat();
+        } else {
+            Duration pause = left.compareTo(LEAST_PAUSE) < 0 ? LEAST_PAUSE : left;
+            mTimers.after(pause).subscribe().with(v -> confirmOnceDue(age));
+        }
+    }
+
     private Uni<Void> confirm() {
         ClockReading sentAt = mClocks.read();
         mConfirming = true;
@@ -100,7 +126,7 @@
     }
 
     /** Starts the watch anew if it doesn't tell of a change; its connection may be silent. */
-    private void checkWatch(long storeRevision) {
+    void checkWatch(long storeRevision) {
         long watch = mWatch;
         if (mWatching && mWatchedRevision < storeRevision) {
             later(
@@ -148,7 +174,7 @@
                                 confirmNow();
                                 readEndpoints();
                             } else {
-                                watch(c.revision());
+                                watchAfterGathering(watch, c.revision());
                             }
                         },
                         e -> {
@@ -159,6 +185,18 @@
                         });
     }
 
+    private void watchAfterGathering(long watch, long revision) {
+        mWatchedRevision = revision;
+        mTimers.after(WATCH_GATHER)
+                .subscribe()
+                .with(
+                        v -> {
+                            if (mWatch == watch && mWatching) {
+                                watch(revision);
+                            }
+                        });
+    }
+
     private void retryEndpoints(String call, Throwable e) {
         mState.lost(call, e.getMessage());
         later(mWatchRetry, this::readEndpoints);
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import io.bilberrygrade.core.forward.ClockReading;
 import io.bilberrygrade.core.forward.EndpointWork;
 import io.bilberrygrade.core.forward.WorkLedger;
 import io.bilberrygrade.core.identity.Address;
@@ -16,11 +17,12 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Tells peers what this daemon has sent to each endpoint, and hears the same of them, so that the
- * daemons' choices add up to one. Changes are gathered for a moment; without any, the statement is
- * repeated before peers would forget it.
+ * daemons' choices add up to one. The answers carry confirmations of the configuration. Changes are
+ * gathered for a moment; without any, the statement is repeated before peers would forget it.
  */
 final class WorkExchange implements PeerHandler {
     /** Time for which changes are gathered; a pass of an engine takes about twice that. */
@@ -37,6 +39,7 @@
     private final PeerNetwork mNetwork;
     private final PeerBook mPeers;
     private final WorkLedger mWork;
+    private final Vouching mVouching;
     private final Address mSelf;
     private final Clocks mClocks;
     private final Timers mTimers;
@@ -47,12 +50,14 @@
             PeerNetwork network,
             PeerBook peers,
             WorkLedger work,
+            Vouching vouching,
             Address self,
             Clocks clocks,
             Timers timers) {
         mNetwork = network;
         mPeers = peers;
         mWork = work;
+        mVouching = vouching;
         mSelf = self;
         mClocks = clocks;
         mTimers = timers;
@@ -92,6 +97,7 @@
 
     private void say(Address peer, PeerMessage.Work statement) {
         mPeers.busy(peer, true);
+        ClockReading askedAt = mClocks.read();
         mNetwork.call(peer, statement, CALL_TIMEOUT)
                 .subscribe()
                 .with(
@@ -100,6 +106,7 @@
                             mPeers.heard(peer, mClocks.now());
                             if (reply instanceof PeerMessage.WorkHeard h && h.peers() != null) {
                                 h.peers().forEach(this::learn);
+                                mVouching.heard(Optional.ofNullable(h.confirmation()), askedAt);
                             }
                         },
                         e -> {
@@ -121,7 +128,7 @@
         mWork.heard(from.instance(), work(work.entries()), now);
         Address.tryParse(work.address()).ifPresent(a -> mPeers.heard(a, now));
         List<String> known = mPeers.alive(now).stream().map(Address::toString).toList();
-        return Uni.createFrom().item(new PeerMessage.WorkHeard(known));
+        return Uni.createFrom().item(new PeerMessage.WorkHeard(known, mVouching.statement()));
     }
 
     private static ImmutableMap<EndpointId, EndpointWork> work(List<WorkEntry> entries) {
--- a/serving/src/main/java/io/bilberrygrade/serving/peer/PeerMessage.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/PeerMessage.java
@@ -99,8 +99,11 @@
      */
     record Work(String address, List<WorkEntry> entries) implements PeerMessage {}
 
-    /** Answers with some addresses of peers that the answering daemon has heard lately. */
-    record WorkHeard(List<String> peers) implements PeerMessage {}
+    /**
+     * Answers with some addresses of peers that the answering daemon has heard lately, and with
+     * what it has read of the published configuration; null if it can't rely on that.
+     */
+    record WorkHeard(List<String> peers, ConfirmationEntry confirmation) implements PeerMessage {}
 
     /** Says that a call could not be carried out. */
     record Failure(String message) implements PeerMessage {}
