Spread questions over a shared set of engines instead of the fullest one

Thirty daemons hear of each other after some 100 ms and each sent its question to the same engine, the fullest one with room, which then held more than its eight slots. Change: as many engines as carry all known questions at 0.7 a slot, the first by their ids, are for questions; of two drawn the one with less work is taken; ties among readers follow the drawn order too. The simulation has that fleet now (54 engines, 30 daemons, 100 ms until peers know), refusals with one return, and bursts. Ruled out: three drawn (equal), fill 4 to 8 (0.7 a slot is the best for both fleets), half of the engines at most (worse in swings). PatternTest compares with the earlier policy.

--- a/core/src/main/java/io/bilberrygrade/core/forward/StreamPlacementPolicy.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/StreamPlacementPolicy.java
@@ -2,6 +2,8 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import io.bilberrygrade.core.identity.EndpointId;
 import java.util.Comparator;
 import java.util.Optional;
 
@@ -9,18 +11,20 @@
  * Places prompts on model engines. Load pattern: demand swings within seconds between short
  * questions, which write for seconds and miss their pauses when one pass takes long, and long
  * prompts, whose reading fills many passes. So questions are gathered on as few engines as carry
- * them, in an order that all daemons share, and long prompts are read in parts by all engines that
- * have no question; the boundary moves as the questions come and run out.
+ * them, the same for all daemons, and long prompts are read in parts by the engines that have no
+ * question; the boundary moves as the questions come and run out.
+ *
+ * <p>The candidates come in an order that differs from daemon to daemon and from request to
+ * request. Among the engines for questions the first two are compared, and ties keep the order: if
+ * all daemons took the one that looks best, they would all choose the same until they hear of each
+ * other's choices.
  */
 public final class StreamPlacementPolicy {
     /** Most engines that help with one prompt; from the protocol of the engines. */
     private static final int MAX_HELPERS = 16;
 
-    /** Questions on one engine up to which its passes stay far shorter than their pause goal. */
-    private static final int MOST_QUESTIONS = 8;
-
-    /** Reading, in milliseconds, beside which a question still has its first event in time. */
-    private static final double MOST_READING_MILLIS = 60;
+    /** Engines for questions of which the one with the least work is taken. */
+    private static final int DRAWN = 2;
 
     private StreamPlacementPolicy() {}
 
@@ -30,32 +34,25 @@
         if (candidates.isEmpty()) {
             return Optional.empty();
         }
-        ImmutableList<Candidate> ordered =
-                ImmutableList.sortedCopyOf(
-                        Comparator.comparing(c -> c.endpoint().id().value()), candidates);
         return Optional.of(
-                need.strict() ? gathered(need, cost, ordered) : spread(need, cost, ordered));
+                need.strict() ? gathered(need, cost, candidates) : spread(need, cost, candidates));
     }
 
     private static StreamPlacement gathered(
             StreamNeed need, EngineCost cost, ImmutableList<Candidate> candidates) {
+        ImmutableSet<EndpointId> engines = QuestionEngines.of(cost, candidates);
         Candidate chosen =
                 candidates.stream()
-                        .filter(c -> takesQuestions(c, need, cost))
-                        .max(Comparator.comparingInt(c -> c.work().strictCalls()))
+                        .filter(c -> engines.contains(c.endpoint().id()))
+                        .filter(c -> hasRoom(c, need, cost))
+                        .limit(DRAWN)
+                        .min(Comparator.comparingInt(c -> c.work().calls()))
                         .orElseGet(() -> leastLoaded(candidates, need, cost));
         double millis = cost.readMillis(need.prompt().promptTokens());
         return new StreamPlacement(
                 chosen.endpoint(), ImmutableList.of(), ImmutableMap.of(), millis);
     }
 
-    private static boolean takesQuestions(Candidate c, StreamNeed need, EngineCost cost) {
-        return c.work().strictCalls() > 0
-                && c.work().strictCalls() < MOST_QUESTIONS
-                && c.work().readMillis() <= MOST_READING_MILLIS
-                && hasRoom(c, need, cost);
-    }
-
     private static Candidate leastLoaded(
             ImmutableList<Candidate> candidates, StreamNeed need, EngineCost cost) {
         return candidates.stream()
--- /dev/null
+++ b/core/src/test/java/io/bilberrygrade/core/forward/QuestionEnginesTest.java
@@ -0,0 +1,62 @@
+package io.bilberrygrade.core.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.bilberrygrade.core.identity.Address;
+import io.bilberrygrade.core.identity.DataCentreId;
+import io.bilberrygrade.core.identity.EndpointId;
+import io.bilberrygrade.core.identity.ServiceId;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class QuestionEnginesTest {
+    private static final EngineCost COST =
+            new EngineCost(10, 450_000, 46, 0.925, 0.007, 0.00254, 256, 0.0917, 2_048, 0.1);
+
+    private static Candidate candidate(int number, int questions, long readMillis) {
+        return new Candidate(
+                new RegisteredEndpoint(
+                        new EndpointId("e" + (char) ('a' + number)),
+                        1,
+                        new ServiceId("s"),
+                        new Address("10.0.0." + (number + 1), 80),
+                        new DataCentreId("a"),
+                        10,
+                        false),
+                new EndpointWork(questions, readMillis, questions, questions, 0));
+    }
+
+    private static List<Candidate> candidates(int questions) {
+        List<Candidate> candidates = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            candidates.add(candidate(i, questions / 20 + (i < questions % 20 ? 1 : 0), 0));
+        }
+        return candidates;
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, 1", "6, 1", "7, 2", "69, 10", "118, 17", "200, 17"})
+    void asManyAsCarryTheQuestionsAndOneMore(int questions, int engines) {
+        assertThat(QuestionEngines.of(COST, candidates(questions))).hasSize(engines);
+    }
+
+    @Test
+    void areTheSameInWhateverOrderTheCandidatesCome() {
+        List<Candidate> candidates = candidates(40);
+        List<Candidate> mixed = new ArrayList<>(candidates);
+        Collections.shuffle(mixed, new Random(1));
+        assertThat(QuestionEngines.of(COST, mixed))
+                .containsExactlyInAnyOrderElementsOf(QuestionEngines.of(COST, candidates));
+    }
+
+    @Test
+    void leaveOutEnginesThatReadLongPrompts() {
+        List<Candidate> candidates = List.of(candidate(0, 0, 300), candidate(1, 0, 60));
+        assertThat(QuestionEngines.of(COST, candidates)).containsExactly(new EndpointId("eb"));
+    }
+}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/SendPlanner.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/SendPlanner.java
@@ -112,12 +112,10 @@
                 .orElse(EndpointWork.NONE);
     }
 
-    /** Mixes equal candidates, so that daemons with the same view don't all choose the same. */
+    /** Mixes the candidates, so that daemons with the same view don't all choose the same. */
     private ImmutableList<Candidate> shuffled(ImmutableList<Candidate> candidates) {
         List<Candidate> copy = new ArrayList<>(candidates);
-        for (int i = copy.size() - 1; i > 0; i--) {
-            Collections.swap(copy, i, mRandom.nextInt(i + 1));
-        }
+        Collections.shuffle(copy, mRandom::nextLong);
         return ImmutableList.copyOf(copy);
     }
 }
--- /dev/null
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/FleetSheet.java
@@ -0,0 +1,52 @@
+package io.bilberrygrade.standins.load.pattern;
+
+import com.google.common.collect.ImmutableList;
+import io.bilberrygrade.core.forward.EngineCost;
+
+/**
+ * A deployment that patterns are played on, with figures of a published sheet.
+ *
+ * @param peerDelayMillis mean delay until peers know of a change: it is gathered, then sent
+ */
+record FleetSheet(
+        String name,
+        int daemons,
+        int engines,
+        double peerDelayMillis,
+        EngineCost cost,
+        ImmutableList<PatternClass> classes) {
+    /** Four daemons before 16 engines. */
+    static FleetSheet small() {
+        return new FleetSheet(
+                "small",
+                4,
+                16,
+                30,
+                new EngineCost(11, 450_000, 46, 0.925, 0.007, 0.00254, 256, 0.0917, 2_048, 0.1),
+                ImmutableList.of(
+                        new PatternClass(
+                                "question", 24.6, 5_000, 0.9, 23_800, 35, 290, 195, 1.3, 0.33),
+                        new PatternClass(
+                                "review", 1.78, 45_000, 0.5, 110_000, 21, 1_480, 490, 3.1, 0.79),
+                        new PatternClass(
+                                "audit", 0.742, 210_000, 0.55, 1_000_000, 17, 2_950, 780, 22,
+                                5.4)));
+    }
+
+    /** Thirty daemons before 54 engines, which tell each other of their work more rarely. */
+    static FleetSheet grown() {
+        return new FleetSheet(
+                "grown",
+                30,
+                54,
+                100,
+                new EngineCost(8, 450_000, 52, 0.925, 0.00483, 0.00254, 256, 0.0917, 2_048, 0.1),
+                ImmutableList.of(
+                        new PatternClass(
+                                "question", 64.5, 5_000, 0.9, 23_800, 33, 304, 200, 1.4, 0.34),
+                        new PatternClass(
+                                "review", 5.91, 45_000, 0.5, 110_000, 20, 1_506, 500, 2.6, 0.66),
+                        new PatternClass(
+                                "audit", 1.34, 300_000, 0.55, 1_000_000, 16, 4_010, 800, 30, 7.5)));
+    }
+}
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternPolicy.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternPolicy.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.ImmutableMap;
 import io.bilberrygrade.core.forward.Candidate;
 import io.bilberrygrade.core.forward.EngineCost;
+import io.bilberrygrade.core.forward.OversizedAdmission;
 import io.bilberrygrade.core.forward.RegisteredEndpoint;
 import io.bilberrygrade.core.forward.StreamNeed;
 import io.bilberrygrade.core.forward.StreamPlacement;
@@ -63,6 +64,33 @@
         }
     },
 
+    /** The product's policy, but questions go to the fullest engine that has room, as once. */
+    PACKED {
+        @Override
+        StreamPlacement place(
+                StreamNeed need, EngineCost cost, ImmutableList<Candidate> engines, long turn) {
+            return engines.stream()
+                    .filter(c -> need.strict())
+                    .filter(c -> c.work().strictCalls() > 0 && c.work().calls() < cost.slots())
+                    .filter(c -> c.work().readMillis() <= MOST_READING_MILLIS)
+                    .max(
+                            Comparator.comparingInt((Candidate c) -> c.work().strictCalls())
+                                    .thenComparing(c -> c.endpoint().id().value()))
+                    .map(c -> alone(c, need, cost))
+                    .orElseGet(() -> FULL.place(need, cost, engines, turn));
+        }
+
+        @Override
+        boolean waits() {
+            return true;
+        }
+
+        @Override
+        boolean refuses(StreamNeed need, EngineCost cost, ImmutableList<Candidate> engines) {
+            return FULL.refuses(need, cost, engines);
+        }
+    },
+
     /** The product's policy. */
     FULL {
         @Override
@@ -75,6 +103,25 @@
         boolean waits() {
             return true;
         }
+
+        @Override
+        boolean refuses(StreamNeed need, EngineCost cost, ImmutableList<Candidate> engines) {
+            return OversizedAdmission.refuses(need, cost, engines);
+        }
+    },
+
+    /** The product's policy, but nothing is turned away. */
+    NO_REFUSALS {
+        @Override
+        StreamPlacement place(
+                StreamNeed need, EngineCost cost, ImmutableList<Candidate> engines, long turn) {
+            return FULL.place(need, cost, engines, turn);
+        }
+
+        @Override
+        boolean waits() {
+            return true;
+        }
     },
 
     /** The product's policy, but nothing waits at the daemons. */
@@ -84,11 +131,17 @@
                 StreamNeed need, EngineCost cost, ImmutableList<Candidate> engines, long turn) {
             return FULL.place(need, cost, engines, turn);
         }
+
+        @Override
+        boolean refuses(StreamNeed need, EngineCost cost, ImmutableList<Candidate> engines) {
+            return FULL.refuses(need, cost, engines);
+        }
     };
 
     private static final int MAX_HELPERS = 16;
     private static final long CALL_MILLIS = 8;
     private static final double SPLIT_MILLIS = 200;
+    private static final long MOST_READING_MILLIS = 60;
 
     abstract StreamPlacement place(
             StreamNeed need, EngineCost cost, ImmutableList<Candidate> engines, long turn);
@@ -98,6 +151,11 @@
         return false;
     }
 
+    /** Returns whether a request is turned away at its arrival. */
+    boolean refuses(StreamNeed need, EngineCost cost, ImmutableList<Candidate> engines) {
+        return false;
+    }
+
     private static StreamPlacement alone(Candidate engine, StreamNeed need, EngineCost cost) {
         return new StreamPlacement(
                 engine.endpoint(),
