Turn away long prompts that can't be in time; take the waiting at daemons out

Cause: with questions spread, holding long prompts back at the daemon earned nothing any more (PatternTest#waitingAtTheDaemons... was red), while at bursts the longest prompts, whose reading grows with the square of the length, made all others late and came late themselves. Change: a prompt that one engine can't read within its goal is turned away at once while the engines without questions can't read it in time together; that covers the earlier rule for prompts over one engine's memory. WorkLedger keeps sums instead of asking every peer for every endpoint. Ruled out: a gate that opens earlier or later (0.15 to 0.5 of the engines, 0.6 to 4 goals: no gain), turning away by reading time alone (0.5 to 6 s: the goal is as good and needs no figure).

--- a/core/src/main/java/io/bilberrygrade/core/forward/OversizedAdmission.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/LongPromptAdmission.java
@@ -3,22 +3,22 @@
 import com.google.common.collect.ImmutableList;
 
 /**
- * Decides whether a prompt over one engine's memory is turned away at once. Load pattern: reading
- * grows with the square of the length, so that one such prompt reads for as long as eight usual
- * long ones; a few of them at a peak make all others late for ten seconds and come late themselves.
- * So one is taken only while the engines without questions can read it, after what waits there,
- * within its goal.
+ * Decides whether a prompt that one engine can't read within its goal is turned away at once. Load
+ * pattern: reading grows with the square of the length, so that at a peak a few of the longest
+ * prompts make all others late for ten seconds and come late themselves. So one is taken only while
+ * the engines without questions can read it together, after what waits there, within its goal.
  */
-public final class OversizedAdmission {
+public final class LongPromptAdmission {
     /** Part of the goal that reading may use; the rest is for passes, waits and the way. */
     private static final double READING_PART_OF_GOAL = 0.6;
 
-    private OversizedAdmission() {}
+    private LongPromptAdmission() {}
 
     /** Returns whether the prompt is turned away. */
     public static boolean refuses(
             StreamNeed need, EngineCost cost, ImmutableList<Candidate> candidates) {
-        if (!MemoryPlan.exceedsOneEngine(need.prompt(), cost)) {
+        double own = cost.readMillis(need.prompt().promptTokens());
+        if (need.strict() || own <= need.goal().toMillis()) {
             return false;
         }
         long free = candidates.stream().filter(c -> c.work().strictCalls() == 0).count();
@@ -27,7 +27,6 @@
                         .filter(c -> c.work().strictCalls() == 0)
                         .mapToLong(c -> c.work().readMillis())
                         .sum();
-        double millis = waiting + cost.readMillis(need.prompt().promptTokens());
-        return millis / Math.max(1, free) > need.goal().toMillis() * READING_PART_OF_GOAL;
+        return (waiting + own) / Math.max(1, free) > need.goal().toMillis() * READING_PART_OF_GOAL;
     }
 }
--- a/core/src/main/java/io/bilberrygrade/core/forward/ReaderChoice.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/ReaderChoice.java
@@ -16,6 +16,9 @@
     /** Least part, in milliseconds, that is worth another engine; some steps of an engine. */
     private static final double LEAST_PART_MILLIS = 40;
 
+    /** Reading ahead on an engine, in milliseconds, with which it counts as about to be free. */
+    private static final long MOST_AHEAD_MILLIS = 80;
+
     /** Pause, in milliseconds, that questions bear; their pause goal less a pass and the way. */
     private static final double QUESTION_PAUSE_MILLIS = 90;
 
@@ -79,7 +82,7 @@
     }
 
     private static boolean busy(Candidate c) {
-        return c.work().readMillis() > ReadGate.MOST_AHEAD_MILLIS;
+        return c.work().readMillis() > MOST_AHEAD_MILLIS;
     }
 
     private static int worthwhile(double millis) {
--- a/core/src/main/java/io/bilberrygrade/core/forward/WorkLedger.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/WorkLedger.java
@@ -6,27 +6,30 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.Map;
 
 /**
  * Work that the daemons have sent to each endpoint: this one's own, counted as it comes and goes,
- * and what peers said of theirs, which is forgotten once it is too old.
+ * and what peers said of theirs, which is forgotten once it is too old. Sums are kept up to date,
+ * since a placement asks for all endpoints and there may be hundreds of peers.
  */
 public final class WorkLedger {
     /** Age at which a peer's statement says nothing any more; questions last about this long. */
     private static final Duration PEER_LIFETIME = Duration.ofSeconds(2);
 
     private final Map<EndpointId, EndpointWork> mOwn = new HashMap<>();
-    private final Map<InstanceId, PeerWork> mPeers = new HashMap<>();
+
+    /** Of all peers together. */
+    private final Map<EndpointId, EndpointWork> mPeerSums = new HashMap<>();
+
+    /** The peer that was heard last comes last. */
+    private final Map<InstanceId, PeerWork> mPeers = new LinkedHashMap<>();
 
     /** Adds work of this daemon; a part that was read or has ended is added as a negative. */
     public void add(EndpointId endpoint, EndpointWork change) {
-        EndpointWork sum = mOwn.getOrDefault(endpoint, EndpointWork.NONE).plus(change);
-        if (sum.equals(EndpointWork.NONE)) {
-            mOwn.remove(endpoint);
-        } else {
-            mOwn.put(endpoint, sum);
-        }
+        add(mOwn, endpoint, change);
     }
 
     /** Returns this daemon's own work. */
@@ -36,25 +39,52 @@
 
     /** Takes over what a peer says of its work, in place of what it said before. */
     public void heard(InstanceId peer, ImmutableMap<EndpointId, EndpointWork> work, Instant now) {
+        PeerWork earlier = mPeers.remove(peer);
+        if (earlier != null) {
+            takeOff(earlier);
+        }
         mPeers.put(peer, new PeerWork(work, now));
+        work.forEach((endpoint, w) -> add(mPeerSums, endpoint, w));
+        forgetOld(now);
     }
 
     /** Returns all work that is known of an endpoint. */
     public EndpointWork of(EndpointId endpoint, Instant now) {
-        EndpointWork sum = mOwn.getOrDefault(endpoint, EndpointWork.NONE);
-        for (PeerWork peer : mPeers.values()) {
+        forgetOld(now);
+        return mOwn.getOrDefault(endpoint, EndpointWork.NONE)
+                .plus(mPeerSums.getOrDefault(endpoint, EndpointWork.NONE));
+    }
+
+    /** Returns the number of peers that were heard lately. */
+    public long peers(Instant now) {
+        forgetOld(now);
+        return mPeers.size();
+    }
+
+    private void forgetOld(Instant now) {
+        Iterator<PeerWork> oldestFirst = mPeers.values().iterator();
+        while (oldestFirst.hasNext()) {
+            PeerWork peer = oldestFirst.next();
             if (Duration.between(peer.heardAt(), now).compareTo(PEER_LIFETIME) < 0) {
-                sum = sum.plus(peer.work().getOrDefault(endpoint, EndpointWork.NONE));
+                return;
             }
+            oldestFirst.remove();
+            takeOff(peer);
         }
-        return sum;
     }
 
-    /** Returns the number of peers that were heard lately. */
-    public long peers(Instant now) {
-        return mPeers.values().stream()
-                .filter(p -> Duration.between(p.heardAt(), now).compareTo(PEER_LIFETIME) < 0)
-                .count();
+    private void takeOff(PeerWork peer) {
+        peer.work().forEach((endpoint, w) -> add(mPeerSums, endpoint, w.negated()));
+    }
+
+    private static void add(
+            Map<EndpointId, EndpointWork> sums, EndpointId endpoint, EndpointWork change) {
+        EndpointWork sum = sums.getOrDefault(endpoint, EndpointWork.NONE).plus(change);
+        if (sum.equals(EndpointWork.NONE)) {
+            sums.remove(endpoint);
+        } else {
+            sums.put(endpoint, sum);
+        }
     }
 
     private record PeerWork(ImmutableMap<EndpointId, EndpointWork> work, Instant heardAt) {}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -145,7 +145,6 @@
                         mState,
                         mBook,
                         new SendPlanner(mBook, mSettings.get().dataCentre(), mRandom),
-                        new ReadQueue(mBook, mClocks, mTimers),
                         new RepeatBudgets(mSettings.get(), mPeerBook::known),
                         mClient,
                         new MemoryReservations(
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardParts.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardParts.java
@@ -9,7 +9,6 @@
         StateController state,
         EndpointBook book,
         SendPlanner planner,
-        ReadQueue queue,
         RepeatBudgets budgets,
         EndpointClient client,
         MemoryReservations memory,
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardRun.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardRun.java
@@ -48,8 +48,6 @@
     private Optional<ForwardAttempt> mAttempt = Optional.empty();
     private Optional<Cancellable> mDeadlineTimer = Optional.empty();
     private Optional<ServerFailure> mLastAnswer = Optional.empty();
-    private final Runnable mTurn = this::resume;
-    private boolean mWaited;
     private int mSends;
     private int mReservationTries;
     private int mFailedConnects;
@@ -78,24 +76,19 @@
                                 .after(Duration.between(now, mExchange.deadline()))
                                 .subscribe()
                                 .with(v -> deadlinePassed()));
-        takeTurn();
+        begin();
     }
 
-    /** Has a long prompt wait until engines are about to be free for it. */
-    private void takeTurn() {
+    /** Sends the request unless it is turned away. */
+    private void begin() {
         Optional<ForwardService> service = service().filter(s -> s.engine().isPresent());
         Optional<StreamNeed> need = mExchange.head().prompt().map(p -> SendPlanner.need(mRoute, p));
         if (service.isPresent()
                 && need.isPresent()
                 && mParts.planner().refuses(service.get(), need.get(), mParts.clocks().now())) {
             giveUp(Reason.OVERLOADED, "engines could not read it in time beside what they read");
-        } else if (service.isEmpty()
-                || need.isEmpty()
-                || mParts.queue().open(service.get(), need.get(), mExchange.arrival())) {
-            next();
         } else {
-            mWaited = true;
-            mParts.queue().await(service.get(), need.get(), mExchange.arrival(), mTurn);
+            next();
         }
     }
 
@@ -359,9 +352,6 @@
 
     private void finish(Outcome outcome) {
         mEnded = true;
-        if (mWaited) {
-            mParts.queue().leave(mTurn);
-        }
         mAttempt.ifPresent(ForwardAttempt::cancel);
         mAttempt = Optional.empty();
         mDeadlineTimer.ifPresent(Cancellable::cancel);
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/SendPlanner.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/SendPlanner.java
@@ -8,7 +8,7 @@
 import io.bilberrygrade.core.forward.EndpointWork;
 import io.bilberrygrade.core.forward.EngineCost;
 import io.bilberrygrade.core.forward.ForwardService;
-import io.bilberrygrade.core.forward.OversizedAdmission;
+import io.bilberrygrade.core.forward.LongPromptAdmission;
 import io.bilberrygrade.core.forward.PlainPlacementPolicy;
 import io.bilberrygrade.core.forward.PromptShape;
 import io.bilberrygrade.core.forward.RegisteredEndpoint;
@@ -74,7 +74,7 @@
         return service.engine()
                 .filter(
                         c ->
-                                OversizedAdmission.refuses(
+                                LongPromptAdmission.refuses(
                                         need, c, mBook.candidates(service.id(), now)))
                 .isPresent();
     }
