Name peers only to daemons that know others

Cause: every answer to a statement of work named all peers that were heard lately. Change: a statement carries a digest of the addresses its sender knows, its own included; the answer names peers only if the digests differ. Ruled out: a count instead of a digest, since two groups of equal size would never hear of each other. Before: names in each answer.

--- a/serving/src/main/java/io/bilberrygrade/serving/forward/PeerBook.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/PeerBook.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import io.bilberrygrade.core.identity.Address;
+import io.bilberrygrade.core.routing.Mixing;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
@@ -92,6 +93,17 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
+    /**
+     * Returns a number that is equal for daemons that know the same daemons, themselves included.
+     */
+    long digest(Instant now) {
+        long sum = Mixing.hash(mSelf.toString());
+        for (Address address : alive(now)) {
+            sum += Mixing.hash(address.toString());
+        }
+        return sum;
+    }
+
     private static final class Peer {
         private Instant mHeardAt;
         private Instant mRetryAt = Instant.MIN;
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
@@ -70,16 +70,17 @@
         if (!own.equals(mSaid) || mSaidAt.plus(REPEAT).isBefore(now)) {
             mSaid = own;
             mSaidAt = now;
-            PeerMessage.Work statement = statement(own);
+            PeerMessage.Work statement = statement(own, now);
             mPeers.callable(now).forEach(p -> say(p, statement));
         }
         Duration pause = GATHER.plus(GATHER_PER_PEER.multipliedBy(mPeers.alive(now).size()));
         mTimers.after(pause).subscribe().with(v -> start());
     }
 
-    private PeerMessage.Work statement(ImmutableMap<EndpointId, EndpointWork> own) {
+    private PeerMessage.Work statement(ImmutableMap<EndpointId, EndpointWork> own, Instant now) {
         return new PeerMessage.Work(
                 mSelf.toString(),
+                mPeers.digest(now),
                 own.entrySet().stream()
                         .map(e -> entry(e.getKey(), e.getValue()))
                         .collect(ImmutableList.toImmutableList()));
@@ -127,7 +128,11 @@
         Instant now = mClocks.now();
         mWork.heard(from.instance(), work(work.entries()), now);
         Address.tryParse(work.address()).ifPresent(a -> mPeers.heard(a, now));
-        List<String> known = mPeers.alive(now).stream().map(Address::toString).toList();
+        boolean same = work.peersDigest() == mPeers.digest(now);
+        List<String> known =
+                same
+                        ? ImmutableList.of()
+                        : mPeers.alive(now).stream().map(Address::toString).toList();
         return Uni.createFrom().item(new PeerMessage.WorkHeard(known, mVouching.statement()));
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/peer/PeerMessage.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/PeerMessage.java
@@ -95,13 +95,15 @@
 
     /**
      * Work that the sender has at each endpoint now, in place of what it said before; endpoints
-     * that aren't named have none. {@code address} is where the sender takes calls of peers.
+     * that aren't named have none. {@code address} is where the sender takes calls of peers, {@code
+     * peersDigest} tells whether it knows the same daemons as the receiver.
      */
-    record Work(String address, List<WorkEntry> entries) implements PeerMessage {}
+    record Work(String address, long peersDigest, List<WorkEntry> entries) implements PeerMessage {}
 
     /**
-     * Answers with some addresses of peers that the answering daemon has heard lately, and with
-     * what it has read of the published configuration; null if it can't rely on that.
+     * Answers with the addresses of peers that the answering daemon has heard lately, none if the
+     * digests are equal, and with what it has read of the published configuration; null if it can't
+     * rely on that.
      */
     record WorkHeard(List<String> peers, ConfirmationEntry confirmation) implements PeerMessage {}
 
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/PeerBookTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/PeerBookTest.java
@@ -29,6 +29,19 @@
         assertThat(mBook.callable(T0)).containsExactly(SEED);
     }
 
+    @Test
+    void digestIsEqualForDaemonsThatKnowTheSameDaemons() {
+        PeerBook other = new PeerBook(OTHER, ImmutableList.of());
+        mBook.heard(OTHER, T0);
+        other.heard(SELF, T0);
+        assertThat(other.digest(T0)).isEqualTo(mBook.digest(T0));
+        other.heard(SEED, T0);
+        assertThat(other.digest(T0)).isNotEqualTo(mBook.digest(T0));
+        mBook.heard(SEED, T0);
+        assertThat(other.digest(T0)).isEqualTo(mBook.digest(T0));
+        assertThat(other.digest(T0.plusSeconds(20))).isNotEqualTo(mBook.digest(T0));
+    }
+
     @Test
     void failedPeerIsTriedAgainLater() {
         mBook.failed(SEED, T0);
