Use one retry budget for both interfaces

Cause: the product bounded retries by successes with a reserve, forwarding by requests in a window; two mechanisms for one promise. Change: the window's budget serves both (a fifth of the requests and 100 in ten seconds for the product's interface, as its reserve was). Before: bounded by 100 and a fifth of the successes.

--- a/serving/src/main/java/io/bilberrygrade/serving/controller/AdmissionController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/AdmissionController.java
@@ -29,12 +29,21 @@
     private static final int MAX_RUNNING = 4_096;
     private static final Duration FULL_WAIT = Duration.ofSeconds(1);
 
+    /** Retries for each request; more would make an outage of some engines one of all. */
+    private static final double RETRY_RATIO = 0.2;
+
+    /** Retries beyond the ratio in a window: the requests of one engine that fails. */
+    private static final int RETRY_SLACK = 100;
+
+    private static final Duration RETRY_WINDOW = Duration.ofSeconds(10);
+
     private final PlacementController mPlacement;
     private final ShareController mShares;
     private final DrainController mDrain;
     private final PolicySettings mPolicy;
     private final UniformRandomProvider mRandom;
-    private final RetryBudget mRetries = new RetryBudget();
+    private final RetryBudget mRetries =
+            new RetryBudget(RETRY_RATIO, () -> RETRY_SLACK, RETRY_WINDOW);
 
     /** Creates the controller. */
     public AdmissionController(
@@ -95,14 +104,14 @@
                 : alone.beside(mShares.urgentPart(deployment, request.workClass(), now));
     }
 
-    /** Takes note of a request that was answered. */
-    public void succeeded() {
-        mRetries.succeeded();
+    /** Takes note of a request that was taken on. */
+    public void takenOn(Instant now) {
+        mRetries.requested(now);
     }
 
     /** Returns whether a failed attempt may be tried again, and counts it. */
-    public boolean tryRetry() {
-        return !mPolicy.enabled(Mechanism.RETRY_BUDGET) || mRetries.tryRetry();
+    public boolean tryRetry(Instant now) {
+        return !mPolicy.enabled(Mechanism.RETRY_BUDGET) || mRetries.tryRetry(now);
     }
 
     private Outcome refusal(Reason reason, String detail, Duration wait) {
--- a/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/filter/CompletionDispatcher.java
@@ -83,22 +83,14 @@
         if (refusal.isPresent()) {
             return Uni.createFrom().item(refusal.get());
         }
+        mAdmission.takenOn(mClock.instant());
         AnswerProgress progress = new AnswerProgress(exchange.sink(), mResumes);
         Uni<Outcome> deadline =
                 mTimers.after(request.remaining(mClock.instant())).map(v -> deadlinePast(progress));
         Uni<Outcome> gone =
                 Uni.createFrom()
                         .emitter(e -> exchange.sink().onCallerGone(() -> e.complete(callerGone())));
-        return Uni.join()
-                .first(attempt(exchange, request, progress), deadline, gone)
-                .toTerminate()
-                .invoke(this::count);
-    }
-
-    private void count(Outcome outcome) {
-        if (outcome instanceof Outcome.Done) {
-            mAdmission.succeeded();
-        }
+        return Uni.join().first(attempt(exchange, request, progress), deadline, gone).toTerminate();
     }
 
     private Uni<Outcome> attempt(
@@ -217,7 +209,7 @@
         if (Attempt.tooLate(request, mClock.instant())) {
             return Uni.createFrom().item(deadlinePast(progress));
         }
-        if (number == MAX_ATTEMPTS || !mAdmission.tryRetry()) {
+        if (number == MAX_ATTEMPTS || !mAdmission.tryRetry(mClock.instant())) {
             return Uni.createFrom().item(exhausted(progress, e));
         }
         return attempt(exchange, request, progress);
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -145,7 +145,7 @@
                         mState,
                         mBook,
                         new SendPlanner(mBook, mSettings.get().dataCentre(), mRandom),
-                        new RepeatBudgets(mSettings.get(), mPeerBook::known),
+                        new RetryBudgets(mSettings.get(), mPeerBook::known),
                         mClient,
                         new MemoryReservations(
                                 mOutside.memory(vertx),
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardParts.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardParts.java
@@ -9,7 +9,7 @@
         StateController state,
         EndpointBook book,
         SendPlanner planner,
-        RepeatBudgets budgets,
+        RetryBudgets budgets,
         EndpointClient client,
         MemoryReservations memory,
         Clocks clocks,
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardRun.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardRun.java
@@ -110,7 +110,7 @@
             giveUp(Reason.NO_ENDPOINT, "no endpoint of the service may get it");
             return;
         }
-        if (mSends > 0 && !mParts.budgets().of(mService).tryRepeat(now)) {
+        if (mSends > 0 && !mParts.budgets().of(mService).tryRetry(now)) {
             giveUp(Reason.REPEATS_EXHAUSTED, "the service's repeats are used up");
             return;
         }
@@ -236,7 +236,7 @@
 
     @Override
     public boolean mayGoElsewhere(Instant now) {
-        return sendsLeft() && mParts.budgets().of(mService).mayRepeat(now);
+        return sendsLeft() && mParts.budgets().of(mService).mayRetry(now);
     }
 
     private boolean sendsLeft() {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/RepeatBudgets.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/RetryBudgets.java
@@ -1,13 +1,13 @@
 package io.bilberrygrade.serving.forward;
 
-import io.bilberrygrade.core.forward.RepeatBudget;
+import io.bilberrygrade.core.admission.RetryBudget;
 import io.bilberrygrade.core.identity.ServiceId;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.IntSupplier;
 
 /** The repeat budget of each service. */
-final class RepeatBudgets {
+final class RetryBudgets {
     /** Daemons among which the fleet's slack is divided at least, before peers are known. */
     private static final int LEAST_DAEMONS = 13;
 
@@ -19,19 +19,19 @@
 
     private final ForwardSettings mSettings;
     private final IntSupplier mKnownPeers;
-    private final Map<ServiceId, RepeatBudget> mByService = new HashMap<>();
+    private final Map<ServiceId, RetryBudget> mByService = new HashMap<>();
 
-    RepeatBudgets(ForwardSettings settings, IntSupplier knownPeers) {
+    RetryBudgets(ForwardSettings settings, IntSupplier knownPeers) {
         mSettings = settings;
         mKnownPeers = knownPeers;
     }
 
     /** Returns the budget of a service. */
-    RepeatBudget of(ServiceId service) {
+    RetryBudget of(ServiceId service) {
         return mByService.computeIfAbsent(
                 service,
                 s ->
-                        new RepeatBudget(
+                        new RetryBudget(
                                 mSettings.repeatRatio() * USED_RATIO,
                                 this::slack,
                                 mSettings.repeatWindow()));
