Play a crash of engines at the peak; give measure pattern options, percentiles and JSON

Change: a pattern in which engines end for good and what they had is sent again; the aim counts from the first ask; rows with median, 95th and 99th percentile and the unserved. Before: no pattern of a loss. Not drawn: a plot.

--- a/bin/lib/measure-pattern.sh
+++ b/bin/lib/measure-pattern.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Plays load patterns against placement policies on virtual time and prints a table. The arguments
-# name the policies (round-robin, least-outstanding, all-read, no-waiting, full); all if there is none.
+# Plays load patterns against placement policies on virtual time and prints a table; --help names the
+# options.
 set -euo pipefail
 ROOT=$(cd "$(dirname "$0")/../.." && pwd)
 . "$ROOT/bin/lib/processes.sh"
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/LoadPattern.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/LoadPattern.java
@@ -4,12 +4,18 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.Maps;
 
-/** Arrivals over time: each phase multiplies the classes' means. */
-record LoadPattern(String name, ImmutableList<Phase> phases) {
+/**
+ * Arrivals over time: each phase multiplies the classes' means.
+ *
+ * @param crashedPart part of the engines that end for good in the middle of the pattern
+ */
+record LoadPattern(String name, ImmutableList<Phase> phases, double crashedPart) {
     private static final String QUESTION = "question";
     private static final String REVIEW = "review";
     private static final String AUDIT = "audit";
     private static final double BURST = 2.2;
+    private static final double CRASH_BURST = 1.5;
+    private static final double FIFTH = 0.2;
     private static final double PHASE_MILLIS = 10_000;
 
     private static final Phase AUDITS =
@@ -17,6 +23,10 @@
     private static final Phase QUESTIONS =
             new Phase(PHASE_MILLIS, ImmutableMap.of(QUESTION, 2.5, REVIEW, 0.5, AUDIT, 0.05));
 
+    private LoadPattern(String name, ImmutableList<Phase> phases) {
+        this(name, phases, 0);
+    }
+
     /** Demand that swings every ten seconds between audits and questions. */
     static LoadPattern swings() {
         return new LoadPattern("swings", ImmutableList.of(AUDITS, QUESTIONS, AUDITS));
@@ -41,6 +51,13 @@
         return new LoadPattern("bursts", ImmutableList.of(mean, mean.times(BURST), mean));
     }
 
+    /** A burst of all classes in which a fifth of the engines crash. */
+    static LoadPattern crash() {
+        Phase mean = new Phase(PHASE_MILLIS, ImmutableMap.of());
+        return new LoadPattern(
+                "crash", ImmutableList.of(mean, mean.times(CRASH_BURST), mean), FIFTH);
+    }
+
     /** Returns the length in milliseconds. */
     double lengthMillis() {
         return phases.stream().mapToDouble(Phase::millis).sum();
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PassEngine.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PassEngine.java
@@ -21,6 +21,7 @@
     private final Deque<Runnable> mWaiting = new ArrayDeque<>();
     private int mCalls;
     private boolean mBusy;
+    private boolean mCrashed;
 
     PassEngine(RegisteredEndpoint endpoint, EngineCost cost, VirtualClock clock) {
         mEndpoint = endpoint;
@@ -54,8 +55,17 @@
         wake();
     }
 
+    /** Ends for good; nothing that is here goes on. */
+    void crash() {
+        mCrashed = true;
+        mParts.clear();
+        mReads.clear();
+        mWriters.clear();
+        mWaiting.clear();
+    }
+
     private void wake() {
-        if (!mBusy) {
+        if (!mBusy && !mCrashed) {
             mBusy = true;
             mClock.after(0, this::pass);
         }
@@ -98,6 +108,9 @@
     }
 
     private void passed(List<PatternRequest> writing, List<Runnable> read) {
+        if (mCrashed) {
+            return;
+        }
         for (PatternRequest r : writing) {
             if (r.wrote(mClock.nowMillis())) {
                 mWriters.remove(r);
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternMain.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternMain.java
@@ -1,34 +1,81 @@
 package io.bilberrygrade.standins.load.pattern;
 
 import com.google.common.collect.ImmutableList;
+import io.bilberrygrade.serving.json.Mappers;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
 
 /** Plays every pattern with every policy on the same arrivals and prints a table. */
 public final class PatternMain {
+    private static final int EXIT_USAGE = 2;
     private static final ImmutableList<Long> SEEDS = ImmutableList.of(1L, 2L, 3L, 4L, 5L, 6L);
+    private static final ImmutableList<FleetSheet> FLEETS =
+            ImmutableList.of(FleetSheet.small(), FleetSheet.grown());
+    private static final ImmutableList<LoadPattern> PATTERNS =
+            ImmutableList.of(
+                    LoadPattern.swings(),
+                    LoadPattern.highSwings(),
+                    LoadPattern.steady(),
+                    LoadPattern.bursts(),
+                    LoadPattern.crash());
 
     private PatternMain() {}
 
-    /** Prints the table; the arguments name the policies, all of them if there is none. */
-    public static void main(String[] args) {
-        System.out.println(PatternResult.HEADING);
-        for (FleetSheet fleet : ImmutableList.of(FleetSheet.small(), FleetSheet.grown())) {
-            for (LoadPattern pattern : patterns()) {
-                for (PatternPolicy policy : policies(args)) {
-                    PatternResult result = play(pattern, policy, fleet, SEEDS);
-                    System.out.println(result.row(fleet.name(), pattern.name(), name(policy)));
+    /** Prints the table and writes it as JSON if a file is named. */
+    public static void main(String[] args) throws IOException {
+        ArgumentParser parser =
+                ArgumentParsers.newFor("bilberrygrade measure pattern")
+                        .build()
+                        .description("Plays load patterns against policies on virtual time.");
+        parser.addArgument("--fleet").choices(FLEETS.stream().map(FleetSheet::name).toList());
+        parser.addArgument("--pattern").choices(PATTERNS.stream().map(LoadPattern::name).toList());
+        parser.addArgument("--policy")
+                .choices(Arrays.stream(PatternPolicy.values()).map(PatternMain::name).toList());
+        parser.addArgument("--json").help("file for the rows with all percentiles");
+        try {
+            run(parser.parseArgs(args));
+        } catch (ArgumentParserException e) {
+            parser.handleError(e);
+            System.exit(EXIT_USAGE);
+        }
+    }
+
+    private static void run(Namespace arguments) throws IOException {
+        List<PatternRow> rows = new ArrayList<>();
+        System.out.println(PatternRow.HEADING);
+        for (FleetSheet fleet : FLEETS) {
+            for (LoadPattern pattern : PATTERNS) {
+                for (PatternPolicy policy : PatternPolicy.values()) {
+                    if (asked(arguments, "fleet", fleet.name())
+                            && asked(arguments, "pattern", pattern.name())
+                            && asked(arguments, "policy", name(policy))) {
+                        PatternResult result = play(pattern, policy, fleet, SEEDS);
+                        PatternRow row = result.row(fleet.name(), pattern.name(), name(policy));
+                        System.out.println(row.text());
+                        rows.add(row);
+                    }
                 }
             }
         }
+        Optional<String> json = Optional.ofNullable(arguments.getString("json"));
+        if (json.isPresent()) {
+            Files.write(Path.of(json.get()), Mappers.JSON.writeValueAsBytes(rows));
+        }
     }
 
-    private static ImmutableList<LoadPattern> patterns() {
-        return ImmutableList.of(
-                LoadPattern.swings(),
-                LoadPattern.highSwings(),
-                LoadPattern.steady(),
-                LoadPattern.bursts());
+    private static boolean asked(Namespace arguments, String what, String name) {
+        String chosen = arguments.getString(what);
+        return chosen == null || chosen.equals(name);
     }
 
     /** Plays a pattern with several seeds and gathers what callers saw. */
@@ -42,15 +89,6 @@
         return result;
     }
 
-    private static ImmutableList<PatternPolicy> policies(String[] args) {
-        if (args.length == 0) {
-            return ImmutableList.copyOf(PatternPolicy.values());
-        }
-        return Arrays.stream(args)
-                .map(a -> PatternPolicy.valueOf(a.toUpperCase(Locale.ROOT).replace('-', '_')))
-                .collect(ImmutableList.toImmutableList());
-    }
-
     private static String name(PatternPolicy policy) {
         return policy.name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternRequest.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternRequest.java
@@ -7,21 +7,18 @@
     private final PatternClass mClass;
     private final long mTokens;
     private final double mArrivedAt;
-    private final Runnable mOnFirst;
-    private final Runnable mOnEnd;
+    private Runnable mOnFirst = () -> {};
+    private Runnable mOnEnd = () -> {};
     private double mContext;
     private double mFirstAt = -1;
     private double mLastAt;
     private double mLongestPause;
     private int mEvents;
 
-    PatternRequest(
-            PatternClass ofClass, long tokens, double arrivedAt, Runnable onFirst, Runnable onEnd) {
+    PatternRequest(PatternClass ofClass, long tokens, double arrivedAt) {
         mClass = ofClass;
         mTokens = tokens;
         mArrivedAt = arrivedAt;
-        mOnFirst = onFirst;
-        mOnEnd = onEnd;
         mContext = tokens;
     }
 
@@ -37,6 +34,13 @@
         return mTokens;
     }
 
+    /** Registers what the daemon does at the first event from a new engine, and at the end. */
+    void sentAgain(Runnable onFirst, Runnable onEnd) {
+        mOnFirst = onFirst;
+        mOnEnd = onEnd;
+        mContext = mTokens + mEvents * TOKENS_PER_EVENT;
+    }
+
     /** Returns the context whose cost its writer adds to a step. */
     double context() {
         return mContext;
@@ -49,9 +53,10 @@
 
     /** Takes an event in; returns whether it was the last. */
     boolean wrote(double now) {
+        mOnFirst.run();
+        mOnFirst = () -> {};
         if (mEvents == 0) {
             mFirstAt = now;
-            mOnFirst.run();
         } else {
             mLongestPause = Math.max(mLongestPause, now - mLastAt);
         }
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternResult.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternResult.java
@@ -3,16 +3,13 @@
 import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
+import java.util.Optional;
 
 /** What callers saw of the requests of some runs. */
 final class PatternResult {
-    static final String HEADING =
-            String.format(
-                    "%-6s %-12s %-18s %6s %9s %7s %6s   p95 first: question review audit",
-                    "fleet", "pattern", "policy", "worth", "question", "review", "audit");
-
+    private static final double P50 = 0.5;
     private static final double P95 = 0.95;
+    private static final double P99 = 0.99;
 
     private final List<PatternRequest> mRequests = new ArrayList<>();
 
@@ -37,36 +34,49 @@
 
     /** Returns the 95th percentile of the time to the first event of a class. */
     double firstP95(String ofClass) {
+        return percentile(of(ofClass), P95);
+    }
+
+    /** Requests without an event count as the slowest. */
+    private static double percentile(List<PatternRequest> requests, double part) {
         double[] times =
-                of(ofClass).stream().mapToDouble(PatternResult::firstMillis).sorted().toArray();
-        return times[(int) (times.length * P95)];
+                requests.stream().mapToDouble(PatternResult::firstMillis).sorted().toArray();
+        return times[(int) (times.length * part)];
     }
 
     private static double firstMillis(PatternRequest r) {
         return r.firstMillis() < 0 ? Double.MAX_VALUE : r.firstMillis();
     }
 
-    private static String shown(double millis) {
-        return millis == Double.MAX_VALUE ? "never" : Long.toString(Math.round(millis));
-    }
-
     private List<PatternRequest> of(String ofClass) {
         return mRequests.stream().filter(r -> r.ofClass().name().equals(ofClass)).toList();
     }
 
-    String row(String fleet, String pattern, String policy) {
-        return String.format(
-                Locale.ROOT,
-                "%-6s %-12s %-18s %6.3f %9.3f %7.3f %6.3f   %19s %6s %5s",
-                fleet,
-                pattern,
-                policy,
-                worth(),
-                worth("question"),
-                worth("review"),
-                worth("audit"),
-                shown(firstP95("question")),
-                shown(firstP95("review")),
-                shown(firstP95("audit")));
+    /** Returns the row of a table. */
+    PatternRow row(String fleet, String pattern, String policy) {
+        ImmutableList.Builder<PatternRow.ClassRow> classes = ImmutableList.builder();
+        mRequests.stream()
+                .map(r -> r.ofClass().name())
+                .distinct()
+                .sorted()
+                .forEach(c -> classes.add(classRow(c)));
+        return new PatternRow(fleet, pattern, policy, worth(), classes.build());
+    }
+
+    private PatternRow.ClassRow classRow(String ofClass) {
+        List<PatternRequest> requests = of(ofClass);
+        return new PatternRow.ClassRow(
+                ofClass,
+                worth(requests),
+                requests.size(),
+                requests.stream().filter(PatternRequest::inTime).count(),
+                requests.stream().filter(r -> !r.ended()).count(),
+                millis(percentile(requests, P50)),
+                millis(percentile(requests, P95)),
+                millis(percentile(requests, P99)));
+    }
+
+    private static Optional<Long> millis(double millis) {
+        return millis == Double.MAX_VALUE ? Optional.empty() : Optional.of(Math.round(millis));
     }
 }
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternRun.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternRun.java
@@ -16,9 +16,12 @@
 import io.bilberrygrade.core.identity.ServiceId;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 
@@ -33,6 +36,9 @@
     /** Times that a caller comes back after a refusal, and how much later. */
     private static final int RETRIES = 1;
 
+    /** Time until a daemon sees that an engine has crashed. */
+    private static final double RESET_MILLIS = 20;
+
     private static final double RETRY_AFTER_MILLIS = 1_000;
 
     private static final double TAIL_MILLIS = 15_000;
@@ -43,6 +49,7 @@
     private final VirtualClock mClock = new VirtualClock();
     private final Map<EndpointId, PassEngine> mEngines = new HashMap<>();
     private final List<WorkLedger> mDaemons = new ArrayList<>();
+    private final Map<PatternRequest, Sending> mRunning = new LinkedHashMap<>();
     private final List<PatternRequest> mRequests = new ArrayList<>();
     private final UniformRandomProvider mRandom;
     private final UniformRandomProvider mMixing;
@@ -77,6 +84,7 @@
     /** Plays the pattern and returns all requests. */
     ImmutableList<PatternRequest> play(LoadPattern pattern) {
         mFleet.classes().forEach(c -> arrivals(pattern, c));
+        mClock.after(pattern.lengthMillis() / 2, () -> crash(pattern.crashedPart()));
         mClock.runUntil(pattern.lengthMillis() + TAIL_MILLIS);
         return ImmutableList.copyOf(mRequests);
     }
@@ -96,20 +104,45 @@
     }
 
     private void arrive(PatternClass c, long tokens, int daemon, int retries) {
-        double now = mClock.nowMillis();
-        StreamNeed need = c.need(tokens);
+        PatternRequest request = new PatternRequest(c, tokens, mClock.nowMillis());
+        mRequests.add(request);
+        ask(request, daemon, retries);
+    }
+
+    /** Has a daemon send the request, or the caller come back once if it is turned away. */
+    private void ask(PatternRequest request, int daemon, int retries) {
+        StreamNeed need = request.ofClass().need(request.tokens());
         ImmutableList<Candidate> candidates = candidates(daemon);
         if (!mPolicy.refuses(need, mCost, candidates)) {
             StreamPlacement placed = mPolicy.place(need, mCost, candidates, mTurn++);
-            send(new Sending(c, need, placed, daemon), now);
+            send(new Sending(request.ofClass(), need, placed, daemon), request);
         } else if (retries > 0) {
             int other = mRandom.nextInt(mDaemons.size());
-            mClock.after(RETRY_AFTER_MILLIS, () -> arrive(c, tokens, other, retries - 1));
-        } else {
-            mRequests.add(new PatternRequest(c, tokens, now, () -> {}, () -> {}));
+            mClock.after(RETRY_AFTER_MILLIS, () -> ask(request, other, retries - 1));
         }
     }
 
+    /** Ends engines; what was sent to them is sent again once daemons see the connections reset. */
+    private void crash(double part) {
+        List<EndpointId> ids = new ArrayList<>(mEngines.keySet());
+        Collections.sort(ids, Comparator.comparing(EndpointId::value));
+        Collections.shuffle(ids, mMixing::nextLong);
+        List<EndpointId> crashed = ids.subList(0, (int) (ids.size() * part));
+        crashed.forEach(id -> mEngines.remove(id).crash());
+        List<Map.Entry<PatternRequest, Sending>> hit =
+                mRunning.entrySet().stream().filter(e -> e.getValue().needs(crashed)).toList();
+        for (Map.Entry<PatternRequest, Sending> e : hit) {
+            mRunning.remove(e.getKey());
+            mClock.after(RESET_MILLIS, () -> sendAgain(e.getKey(), e.getValue()));
+        }
+    }
+
+    private void sendAgain(PatternRequest request, Sending lost) {
+        lost.ended(mDaemons.get(lost.daemon()));
+        said(lost.daemon());
+        ask(request, lost.daemon(), 0);
+    }
+
     private ImmutableList<Candidate> candidates(int daemon) {
         WorkLedger ledger = mDaemons.get(daemon);
         List<Candidate> candidates = new ArrayList<>();
@@ -124,8 +157,9 @@
         return ImmutableList.copyOf(candidates);
     }
 
-    private void send(Sending sending, double arrivedAt) {
+    private void send(Sending sending, PatternRequest request) {
         StreamPlacement placed = sending.placed();
+        mRunning.put(request, sending);
         sending.started(mDaemons.get(sending.daemon()));
         said(sending.daemon());
         double end = sending.placed().partMillis() + PASS_MILLIS;
@@ -135,16 +169,21 @@
                     sending.readDone(mDaemons.get(sending.daemon()));
                     said(sending.daemon());
                 });
-        PassEngine first = mEngines.get(placed.first().id());
-        PatternRequest request =
-                new PatternRequest(
-                        sending.ofClass(),
-                        sending.need().prompt().promptTokens(),
-                        arrivedAt,
-                        () -> firstEvent(sending),
-                        () -> ended(sending));
-        mRequests.add(request);
-        mClock.after(WAY_MILLIS, () -> first.admit(() -> read(sending, request, first)));
+        request.sentAgain(
+                () -> firstEvent(sending),
+                () -> {
+                    mRunning.remove(request);
+                    ended(sending);
+                });
+        mClock.after(
+                WAY_MILLIS,
+                () ->
+                        engine(placed.first().id())
+                                .ifPresent(e -> e.admit(() -> read(sending, request, e))));
+    }
+
+    private Optional<PassEngine> engine(EndpointId id) {
+        return Optional.ofNullable(mEngines.get(id));
     }
 
     private void read(Sending sending, PatternRequest request, PassEngine first) {
@@ -155,7 +194,7 @@
         Runnable done =
                 () -> {
                     left[0]--;
-                    if (left[0] == 0) {
+                    if (left[0] == 0 && sending.equals(mRunning.get(request))) {
                         request.divideContext(sending.placed().reservations().isEmpty() ? 1 : 2);
                         first.write(request);
                     }
@@ -163,7 +202,7 @@
         first.read(tokens, millis, false, done);
         sending.placed()
                 .helpers()
-                .forEach(h -> mEngines.get(h.id()).read(tokens, millis, true, done));
+                .forEach(h -> engine(h.id()).ifPresent(e -> e.read(tokens, millis, true, done)));
     }
 
     private void firstEvent(Sending sending) {
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/Sending.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/Sending.java
@@ -7,6 +7,7 @@
 import io.bilberrygrade.core.forward.StreamPlacement;
 import io.bilberrygrade.core.forward.WorkLedger;
 import io.bilberrygrade.core.identity.EndpointId;
+import java.util.Collection;
 
 /** One placed request and the daemon that sent it; keeps the daemon's ledger. */
 final class Sending {
@@ -40,6 +41,12 @@
         return mDaemon;
     }
 
+    /** Returns whether it is lost with any of the engines. */
+    boolean needs(Collection<EndpointId> engines) {
+        return engines.contains(mPlaced.first().id())
+                || (!mFirst && mPlaced.helpers().stream().anyMatch(h -> engines.contains(h.id())));
+    }
+
     void started(WorkLedger ledger) {
         count(ledger, SendingWork.of(mNeed, mPlaced).reading());
     }
@@ -56,6 +63,7 @@
     }
 
     void ended(WorkLedger ledger) {
+        mFirst = true;
         count(ledger, ImmutableMap.of());
     }
 
--- a/standins/src/test/java/io/bilberrygrade/standins/load/pattern/PatternTest.java
+++ b/standins/src/test/java/io/bilberrygrade/standins/load/pattern/PatternTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.common.collect.ImmutableList;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -58,6 +59,33 @@
         }
     }
 
+    @ParameterizedTest
+    @EnumSource(
+            value = PatternPolicy.class,
+            names = {"ROUND_ROBIN", "LEAST_OUTSTANDING", "ALL_READ", "PACKED", "NO_REFUSALS"})
+    void crashAtPeakIsBorneBetterThanByOthers(PatternPolicy other) {
+        for (FleetSheet fleet : ImmutableList.of(FleetSheet.small(), FleetSheet.grown())) {
+            double full = play(LoadPattern.crash(), PatternPolicy.FULL, fleet).worth();
+            assertThat(full).isGreaterThan(play(LoadPattern.crash(), other, fleet).worth());
+        }
+    }
+
+    @Test
+    void whatCrashedEnginesHadIsServedByOthers() {
+        PatternRow row =
+                play(LoadPattern.crash(), PatternPolicy.NO_REFUSALS).row("small", "crash", "any");
+        assertThat(row.classes()).hasSize(3).allMatch(c -> c.asked() > 0 && c.unserved() == 0);
+    }
+
+    @Test
+    void rowSaysNeverWhereRequestsHaveNoEvent() {
+        PatternRow.ClassRow unserved =
+                new PatternRow.ClassRow(
+                        "audit", 0, 2, 0, 2, Optional.of(7L), Optional.empty(), Optional.empty());
+        PatternRow row = new PatternRow("small", "crash", "full", 0, ImmutableList.of(unserved));
+        assertThat(row.text()).endsWith("audit 0.000 7/never");
+    }
+
     @Test
     void sameSeedGivesTheSameResult() {
         assertThat(play(LoadPattern.swings(), PatternPolicy.FULL).worth())
