--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternMain.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternMain.java
@@ -31,7 +31,7 @@
 
     private PatternMain() {}
 
-    /** Prints the table and writes it as JSON if a file is named. */
+    /** Prints the table; writes it as JSON and as a plot if files are named. */
     public static void main(String[] args) throws IOException {
         ArgumentParser parser =
                 ArgumentParsers.newFor("bilberrygrade measure pattern")
@@ -41,6 +41,7 @@
         parser.addArgument("--pattern").choices(PATTERNS.stream().map(LoadPattern::name).toList());
         parser.addArgument("--policy")
                 .choices(Arrays.stream(PatternPolicy.values()).map(PatternMain::name).toList());
+        parser.addArgument("--plot").help("file for an SVG plot of the worth");
         parser.addArgument("--json").help("file for the rows with all percentiles");
         try {
             run(parser.parseArgs(args));
@@ -71,6 +72,10 @@
         if (json.isPresent()) {
             Files.write(Path.of(json.get()), Mappers.JSON.writeValueAsBytes(rows));
         }
+        Optional<String> plot = Optional.ofNullable(arguments.getString("plot"));
+        if (plot.isPresent()) {
+            WorthPlot.write(rows, Path.of(plot.get()));
+        }
     }
 
     private static boolean asked(Namespace arguments, String what, String name) {
--- a/standins/src/test/java/io/bilberrygrade/standins/load/pattern/PatternTest.java
+++ b/standins/src/test/java/io/bilberrygrade/standins/load/pattern/PatternTest.java
@@ -3,8 +3,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.common.collect.ImmutableList;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -86,6 +91,18 @@
         assertThat(row.text()).endsWith("audit 0.000 7/never");
     }
 
+    @Test
+    void plotIsWrittenOfPoliciesThatPlayedAllPatterns(@TempDir Path folder) throws IOException {
+        Path file = folder.resolve("worth.svg");
+        WorthPlot.write(
+                List.of(
+                        new PatternRow("small", "steady", "full", 0.9, ImmutableList.of()),
+                        new PatternRow("small", "crash", "full", 0.8, ImmutableList.of()),
+                        new PatternRow("small", "steady", "packed", 0.7, ImmutableList.of())),
+                file);
+        assertThat(Files.readString(file)).contains("<svg");
+    }
+
     @Test
     void sameSeedGivesTheSameResult() {
         assertThat(play(LoadPattern.swings(), PatternPolicy.FULL).worth())
