Close connections on which no whole head ever comes

Cause: found by a test that was written last, of headers that never end: the connection stayed open for ever. The server library reports a connection only after its first whole head while it waits for a possible upgrade to HTTP/2 without TLS, so that the idle limit never saw connections without a request. Change: that upgrade is off; nothing uses it. Ruled out: the idle check itself, which closed connections after a request as it should. Before: BadInputTest#headersThatNeverEnd... timed out after 15 s. After: green, with ForwardingTest and BadInputTest (60 cases).

--- a/serving/src/main/java/io/bilberrygrade/serving/forward/FrontServer.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/FrontServer.java
@@ -58,6 +58,8 @@
         mServer =
                 vertx.createHttpServer(
                         new HttpServerOptions()
+                                // Else a connection isn't reported before its first whole head.
+                                .setHttp2ClearTextEnabled(false)
                                 .setTcpNoDelay(true)
                                 .setHandle100ContinueAutomatically(true)
                                 .setAcceptBacklog(ACCEPT_BACKLOG)
