Make one piece of what stood twice in forwarding; take out what nothing reads

Cause: reading the whole change again. Done too often: the engines' work was read for the refusal of every question, which is never refused; a stream's silence timer was set anew for every event of one read; a peer's address was hashed for every statement. State that followed from elsewhere: the attempt's flag for a busy engine is an argument of its failure. Read by nothing and gone: the header timeout, a route's priority, the hop's cost, a simulated request's longest pause. Ruled out: one drain, one table of statuses and one constructor shape for both daemons, which look alike and promise different things.

--- a/core/src/main/java/io/bilberrygrade/core/forward/EngineCost.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/EngineCost.java
@@ -13,7 +13,6 @@
  * @param readTokensPerMillis prompt tokens that are read in a millisecond
  * @param pairMillisPerMillion time for a million pairs of a token with an earlier one
  * @param chunkTokens most prompt tokens that are read in a step
- * @param hopMillis further time of a step where the prompt is spread over several engines
  */
 public record EngineCost(
         int slots,
@@ -24,8 +23,7 @@
         double contextMillisPerThousand,
         double readTokensPerMillis,
         double pairMillisPerMillion,
-        int chunkTokens,
-        double hopMillis) {
+        int chunkTokens) {
     private static final double PAIRS_UNIT = 1e6;
     private static final double CONTEXT_UNIT = 1e3;
 
--- a/core/src/main/java/io/bilberrygrade/core/forward/LongPromptAdmission.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/LongPromptAdmission.java
@@ -14,13 +14,19 @@
 
     private LongPromptAdmission() {}
 
+    /** Returns whether a prompt may be turned away at all, whatever the engines have to do. */
+    public static boolean concerns(StreamNeed need, EngineCost cost) {
+        return !need.strict()
+                && cost.readMillis(need.prompt().promptTokens()) > need.goal().toMillis();
+    }
+
     /** Returns whether the prompt is turned away. */
     public static boolean refuses(
             StreamNeed need, EngineCost cost, ImmutableList<Candidate> candidates) {
-        double own = cost.readMillis(need.prompt().promptTokens());
-        if (need.strict() || own <= need.goal().toMillis()) {
+        if (!concerns(need, cost)) {
             return false;
         }
+        double own = cost.readMillis(need.prompt().promptTokens());
         long free = candidates.stream().filter(c -> c.work().strictCalls() == 0).count();
         double waiting =
                 candidates.stream()
--- a/core/src/main/java/io/bilberrygrade/core/forward/MemoryPlan.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/MemoryPlan.java
@@ -37,7 +37,7 @@
     }
 
     /** Returns whether a prompt is too long for the memory of one engine. */
-    static boolean exceedsOneEngine(PromptShape prompt, EngineCost cost) {
+    private static boolean exceedsOneEngine(PromptShape prompt, EngineCost cost) {
         return tokens(prompt) > cost.memoryTokens() * MOST_OF_ONE_ENGINE;
     }
 
--- a/core/src/main/java/io/bilberrygrade/core/forward/RequestLimits.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/RequestLimits.java
@@ -2,6 +2,5 @@
 
 import java.time.Duration;
 
-/** Published bounds on what a caller may send, and on how long it may take or stay idle. */
-public record RequestLimits(
-        int maxHeaderBytes, long maxBodyBytes, Duration headerTimeout, Duration idleTimeout) {}
+/** Published bounds on what a caller may send, and on how long it may stay idle. */
+public record RequestLimits(int maxHeaderBytes, long maxBodyBytes, Duration idleTimeout) {}
--- a/core/src/main/java/io/bilberrygrade/core/forward/Route.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/Route.java
@@ -25,7 +25,6 @@
         Duration timeout,
         Duration goal,
         Optional<Duration> pauseGoal,
-        int priority,
         int maxAttempts,
         boolean open,
         ImmutableList<WeightedService> services) {
--- a/core/src/main/java/io/bilberrygrade/core/forward/SendingWork.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/SendingWork.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableMap;
 import io.bilberrygrade.core.identity.EndpointId;
+import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
@@ -13,6 +14,9 @@
         ImmutableMap<EndpointId, EndpointWork> reading,
         ImmutableMap<EndpointId, EndpointWork> read,
         ImmutableMap<EndpointId, EndpointWork> writing) {
+    /** Pass of an engine that writes; reading ends up to one later than it takes. */
+    public static final Duration PASS = Duration.ofMillis(50);
+
     /** Returns the work of a placed stream. */
     public static SendingWork of(StreamNeed need, StreamPlacement placed) {
         long part = Math.round(placed.partMillis());
--- a/core/src/main/java/io/bilberrygrade/core/forward/WorkLedger.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/WorkLedger.java
@@ -32,6 +32,14 @@
         add(mOwn, endpoint, change);
     }
 
+    /** Counts what a sending is for each endpoint now, in place of what it was before. */
+    public void replace(
+            ImmutableMap<EndpointId, EndpointWork> earlier,
+            ImmutableMap<EndpointId, EndpointWork> work) {
+        takeOff(mOwn, earlier);
+        work.forEach(this::add);
+    }
+
     /** Returns this daemon's own work. */
     public ImmutableMap<EndpointId, EndpointWork> own() {
         return ImmutableMap.copyOf(mOwn);
@@ -41,7 +49,7 @@
     public void heard(InstanceId peer, ImmutableMap<EndpointId, EndpointWork> work, Instant now) {
         PeerWork earlier = mPeers.remove(peer);
         if (earlier != null) {
-            takeOff(earlier);
+            takeOff(mPeerSums, earlier.work());
         }
         mPeers.put(peer, new PeerWork(work, now));
         work.forEach((endpoint, w) -> add(mPeerSums, endpoint, w));
@@ -69,12 +77,13 @@
                 return;
             }
             oldestFirst.remove();
-            takeOff(peer);
+            takeOff(mPeerSums, peer.work());
         }
     }
 
-    private void takeOff(PeerWork peer) {
-        peer.work().forEach((endpoint, w) -> add(mPeerSums, endpoint, w.negated()));
+    private static void takeOff(
+            Map<EndpointId, EndpointWork> sums, ImmutableMap<EndpointId, EndpointWork> work) {
+        work.forEach((endpoint, w) -> add(sums, endpoint, w.negated()));
     }
 
     private static void add(
--- a/core/src/test/java/io/bilberrygrade/core/forward/LongPromptAdmissionTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/forward/LongPromptAdmissionTest.java
@@ -13,7 +13,7 @@
 
 final class LongPromptAdmissionTest {
     private static final EngineCost COST =
-            new EngineCost(11, 450_000, 46, 0.925, 0.007, 0.00254, 256, 0.0917, 2_048, 0.1);
+            new EngineCost(11, 450_000, 46, 0.925, 0.007, 0.00254, 256, 0.0917, 2_048);
     private static final EndpointWork ASKED = new EndpointWork(3, 0, 3, 3, 15_000);
     private static final EndpointWork READING = new EndpointWork(0, 400, 0, 0, 0);
 
--- a/core/src/test/java/io/bilberrygrade/core/forward/QuestionEnginesTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/forward/QuestionEnginesTest.java
@@ -16,7 +16,7 @@
 
 final class QuestionEnginesTest {
     private static final EngineCost COST =
-            new EngineCost(10, 450_000, 46, 0.925, 0.007, 0.00254, 256, 0.0917, 2_048, 0.1);
+            new EngineCost(10, 450_000, 46, 0.925, 0.007, 0.00254, 256, 0.0917, 2_048);
 
     private static Candidate candidate(int number, int questions, long readMillis) {
         return new Candidate(
--- a/core/src/test/java/io/bilberrygrade/core/forward/RouteTableTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/forward/RouteTableTest.java
@@ -28,7 +28,6 @@
                 Duration.ofSeconds(1),
                 Duration.ofMillis(100),
                 Optional.empty(),
-                0,
                 2,
                 false,
                 ImmutableList.of(
@@ -80,7 +79,6 @@
                 r.timeout(),
                 r.goal(),
                 r.pauseGoal(),
-                r.priority(),
                 r.maxAttempts(),
                 r.open(),
                 r.services());
--- a/core/src/test/java/io/bilberrygrade/core/forward/StreamPlacementPolicyTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/forward/StreamPlacementPolicyTest.java
@@ -19,7 +19,7 @@
 
 final class StreamPlacementPolicyTest {
     private static final EngineCost COST =
-            new EngineCost(11, 450_000, 46, 0.925, 0.007, 0.00254, 256, 0.0917, 2_048, 0.1);
+            new EngineCost(11, 450_000, 46, 0.925, 0.007, 0.00254, 256, 0.0917, 2_048);
 
     private static Candidate candidate(int number, EndpointWork work) {
         return new Candidate(
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
@@ -5,6 +5,7 @@
 import io.bilberrygrade.core.forward.EndpointWork;
 import io.bilberrygrade.core.forward.RegisteredEndpoint;
 import io.bilberrygrade.core.forward.RouteKind;
+import io.bilberrygrade.core.forward.SendingWork;
 import io.bilberrygrade.core.forward.SilenceJudge;
 import io.bilberrygrade.core.forward.SilenceJudge.Heard;
 import io.bilberrygrade.core.identity.EndpointId;
@@ -14,6 +15,7 @@
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
 
 /** One sending of a request to one endpoint: judges the answer and passes it on. */
@@ -21,9 +23,6 @@
     /** Largest answer that is gathered before it is passed on, in bytes. */
     private static final int MAX_GATHERED_BYTES = 8 << 20;
 
-    /** Pass of an engine that writes; reading ends up to one later than it takes. */
-    private static final Duration PASS = Duration.ofMillis(50);
-
     private static final int MISDIRECTED = 421;
 
     private final ForwardParts mParts;
@@ -43,7 +42,6 @@
     private Optional<Instant> mFirstAt = Optional.empty();
     private EndpointCall mCall;
     private boolean mSent;
-    private boolean mBusyPerhaps;
     private boolean mOver;
 
     ForwardAttempt(
@@ -68,7 +66,10 @@
     void start(Duration left) {
         count(mPlaced.work().reading());
         if (mPlaced.partMillis() > 0) {
-            mReadTimer = after(Duration.ofMillis(mPlaced.partMillis()).plus(PASS), this::readByNow);
+            mReadTimer =
+                    after(
+                            Duration.ofMillis(mPlaced.partMillis()).plus(SendingWork.PASS),
+                            this::readByNow);
         }
         SendOrder order =
                 new SendOrder(
@@ -117,7 +118,7 @@
 
     /** Waits on while the endpoint is only busy, or while the request may not go elsewhere. */
     private void awaitFirstByte() {
-        Duration patience = Patience.firstByte(mExchange.route());
+        Duration patience = SilenceLimit.firstByte(mExchange.route());
         mSilenceTimer = after(patience, () -> judgeSilence(patience));
     }
 
@@ -125,7 +126,7 @@
         Instant now = mParts.clocks().now();
         Heard heard = mParts.book().heardOf(mPlaced.endpoint().id());
         if (mOwner.mayGoElsewhere(now) && SilenceJudge.lost(mStartedAt, patience, heard, now)) {
-            fail(Delivery.MAY_HAVE_RUN, "silent for " + patience.toMillis() + " ms");
+            failForSilence(patience, true);
         } else {
             awaitFirstByte();
         }
@@ -179,15 +180,16 @@
 
     private void relay(Buffer part) {
         try {
-            for (StreamEvent event : mParser.feed(part)) {
+            List<StreamEvent> events = mParser.feed(part);
+            for (StreamEvent event : events) {
                 firstEvent();
                 if (!mRelay.pass(mHead.orElseThrow(), event, mParts.clocks().now())) {
                     mCall.pause();
                     mRelay.answer().onRoom(mCall::resume);
                 }
-                if (mExchange.route().repeatable()) {
-                    expectWithin(Patience.betweenEvents(mExchange.route()));
-                }
+            }
+            if (!events.isEmpty() && mExchange.route().repeatable()) {
+                expectWithin(SilenceLimit.betweenEvents(mExchange.route()));
             }
         } catch (MalformedStreamException e) {
             fail(Delivery.MAY_HAVE_RUN, e.getMessage());
@@ -231,24 +233,24 @@
         fail(delivery, detail);
     }
 
-    /**
-     * Takes the request elsewhere. An engine that is silent for a while may only be in a long pass;
-     * ejecting it would send its load to the others just when all are busy. One that is dead takes
-     * no connection, which ejects it.
-     */
-    private void failForSilence(Duration span) {
-        mBusyPerhaps = mExchange.route().kind() == RouteKind.STREAMING;
-        fail(Delivery.MAY_HAVE_RUN, "silent for " + span.toMillis() + " ms");
+    /** Takes the request elsewhere. */
+    private void failForSilence(Duration span, boolean atFault) {
+        fail(Delivery.MAY_HAVE_RUN, "silent for " + span.toMillis() + " ms", atFault);
     }
 
     private void fail(Delivery delivery, String detail) {
+        fail(delivery, detail, delivery != Delivery.REFUSED);
+    }
+
+    /** Ends the attempt; an endpoint at fault is avoided for a while. */
+    private void fail(Delivery delivery, String detail, boolean atFault) {
         if (mOver) {
             return;
         }
         over();
         mCall.cancel();
         Instant now = mParts.clocks().now();
-        if (delivery != Delivery.REFUSED && !mBusyPerhaps) {
+        if (atFault) {
             mParts.book().failed(mPlaced.endpoint().id(), now);
         }
         mParts.events()
@@ -263,9 +265,14 @@
         mOwner.failed(delivery, detail);
     }
 
+    /**
+     * Waits for the next event. An engine that pauses may only be in a long pass; ejecting it would
+     * send its load to the others just when all are busy. One that is dead takes no connection,
+     * which ejects it.
+     */
     private void expectWithin(Duration span) {
         mSilenceTimer.ifPresent(Cancellable::cancel);
-        mSilenceTimer = after(span, () -> failForSilence(span));
+        mSilenceTimer = after(span, () -> failForSilence(span, false));
     }
 
     private void over() {
@@ -285,8 +292,7 @@
 
     /** Counts what the sending is for each engine now, in place of what it was before. */
     private void count(ImmutableMap<EndpointId, EndpointWork> work) {
-        mCounted.forEach((id, w) -> mParts.book().work().add(id, w.negated()));
-        work.forEach(mParts.book().work()::add);
+        mParts.book().work().replace(mCounted, work);
         mCounted = work;
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/FrontServer.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/FrontServer.java
@@ -70,10 +70,7 @@
     }
 
     Uni<Void> listen(Address address) {
-        return Uni.createFrom()
-                .completionStage(
-                        () -> mServer.listen(address.port(), address.host()).toCompletionStage())
-                .replaceWithVoid();
+        return Listening.on(address, mServer);
     }
 
     private void opened(HttpConnection connection) {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/PeerBook.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/PeerBook.java
@@ -8,6 +8,7 @@
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.stream.Stream;
 
 /**
  * Addresses of peers, learnt from the seeds and from the peers themselves. One that doesn't answer
@@ -38,7 +39,7 @@
     /** Takes note of an address that a peer named. */
     void learn(Address address, Instant now) {
         if (!address.equals(mSelf) && mPeers.size() < MAX_PEERS) {
-            mPeers.putIfAbsent(address, new Peer(now));
+            mPeers.computeIfAbsent(address, a -> new Peer(hash(a), now));
         }
     }
 
@@ -87,29 +88,33 @@
 
     /** Returns the peers that were heard lately. */
     ImmutableList<Address> alive(Instant now) {
-        return mPeers.entrySet().stream()
-                .filter(e -> e.getValue().mHeardAt.isAfter(now.minus(LIFETIME)))
-                .map(Map.Entry::getKey)
-                .collect(ImmutableList.toImmutableList());
+        return aliveEntries(now).map(Map.Entry::getKey).collect(ImmutableList.toImmutableList());
     }
 
     /**
      * Returns a number that is equal for daemons that know the same daemons, themselves included.
      */
     long digest(Instant now) {
-        long sum = Mixing.hash(mSelf.toString());
-        for (Address address : alive(now)) {
-            sum += Mixing.hash(address.toString());
-        }
-        return sum;
+        return hash(mSelf) + aliveEntries(now).mapToLong(e -> e.getValue().mHash).sum();
+    }
+
+    private Stream<Map.Entry<Address, Peer>> aliveEntries(Instant now) {
+        return mPeers.entrySet().stream()
+                .filter(e -> e.getValue().mHeardAt.isAfter(now.minus(LIFETIME)));
+    }
+
+    private static long hash(Address address) {
+        return Mixing.hash(address.toString());
     }
 
     private static final class Peer {
+        private final long mHash;
         private Instant mHeardAt;
         private Instant mRetryAt = Instant.MIN;
         private boolean mBusy;
 
-        Peer(Instant heardAt) {
+        Peer(long hash, Instant heardAt) {
+            mHash = hash;
             mHeardAt = heardAt;
         }
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ReadinessServer.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ReadinessServer.java
@@ -31,10 +31,7 @@
     }
 
     Uni<Void> listen(Address address) {
-        return Uni.createFrom()
-                .completionStage(
-                        () -> mServer.listen(address.port(), address.host()).toCompletionStage())
-                .replaceWithVoid();
+        return Listening.on(address, mServer);
     }
 
     private void readiness(RoutingContext call) {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/RetryBudgets.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/RetryBudgets.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.function.IntSupplier;
 
-/** The repeat budget of each service. */
+/** The retry budget of each service. */
 final class RetryBudgets {
     /** Daemons among which the fleet's slack is divided at least, before peers are known. */
     private static final int LEAST_DAEMONS = 13;
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/SendPlanner.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/SendPlanner.java
@@ -19,7 +19,6 @@
 import io.bilberrygrade.core.forward.StreamPlacementPolicy;
 import io.bilberrygrade.core.identity.DataCentreId;
 import io.bilberrygrade.core.identity.EndpointId;
-import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -29,9 +28,6 @@
 
 /** Chooses where a request is sent, from what is known of the endpoints now. */
 final class SendPlanner {
-    /** Streams with a shorter pause goal are disturbed by the reading of long prompts. */
-    private static final Duration STRICT_PAUSE = Duration.ofMillis(400);
-
     private final EndpointBook mBook;
     private final DataCentreId mSelf;
     private final UniformRandomProvider mRandom;
@@ -72,6 +68,7 @@
      */
     boolean refuses(ForwardService service, StreamNeed need, Instant now) {
         return service.engine()
+                .filter(c -> LongPromptAdmission.concerns(need, c))
                 .filter(
                         c ->
                                 LongPromptAdmission.refuses(
@@ -81,8 +78,7 @@
 
     /** Returns what a stream of the route needs. */
     static StreamNeed need(Route route, PromptShape prompt) {
-        boolean strict = route.pauseGoal().filter(p -> p.compareTo(STRICT_PAUSE) < 0).isPresent();
-        return new StreamNeed(prompt, strict, route.goal());
+        return StreamNeed.of(prompt, route.goal(), route.pauseGoal());
     }
 
     private static Optional<PlacedSend> stream(
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/Patience.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/SilenceLimit.java
@@ -8,7 +8,7 @@
  * How long an endpoint may stay silent before a request that may be repeated is taken elsewhere. It
  * must be over before the caller's own patience is, and long enough for a busy endpoint.
  */
-final class Patience {
+final class SilenceLimit {
     /** Callers leave a stream after a gap of this many goals, pauses, or two seconds. */
     private static final int CALLER_GOALS = 4;
 
@@ -21,7 +21,7 @@
     /** Plain services answer within some goals even when they are busy. */
     private static final int PLAIN_GOALS = 2;
 
-    private Patience() {}
+    private SilenceLimit() {}
 
     /** Returns the longest silence before the first byte of an answer. */
     static Duration firstByte(Route route) {
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/VouchingTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/VouchingTest.java
@@ -27,7 +27,7 @@
                     1,
                     new RouteTable(ImmutableList.of()),
                     ImmutableMap.of(),
-                    new RequestLimits(1, 1, Duration.ZERO, Duration.ZERO),
+                    new RequestLimits(1, 1, Duration.ZERO),
                     new KeyRing(false, ImmutableMap.of()));
 
     private final FakeStore mStore = new FakeStore();
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/FleetSheet.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/FleetSheet.java
@@ -22,7 +22,7 @@
                 4,
                 16,
                 30,
-                new EngineCost(11, 450_000, 46, 0.925, 0.007, 0.00254, 256, 0.0917, 2_048, 0.1),
+                new EngineCost(11, 450_000, 46, 0.925, 0.007, 0.00254, 256, 0.0917, 2_048),
                 ImmutableList.of(
                         new PatternClass(
                                 "question", 24.6, 5_000, 0.9, 23_800, 35, 290, 195, 1.3, 0.33),
@@ -40,7 +40,7 @@
                 30,
                 54,
                 100,
-                new EngineCost(8, 450_000, 52, 0.925, 0.00483, 0.00254, 256, 0.0917, 2_048, 0.1),
+                new EngineCost(8, 450_000, 52, 0.925, 0.00483, 0.00254, 256, 0.0917, 2_048),
                 ImmutableList.of(
                         new PatternClass(
                                 "question", 64.5, 5_000, 0.9, 23_800, 33, 304, 200, 1.4, 0.34),
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternClass.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternClass.java
@@ -3,6 +3,7 @@
 import io.bilberrygrade.core.forward.PromptShape;
 import io.bilberrygrade.core.forward.StreamNeed;
 import java.time.Duration;
+import java.util.Optional;
 import org.apache.commons.rng.UniformRandomProvider;
 
 /**
@@ -22,7 +23,6 @@
         double pauseMillis,
         double worth,
         double lateWorth) {
-    private static final double STRICT_PAUSE_MILLIS = 400;
     private static final double FIXED_WORTH = 0.3;
     private static final double MOST_SIZE = 4;
 
@@ -36,10 +36,10 @@
     }
 
     StreamNeed need(long tokens) {
-        return new StreamNeed(
+        return StreamNeed.of(
                 new PromptShape(tokens, events),
-                pauseMillis < STRICT_PAUSE_MILLIS,
-                Duration.ofMillis(Math.round(goalMillis)));
+                Duration.ofMillis(Math.round(goalMillis)),
+                Optional.of(Duration.ofMillis(Math.round(pauseMillis))));
     }
 
     /** Returns the worth of an answer to a prompt of the given length; larger ones count more. */
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternRequest.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternRequest.java
@@ -34,8 +34,8 @@
         return mTokens;
     }
 
-    /** Registers what the daemon does at the first event from a new engine, and at the end. */
-    void sentAgain(Runnable onFirst, Runnable onEnd) {
+    /** Registers what the daemon does at the first event of this sending, and at the end. */
+    void sent(Runnable onFirst, Runnable onEnd) {
         mOnFirst = onFirst;
         mOnEnd = onEnd;
         mContext = mTokens + mEvents * TOKENS_PER_EVENT;
@@ -79,10 +79,6 @@
         return mFirstAt < 0 ? -1 : mFirstAt - mArrivedAt;
     }
 
-    double longestPause() {
-        return mLongestPause;
-    }
-
     boolean inTime() {
         return ended()
                 && firstMillis() <= mClass.goalMillis()
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternRun.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternRun.java
@@ -6,6 +6,7 @@
 import io.bilberrygrade.core.forward.EndpointWork;
 import io.bilberrygrade.core.forward.EngineCost;
 import io.bilberrygrade.core.forward.RegisteredEndpoint;
+import io.bilberrygrade.core.forward.SendingWork;
 import io.bilberrygrade.core.forward.StreamNeed;
 import io.bilberrygrade.core.forward.StreamPlacement;
 import io.bilberrygrade.core.forward.WorkLedger;
@@ -30,9 +31,6 @@
     /** Way from the daemon to an engine and back with the first event. */
     private static final double WAY_MILLIS = 3;
 
-    /** Pass of an engine that writes; reading ends up to one later than it takes. */
-    private static final double PASS_MILLIS = 50;
-
     /** Times that a caller comes back after a refusal, and how much later. */
     private static final int RETRIES = 1;
 
@@ -162,14 +160,14 @@
         mRunning.put(request, sending);
         sending.started(mDaemons.get(sending.daemon()));
         said(sending.daemon());
-        double end = sending.placed().partMillis() + PASS_MILLIS;
+        double end = sending.placed().partMillis() + SendingWork.PASS.toMillis();
         mClock.after(
                 end,
                 () -> {
                     sending.readDone(mDaemons.get(sending.daemon()));
                     said(sending.daemon());
                 });
-        request.sentAgain(
+        request.sent(
                 () -> firstEvent(sending),
                 () -> {
                     mRunning.remove(request);
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/Sending.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/Sending.java
@@ -68,8 +68,7 @@
     }
 
     private void count(WorkLedger ledger, ImmutableMap<EndpointId, EndpointWork> work) {
-        mCounted.forEach((id, w) -> ledger.add(id, w.negated()));
-        work.forEach(ledger::add);
+        ledger.replace(mCounted, work);
         mCounted = work;
     }
 }
