--- a/core/src/main/java/io/bilberrygrade/core/forward/EndpointDirectory.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/EndpointDirectory.java
@@ -20,6 +20,7 @@
     public static final Duration RETURN_GRACE = Duration.ofSeconds(2);
 
     private final Map<EndpointId, Entry> mEntries = new LinkedHashMap<>();
+    private final LeavingRuns mLeaving = new LeavingRuns();
     private boolean mAway;
     private Instant mReturnedAt = Instant.MIN;
     private boolean mKnown;
@@ -50,15 +51,33 @@
         ImmutableList.copyOf(mEntries.keySet()).stream()
                 .filter(id -> !read.containsKey(id))
                 .forEach(id -> remove(id, now));
-        read.values().forEach(this::put);
+        read.values().forEach(e -> put(e, now));
         mKnown = true;
     }
 
     /** Takes over one entry. A run that asked for no new work once gets none any more. */
-    public void put(RegisteredEndpoint entry) {
-        Entry old = mEntries.get(entry.id());
-        boolean wasLeaving = old != null && old.mEndpoint.leaving() && old.mEndpoint.sameRun(entry);
-        mEntries.put(entry.id(), new Entry(wasLeaving ? old.mEndpoint : entry));
+    public void put(RegisteredEndpoint entry, Instant now) {
+        if (entry.leaving()) {
+            mLeaving.add(entry.run(), now);
+        }
+        mEntries.put(entry.id(), new Entry(entry));
+    }
+
+    /** Takes note that a run asks for no new work; returns whether that is new. */
+    public boolean leaves(EndpointRun run, Instant now) {
+        return mLeaving.add(run, now);
+    }
+
+    /** Returns the runs that have asked for no new work. */
+    public LeavingRuns leaving() {
+        return mLeaving;
+    }
+
+    /** Returns whether an endpoint that was chosen a while ago may still get work. */
+    public boolean mayGetWork(RegisteredEndpoint endpoint, Instant now) {
+        forgetLapsed(now);
+        return !mLeaving.contains(endpoint.run())
+                && find(endpoint.id()).filter(endpoint::sameRun).isPresent();
     }
 
     /** Takes note that an entry has vanished. */
@@ -85,7 +104,7 @@
         forgetLapsed(now);
         return mEntries.values().stream()
                 .map(e -> e.mEndpoint)
-                .filter(e -> e.service().equals(service) && !e.leaving())
+                .filter(e -> e.service().equals(service) && !mLeaving.contains(e.run()))
                 .collect(ImmutableList.toImmutableList());
     }
 
--- a/core/src/main/java/io/bilberrygrade/core/forward/RegisteredEndpoint.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/RegisteredEndpoint.java
@@ -20,6 +20,11 @@
         DataCentreId dataCentre,
         int slots,
         boolean leaving) {
+    /** Returns the run that says this. */
+    public EndpointRun run() {
+        return new EndpointRun(id, startedAtMillis);
+    }
+
     /** Returns whether the other entry is of the same run of the endpoint. */
     public boolean sameRun(RegisteredEndpoint other) {
         return id.equals(other.id)
--- /dev/null
+++ b/core/src/test/java/io/bilberrygrade/core/exchange/FleetViewTest.java
@@ -0,0 +1,98 @@
+package io.bilberrygrade.core.exchange;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import io.bilberrygrade.core.identity.Address;
+import java.time.Instant;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class FleetViewTest {
+    private static final Instant T0 = Instant.parse("2026-01-01T00:00:00Z");
+    private static final Address SEED = new Address("10.0.0.9", 1);
+    private static final FleetMember SELF = member(5, 50);
+    private static final FleetMember OLDER = member(6, 20);
+    private static final FleetMember OLDEST = member(7, 10);
+    private static final FleetMember YOUNGER = member(4, 60);
+
+    private final FleetView mView = new FleetView(SELF, ImmutableList.of(SELF.address(), SEED));
+
+    private static FleetMember member(int number, long startedAt) {
+        return new FleetMember(new Address("10.0.0." + number, 1), startedAt);
+    }
+
+    @Test
+    void daemonThatKnowsNobodyIsTheAggregatorAndAsksOtherSeeds() {
+        assertThat(mView.isAggregator(T0)).isTrue();
+        assertThat(mView.standby(T0)).isEmpty();
+        assertThat(mView.nextSeed()).contains(SEED);
+        assertThat(mView.nextSeed()).contains(SEED);
+        assertThat(mView.size(T0)).isEqualTo(1);
+    }
+
+    @Test
+    void oldestIsTheAggregatorAndTheNextTheStandby() {
+        mView.heard(YOUNGER, T0);
+        assertThat(mView.isAggregator(T0)).isTrue();
+        assertThat(mView.standby(T0)).contains(YOUNGER);
+        mView.heard(OLDER, T0);
+        mView.named(ImmutableList.of(OLDEST, OLDER), 30, T0);
+        assertThat(mView.aggregator(T0)).isEqualTo(OLDEST);
+        assertThat(mView.standby(T0)).contains(OLDER);
+        assertThat(mView.aggregators(T0)).containsExactly(OLDEST, OLDER, SELF, YOUNGER);
+        assertThat(mView.size(T0)).isEqualTo(30);
+    }
+
+    @Test
+    void memberThatDoesNotAnswerIsPassedOverForSomeTime() {
+        mView.heard(OLDEST, T0);
+        mView.heard(OLDER, T0);
+        mView.failed(OLDEST.address(), T0);
+        mView.named(ImmutableList.of(OLDEST), 3, T0.plusMillis(100));
+        assertThat(mView.aggregator(T0.plusMillis(100))).isEqualTo(OLDER);
+        assertThat(mView.aggregator(T0.plusMillis(2_000))).isEqualTo(OLDEST);
+        mView.failed(OLDEST.address(), T0.plusMillis(2_000));
+        mView.heard(OLDEST, T0.plusMillis(2_100));
+        assertThat(mView.aggregator(T0.plusMillis(2_100))).isEqualTo(OLDEST);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"2999, true", "3000, false"})
+    void memberThatIsNeitherHeardNorNamedIsGone(long millis, boolean there) {
+        mView.heard(OLDEST, T0);
+        Instant now = T0.plusMillis(millis);
+        assertThat(mView.aggregator(now).equals(OLDEST)).isEqualTo(there);
+        assertThat(mView.size(now)).isEqualTo(there ? 2 : 1);
+    }
+
+    @Test
+    void restartedMemberIsYoungAndItsEarlierRunDoesNotComeBack() {
+        mView.heard(OLDEST, T0);
+        FleetMember restarted = member(7, 90);
+        mView.heard(restarted, T0.plusMillis(10));
+        assertThat(mView.isAggregator(T0.plusMillis(10))).isTrue();
+        mView.named(ImmutableList.of(OLDEST), 2, T0.plusMillis(20));
+        assertThat(mView.isAggregator(T0.plusMillis(20))).isTrue();
+    }
+
+    @Test
+    void onlyMembersThatWereHeardAreNamedToPeers() {
+        mView.named(ImmutableList.of(OLDEST), 3, T0);
+        mView.heard(OLDER, T0);
+        assertThat(mView.heardAggregators(T0)).containsExactly(OLDER, SELF);
+        assertThat(mView.heardAggregators(T0.plusSeconds(3))).containsExactly(SELF);
+        mView.named(ImmutableList.of(OLDER), 3, T0.plusSeconds(3));
+        assertThat(mView.heardAggregators(T0.plusSeconds(3))).containsExactly(SELF);
+    }
+
+    @Test
+    void newSeedsReplaceTheEarlier() {
+        Address other = new Address("10.0.0.8", 1);
+        mView.setSeeds(ImmutableList.of(other));
+        assertThat(mView.nextSeed()).contains(other);
+        mView.setSeeds(ImmutableList.of());
+        assertThat(mView.nextSeed()).isEmpty();
+    }
+}
--- a/core/src/test/java/io/bilberrygrade/core/exchange/WorkLedgerTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/exchange/WorkLedgerTest.java
@@ -1,59 +1,101 @@
-package io.bilberrygrade.core.forward;
+package io.bilberrygrade.core.exchange;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.common.collect.ImmutableMap;
+import io.bilberrygrade.core.forward.EndpointWork;
+import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.identity.EndpointId;
-import io.bilberrygrade.core.identity.InstanceId;
 import java.time.Instant;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
 
+/** A daemon's ledger together with the sums of the aggregator that it asks. */
 final class WorkLedgerTest {
     private static final Instant T0 = Instant.parse("2026-01-01T00:00:00Z");
     private static final EndpointId ENGINE = new EndpointId("e");
+    private static final EndpointId OTHER = new EndpointId("other");
     private static final EndpointWork ONE = new EndpointWork(1, 20, 0, 1, 5_000);
+    private static final Address SELF = new Address("10.0.0.1", 1);
+    private static final FleetMember AGGREGATOR = new FleetMember(new Address("10.0.0.9", 1), 1);
 
     private final WorkLedger mLedger = new WorkLedger();
+    private final WorkSums mSums = new WorkSums();
 
-    private void hear(String peer, int calls, long millis) {
-        EndpointWork work = new EndpointWork(calls, 0, 0, 0, 0);
-        mLedger.heard(new InstanceId(peer), ImmutableMap.of(ENGINE, work), T0.plusMillis(millis));
+    private void peer(int number, int calls) {
+        mSums.stated(
+                new Address("10.0.0.2", number),
+                calls == 0
+                        ? ImmutableMap.of()
+                        : ImmutableMap.of(ENGINE, new EndpointWork(calls, 0, 0, 0, 0)),
+                T0);
     }
 
-    private int calls(long millis) {
-        return mLedger.of(ENGINE, T0.plusMillis(millis)).calls();
+    private void ask() {
+        ImmutableMap<EndpointId, EndpointWork> own = mLedger.own();
+        long version = mLedger.heard().version(AGGREGATOR);
+        mSums.stated(SELF, own, T0);
+        mLedger.heard().heard(AGGREGATOR, version, mSums.since(version, T0), own, T0);
+    }
+
+    private int calls() {
+        return mLedger.of(ENGINE, T0.plusMillis(10)).calls();
     }
 
     @Test
     void addsOwnWorkAndThatOfAllPeers() {
         mLedger.add(ENGINE, ONE);
-        hear("a", 2, 0);
-        hear("b", 3, 0);
-        assertThat(calls(10)).isEqualTo(6);
+        peer(1, 2);
+        peer(2, 3);
+        ask();
+        assertThat(calls()).isEqualTo(6);
         assertThat(mLedger.own()).containsExactly(Map.entry(ENGINE, ONE));
-        assertThat(mLedger.of(new EndpointId("other"), T0)).isEqualTo(EndpointWork.NONE);
+        assertThat(mLedger.of(OTHER, T0)).isEqualTo(EndpointWork.NONE);
     }
 
     @Test
-    void laterStatementReplacesTheEarlier() {
-        hear("a", 5, 0);
-        hear("a", 1, 100);
-        assertThat(calls(200)).isEqualTo(1);
-        mLedger.heard(new InstanceId("a"), ImmutableMap.of(), T0.plusMillis(300));
-        assertThat(calls(400)).isZero();
+    void ownWorkThatChangedSinceTheQuestionCountsOnce() {
+        mLedger.add(ENGINE, ONE);
+        ask();
+        mLedger.add(ENGINE, ONE);
+        assertThat(calls()).isEqualTo(2);
+        mLedger.add(ENGINE, ONE.negated());
+        mLedger.add(ENGINE, ONE.negated());
+        assertThat(calls()).isZero();
+        ask();
+        assertThat(calls()).isZero();
     }
 
-    @ParameterizedTest
-    @CsvSource({"1999, 3, 2", "2000, 1, 1", "2499, 1, 1", "2500, 0, 0"})
-    void forgetsPeersThatHaveFallenSilent(long millis, int calls, int peers) {
-        hear("a", 9, 0);
-        hear("b", 2, 0);
-        hear("a", 1, 500);
-        assertThat(calls(millis)).isEqualTo(calls);
-        assertThat(mLedger.peers(T0.plusMillis(millis))).isEqualTo(peers);
+    @Test
+    void laterStatementOfPeerReplacesTheEarlier() {
+        peer(1, 5);
+        ask();
+        peer(1, 1);
+        ask();
+        assertThat(calls()).isEqualTo(1);
+        peer(1, 0);
+        ask();
+        assertThat(calls()).isZero();
+    }
+
+    @Test
+    void sumsThatWereHeardLongAgoSayNothing() {
+        peer(1, 2);
+        ask();
+        assertThat(mLedger.of(ENGINE, T0.plusMillis(1_999)).calls()).isEqualTo(2);
+        assertThat(mLedger.of(ENGINE, T0.plusMillis(2_000)).calls()).isZero();
+    }
+
+    @Test
+    void changesOnAnotherBaseAreNotTakenOver() {
+        peer(1, 2);
+        ask();
+        WorkSums.Update gap = new WorkSums.Update(99, false, ImmutableMap.of(ENGINE, ONE));
+        mLedger.heard().heard(AGGREGATOR, 98, gap, ImmutableMap.of(), T0);
+        assertThat(calls()).isEqualTo(2);
+        FleetMember next = new FleetMember(new Address("10.0.0.8", 1), 2);
+        mLedger.heard().heard(next, 98, gap, ImmutableMap.of(), T0);
+        assertThat(calls()).isEqualTo(2);
     }
 
     @Test
--- a/core/src/test/java/io/bilberrygrade/core/forward/EndpointDirectoryTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/forward/EndpointDirectoryTest.java
@@ -34,35 +34,35 @@
 
     @Test
     void leavingEndpointGetsNoWorkAndStaysOutForItsRun() {
-        mDirectory.put(endpoint("e", 1, true));
+        mDirectory.put(endpoint("e", 1, true), T0);
         assertThat(usable(T0)).isEmpty();
-        mDirectory.put(endpoint("e", 1, false));
+        mDirectory.put(endpoint("e", 1, false), T0);
         assertThat(usable(T0)).isEmpty();
     }
 
     @Test
     void endpointThatStartedAgainUnderItsIdGetsWork() {
-        mDirectory.put(endpoint("e", 1, true));
-        mDirectory.put(endpoint("e", 2, false));
+        mDirectory.put(endpoint("e", 1, true), T0);
+        mDirectory.put(endpoint("e", 2, false), T0);
         assertThat(usable(T0)).containsExactly("e");
     }
 
     @Test
     void vanishedEntryIsGoneAtOnceWhileTheStoreWorks() {
-        mDirectory.put(endpoint("e", 1, false));
+        mDirectory.put(endpoint("e", 1, false), T0);
         mDirectory.remove(new EndpointId("e"), T0);
         assertThat(usable(T0)).isEmpty();
     }
 
     @Test
     void entryThatVanishedWhileTheStoreWasAwayMayComeBack() {
-        mDirectory.put(endpoint("back", 1, false));
-        mDirectory.put(endpoint("dead", 1, false));
+        mDirectory.put(endpoint("back", 1, false), T0);
+        mDirectory.put(endpoint("dead", 1, false), T0);
         mDirectory.storeLost();
         mDirectory.storeAnswered(T0);
         mDirectory.replace(ImmutableList.of(), T0);
         assertThat(usable(T0.plusMillis(1_900))).containsExactly("back", "dead");
-        mDirectory.put(endpoint("back", 1, false));
+        mDirectory.put(endpoint("back", 1, false), T0);
         assertThat(usable(T0.plusMillis(2_100))).containsExactly("back");
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
@@ -72,6 +72,11 @@
     record EndpointChanged(String endpoint, String address, String change, String source)
             implements ForwardEvent {}
 
+    /** An endpoint wants nothing for a time; 0 if what it wrote is no time. */
+    @EventInfo(number = 7016, level = EventLevel.INFO)
+    record EndpointRests(String request, String endpoint, String seconds, long restMillis)
+            implements ForwardEvent {}
+
     /** The store could not be read. */
     @EventInfo(number = 7012, level = EventLevel.WARN)
     record StoreLost(String call, String error) implements ForwardEvent {}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/AnswerHead.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AnswerHead.java
@@ -11,6 +11,8 @@
  * @param sealed whether it carries the mark without which a success isn't an endpoint's own
  * @param notRun whether the endpoint states that it ran nothing
  * @param faulty endpoint that the answer blames for the failure
+ * @param leaving whether the endpoint asks for no new work until its next run
+ * @param retryAfter seconds for which the endpoint wants nothing, as it wrote them
  * @param passedOn headers that go on to the caller as they are
  */
 public record AnswerHead(
@@ -19,7 +21,14 @@
         boolean sealed,
         boolean notRun,
         Optional<Address> faulty,
+        boolean leaving,
+        Optional<String> retryAfter,
         MultiMap passedOn) {
+    /** Returns whether the endpoint refuses since it has no room at the moment. */
+    public boolean busy() {
+        return status == 503 || status == 429;
+    }
+
     /** Returns whether the status is a success. */
     public boolean success() {
         return status >= 200 && status < 300;
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointBook.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointBook.java
@@ -3,18 +3,23 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import io.bilberrygrade.core.exchange.WorkLedger;
 import io.bilberrygrade.core.forward.Candidate;
 import io.bilberrygrade.core.forward.EndpointDirectory;
+import io.bilberrygrade.core.forward.EndpointRun;
 import io.bilberrygrade.core.forward.RegisteredEndpoint;
+import io.bilberrygrade.core.forward.RestingEndpoints;
 import io.bilberrygrade.core.forward.SilenceJudge.Heard;
-import io.bilberrygrade.core.forward.WorkLedger;
 import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.core.identity.ServiceId;
 import io.bilberrygrade.core.routing.EjectionBound;
 import io.bilberrygrade.core.routing.EndpointHealth;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
 
 /** Owns what the daemon has seen of the endpoints itself: their health and their work. */
 final class EndpointBook {
@@ -22,6 +27,7 @@
     private final WorkLedger mWork;
     private final Map<EndpointId, EndpointHealth> mFailing = new HashMap<>();
     private final Map<EndpointId, Heard> mHeard = new HashMap<>();
+    private final RestingEndpoints mResting = new RestingEndpoints();
 
     EndpointBook(EndpointDirectory directory, WorkLedger work) {
         mDirectory = directory;
@@ -34,12 +40,15 @@
 
     /**
      * Returns the endpoints that may be chosen for a request, without those that it was sent to
-     * already. If all are in bad health they are returned all the same, since a guess beats a
-     * refusal.
+     * already or that have asked for rest. If all are in bad health they are returned all the same,
+     * since a guess beats a refusal.
      */
     ImmutableList<Candidate> candidates(
             ServiceId service, ImmutableSet<EndpointId> tried, Instant now) {
-        ImmutableList<RegisteredEndpoint> usable = mDirectory.usable(service, now);
+        ImmutableList<RegisteredEndpoint> usable =
+                mDirectory.usable(service, now).stream()
+                        .filter(e -> !mResting.resting(e.run(), now))
+                        .collect(ImmutableList.toImmutableList());
         ImmutableSet<EndpointId> ejected = ejected(usable, now);
         ImmutableList<RegisteredEndpoint> untried = without(usable, tried);
         ImmutableList<RegisteredEndpoint> healthy = without(untried, ejected);
@@ -76,6 +85,22 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
+    /** Takes note that a run wants nothing for a time; {@code draw} is uniform in [0, 1). */
+    void rests(EndpointRun run, Duration rest, double draw, Instant now) {
+        mResting.rest(run, rest, draw, now);
+    }
+
+    /** Returns when an endpoint of the service may get work again, if all of them rest now. */
+    Optional<Instant> firstReturn(ServiceId service, Instant now) {
+        return mResting.firstReturn(mDirectory.usable(service, now), now);
+    }
+
+    /** Returns whether all endpoints of a placement may still get work. */
+    boolean mayGetWork(PlacedSend placed, Instant now) {
+        return Stream.concat(Stream.of(placed.endpoint()), placed.helpers().stream())
+                .allMatch(e -> mDirectory.mayGetWork(e, now) && !mResting.resting(e.run(), now));
+    }
+
     /** Counts a request that was sent, which is a probe if the endpoint had failed. */
     void sent(EndpointId id, Instant now) {
         mFailing.computeIfPresent(id, (k, h) -> h.sent(now));
@@ -96,8 +121,9 @@
         return mHeard.getOrDefault(id, Heard.NOTHING);
     }
 
-    /** Forgets endpoints that are not known any more. */
-    void forgetUnknown() {
+    /** Forgets endpoints that are not known any more, and rests that are over. */
+    void forgetUnknown(Instant now) {
+        mResting.forgetOld(now);
         mHeard.keySet().removeIf(id -> mDirectory.find(id).isEmpty());
         mFailing.keySet().removeIf(id -> mDirectory.find(id).isEmpty());
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
@@ -2,8 +2,10 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import io.bilberrygrade.core.forward.EndpointRun;
 import io.bilberrygrade.core.forward.EndpointWork;
 import io.bilberrygrade.core.forward.RegisteredEndpoint;
+import io.bilberrygrade.core.forward.RestingEndpoints;
 import io.bilberrygrade.core.forward.RouteKind;
 import io.bilberrygrade.core.forward.SendingWork;
 import io.bilberrygrade.core.forward.SilenceJudge;
@@ -138,13 +140,46 @@
         mParts.book().answered(mPlaced.endpoint().id(), mStartedAt, mParts.clocks().now());
         if (!mExchange.head().attemptId().equals(head.attemptId())) {
             fail(Delivery.MAY_HAVE_RUN, "the answer is to another request");
-        } else if (head.notRun() || head.status() == MISDIRECTED) {
+            return;
+        }
+        learn(head);
+        if (head.notRun() || head.status() == MISDIRECTED) {
             refused(head);
         } else if (head.success() && !head.sealed()) {
             fail(Delivery.MAY_HAVE_RUN, "a success without the endpoint's mark");
         }
     }
 
+    /** Takes note of what the endpoint says of itself, whatever becomes of the request. */
+    private void learn(AnswerHead head) {
+        EndpointRun run = mPlaced.endpoint().run();
+        if (head.leaving()) {
+            mParts.state().endpointLeaves(run, "answer");
+        }
+        if (head.busy()) {
+            head.retryAfter().ifPresent(text -> rest(run, text));
+        }
+    }
+
+    private void rest(EndpointRun run, String text) {
+        Optional<Duration> rest = RestingEndpoints.parse(text);
+        rest.ifPresent(
+                r ->
+                        mParts.book()
+                                .rests(
+                                        run,
+                                        r,
+                                        mParts.random().nextDouble(),
+                                        mParts.clocks().now()));
+        mParts.events()
+                .record(
+                        new ForwardEvent.EndpointRests(
+                                mExchange.id().value(),
+                                run.id().value(),
+                                text,
+                                rest.map(Duration::toMillis).orElse(0L)));
+    }
+
     private void refused(AnswerHead head) {
         mParts.book().refused(blamed(head), mParts.clocks().now());
         fail(Delivery.REFUSED, "the endpoint refused it with " + head.status());
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -2,7 +2,9 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.collect.ImmutableList;
-import io.bilberrygrade.core.forward.WorkLedger;
+import io.bilberrygrade.core.exchange.FleetMember;
+import io.bilberrygrade.core.exchange.FleetView;
+import io.bilberrygrade.core.exchange.WorkLedger;
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.entry.PeriodicTasks;
@@ -52,7 +54,8 @@
     private final DrainController mDrain = new DrainController();
     private final WorkLedger mWork = new WorkLedger();
     private final PeerIdentity mSelf;
-    private final PeerBook mPeerBook;
+    private final FleetView mFleet;
+    private final FleetMember mMember;
     private TcpPeerNetwork mPeers;
     private StateController mState;
     private StateReader mReader;
@@ -75,8 +78,9 @@
         mClocks = clocks;
         mEvents = new ForwardMetrics(mMetrics, events);
         mDroppedLines = droppedLines;
-        mPeerBook = new PeerBook(settings.peers(), settings.seeds());
         mSelf = new PeerIdentity(settings.instance(), new Incarnation(clocks.now().toEpochMilli()));
+        mMember = new FleetMember(settings.peers(), mSelf.incarnation().value());
+        mFleet = new FleetView(mMember, settings.seeds());
     }
 
     /** Returns where this daemon's events go. */
@@ -90,7 +94,7 @@
         mTasks = new PeriodicTasks(mTimers, mRandom, mEvents);
         mClient = new EndpointClient(vertx, mOutside.protocol());
         mState = new StateController(mSettings.get().keyStaleness(), mClocks, mTimers, mEvents);
-        mReader = new StateReader(mOutside.store(vertx), mState, mClocks, mTimers, mRandom);
+        mReader = reader();
         mReadiness = new ReadinessController(mState, mEvents);
         RequestJournal journal =
                 new RequestJournal(mSettings.get().instance(), mClocks, mRandom, mEvents);
@@ -124,16 +128,27 @@
                 .with(v -> opened(started), started::fail);
     }
 
+    private StateReader reader() {
+        return new StateReader(
+                mOutside.store(vertx),
+                mState,
+                mClocks,
+                mTimers,
+                mRandom,
+                () -> mFleet.isAggregator(mClocks.now()));
+    }
+
     private WorkExchange exchange() {
         mPeers =
                 new TcpPeerNetwork(
                         vertx, mSelf, mSettings.get().peerKey(), ControlTraffic.unread());
         return new WorkExchange(
                 mPeers,
-                mPeerBook,
+                mFleet,
+                mMember,
                 mWork,
                 new Vouching(mState, mReader),
-                mSettings.get().peers(),
+                mState,
                 mClocks,
                 mTimers);
     }
@@ -145,7 +160,7 @@
                         mState,
                         mBook,
                         new SendPlanner(mBook, mSettings.get().dataCentre(), mRandom),
-                        new RetryBudgets(mSettings.get(), mPeerBook::known),
+                        new RetryBudgets(mSettings.get(), () -> mFleet.size(mClocks.now())),
                         mClient,
                         new MemoryReservations(
                                 mOutside.memory(vertx),
@@ -174,7 +189,7 @@
         mEvents.show(
                 "confirmed_ago_millis",
                 () -> mState.confirmedAgo().map(Duration::toMillis).orElse(-1L));
-        mEvents.show("peers", () -> mWork.peers(mClocks.now()));
+        mEvents.show("peers", () -> mFleet.size(mClocks.now()) - 1);
         mEvents.show("log_lines_dropped_total", mDroppedLines);
     }
 
@@ -191,7 +206,7 @@
                 () -> {
                     mFront.enforceIdleLimit(mClocks.now());
                     mReadiness.ready();
-                    mBook.forgetUnknown();
+                    mBook.forgetUnknown(mClocks.now());
                     return Uni.createFrom().voidItem();
                 });
         started.complete();
@@ -216,7 +231,7 @@
                 v -> {
                     SettingsInForce.Change change = mSettings.replace(newer);
                     mState.setKeyStaleness(mSettings.get().keyStaleness());
-                    mPeerBook.setSeeds(mSettings.get().seeds());
+                    mFleet.setSeeds(mSettings.get().seeds());
                     if (!change.none()) {
                         mEvents.record(
                                 new ForwardEvent.SettingsReloaded(
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardRun.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardRun.java
@@ -107,7 +107,7 @@
         }
         Optional<PlacedSend> placed = plan(now);
         if (placed.isEmpty()) {
-            giveUp(Reason.NO_ENDPOINT, "no endpoint of the service may get it");
+            withoutEndpoint(now);
             return;
         }
         if (mSends > 0 && !mParts.budgets().of(mService).tryRetry(now)) {
@@ -117,6 +117,21 @@
         send(placed.get(), left, now);
     }
 
+    /** Gives up; if all endpoints rest, the caller may come back once the first returns. */
+    private void withoutEndpoint(Instant now) {
+        Optional<Instant> back = mParts.book().firstReturn(mService, now);
+        if (back.isPresent() && mLastAnswer.isEmpty() && !mMayHaveRun) {
+            end(
+                    Outcome.notRun(
+                            Step.ROUTE,
+                            Reason.OVERLOADED,
+                            "all endpoints of the service have asked for rest",
+                            Duration.between(now, back.get())));
+        } else {
+            giveUp(Reason.NO_ENDPOINT, "no endpoint of the service may get it");
+        }
+    }
+
     /** Checks the key at each sending, since it may have been taken away meanwhile. */
     private Optional<Outcome> keyWithdrawn() {
         return mParts.state()
@@ -155,7 +170,11 @@
     private void reserved(PlacedSend placed, Optional<ImmutableList<MemoryReservation>> memory) {
         Instant now = mParts.clocks().now();
         Duration left = Duration.between(now, mExchange.deadline());
-        boolean useful = !mEnded && left.compareTo(LEAST_TIME) >= 0 && keyWithdrawn().isEmpty();
+        boolean useful =
+                !mEnded
+                        && left.compareTo(LEAST_TIME) >= 0
+                        && keyWithdrawn().isEmpty()
+                        && mParts.book().mayGetWork(placed, now);
         if (memory.isPresent() && useful) {
             send(placed, memory.get(), left, now);
         } else if (memory.isPresent()) {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/RequestJournal.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/RequestJournal.java
@@ -67,6 +67,14 @@
         mEvents.record(new ForwardEvent.CallerConnectionFailed(String.valueOf(e.getMessage())));
     }
 
+    /** Returns when to come back: the time that the refusal names, spread, or one by its reason. */
+    private Duration retryAfter(Outcome outcome, Reason reason) {
+        double draw = mRandom.nextDouble();
+        return outcome instanceof Outcome.NotRun n && n.retryAfter().isPresent()
+                ? RetryDelay.spread(n.retryAfter().get(), draw)
+                : RetryDelay.of(reason, draw);
+    }
+
     private void notServed(
             ForwardExchange exchange,
             Outcome outcome,
@@ -84,9 +92,7 @@
                         Duration.between(exchange.arrival(), mClocks.now()).toMillis()));
         int status = ForwardStatus.of(outcome);
         Optional<Duration> retryAfter =
-                status == 503
-                        ? Optional.of(RetryDelay.of(reason, mRandom.nextDouble()))
-                        : Optional.empty();
+                status == 503 ? Optional.of(retryAfter(outcome, reason)) : Optional.empty();
         exchange.answer().refuse(status, reason + ": " + detail, retryAfter);
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/RetryBudgets.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/RetryBudgets.java
@@ -18,12 +18,12 @@
     private static final double USED_RATIO = 0.9;
 
     private final ForwardSettings mSettings;
-    private final IntSupplier mKnownPeers;
+    private final IntSupplier mFleet;
     private final Map<ServiceId, RetryBudget> mByService = new HashMap<>();
 
-    RetryBudgets(ForwardSettings settings, IntSupplier knownPeers) {
+    RetryBudgets(ForwardSettings settings, IntSupplier fleet) {
         mSettings = settings;
-        mKnownPeers = knownPeers;
+        mFleet = fleet;
     }
 
     /** Returns the budget of a service. */
@@ -38,7 +38,7 @@
     }
 
     private int slack() {
-        int daemons = DAEMONS_PER_KNOWN * (mKnownPeers.getAsInt() + 1);
+        int daemons = DAEMONS_PER_KNOWN * mFleet.getAsInt();
         return mSettings.repeatSlack() / Math.max(LEAST_DAEMONS, daemons);
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/RetryDelay.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/RetryDelay.java
@@ -24,6 +24,11 @@
                     case OVERLOADED -> FOR_PEAK;
                     default -> FOR_ROOM;
                 };
+        return spread(least, draw);
+    }
+
+    /** Returns a delay of at least the given time; {@code draw} is uniform in [0, 1). */
+    static Duration spread(Duration least, double draw) {
         return least.plusMillis(Math.round(draw * least.toMillis()));
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/StateController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/StateController.java
@@ -5,6 +5,7 @@
 import io.bilberrygrade.core.forward.ClockReading;
 import io.bilberrygrade.core.forward.Confirmation;
 import io.bilberrygrade.core.forward.EndpointDirectory;
+import io.bilberrygrade.core.forward.EndpointRun;
 import io.bilberrygrade.core.forward.ForwardingConfig;
 import io.bilberrygrade.core.forward.FreshnessLease;
 import io.bilberrygrade.core.forward.RegisteredEndpoint;
@@ -176,7 +177,7 @@
                 case PublishedState.Change.Config c -> apply(c.config(), c.revision());
                 case PublishedState.Change.Endpoint e -> {
                     noteChange(e.entry(), "watch");
-                    mDirectory.put(e.entry());
+                    mDirectory.put(e.entry(), mClocks.now());
                 }
                 case PublishedState.Change.EndpointGone g -> gone(g.id());
             }
@@ -224,6 +225,19 @@
         }
     }
 
+    /**
+     * Takes note that a run of an endpoint asks for no new work, as it said itself in an answer or
+     * as a peer has heard.
+     */
+    void endpointLeaves(EndpointRun run, String source) {
+        if (mDirectory.leaves(run, mClocks.now())) {
+            String address =
+                    mDirectory.find(run.id()).map(e -> e.address().toString()).orElse("unknown");
+            mEvents.record(
+                    new ForwardEvent.EndpointChanged(run.id().value(), address, "leaving", source));
+        }
+    }
+
     private void gone(EndpointId id) {
         mDirectory
                 .find(id)
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/StateReader.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/StateReader.java
@@ -4,6 +4,7 @@
 import io.bilberrygrade.serving.time.Timers;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
+import java.util.function.BooleanSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
 
 /**
@@ -18,8 +19,11 @@
      */
     private static final Duration CONFIRM_PERIOD = Duration.ofMillis(2_800);
 
-    /** Part of that age after which the first daemons read; the others then needn't. */
-    private static final double EARLIEST_CONFIRM = 0.4;
+    /** Part of that age at which the aggregator reads, whose confirmation reaches all others. */
+    private static final double AGGREGATORS_PART = 0.4;
+
+    /** Least part of that age at which others read, so that those cut off don't read in step. */
+    private static final double LEAST_PART = 0.75;
 
     /** Least pause between two looks at the age. */
     private static final Duration LEAST_PAUSE = Duration.ofMillis(50);
@@ -42,6 +46,7 @@
     private final Clocks mClocks;
     private final Timers mTimers;
     private final UniformRandomProvider mRandom;
+    private final BooleanSupplier mAggregator;
     private Duration mConfirmRetry = FIRST_RETRY;
     private Duration mWatchRetry = FIRST_RETRY;
     private long mWatch;
@@ -55,12 +60,14 @@
             StateController state,
             Clocks clocks,
             Timers timers,
-            UniformRandomProvider random) {
+            UniformRandomProvider random,
+            BooleanSupplier aggregator) {
         mStore = store;
         mState = state;
         mClocks = clocks;
         mTimers = timers;
         mRandom = random;
+        mAggregator = aggregator;
     }
 
     void start() {
@@ -97,7 +104,10 @@
     }
 
     private Duration nextAge() {
-        double part = EARLIEST_CONFIRM + (1 - EARLIEST_CONFIRM) * mRandom.nextDouble();
+        double part =
+                mAggregator.getAsBoolean()
+                        ? AGGREGATORS_PART
+                        : LEAST_PART + (1 - LEAST_PART) * mRandom.nextDouble();
         return Duration.ofMillis(Math.round(CONFIRM_PERIOD.toMillis() * part));
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
@@ -2,16 +2,23 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import io.bilberrygrade.core.exchange.ExchangePace;
+import io.bilberrygrade.core.exchange.FleetMember;
+import io.bilberrygrade.core.exchange.FleetView;
+import io.bilberrygrade.core.exchange.HeardSums;
+import io.bilberrygrade.core.exchange.WorkLedger;
+import io.bilberrygrade.core.exchange.WorkSums;
 import io.bilberrygrade.core.forward.ClockReading;
+import io.bilberrygrade.core.forward.EndpointRun;
 import io.bilberrygrade.core.forward.EndpointWork;
-import io.bilberrygrade.core.forward.WorkLedger;
+import io.bilberrygrade.core.forward.LeavingRuns;
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.identity.EndpointId;
+import io.bilberrygrade.serving.peer.LeavingRunEntry;
 import io.bilberrygrade.serving.peer.PeerHandler;
 import io.bilberrygrade.serving.peer.PeerIdentity;
 import io.bilberrygrade.serving.peer.PeerMessage;
 import io.bilberrygrade.serving.peer.PeerNetwork;
-import io.bilberrygrade.serving.peer.WorkEntry;
 import io.bilberrygrade.serving.time.Timers;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
@@ -20,133 +27,194 @@
 import java.util.Optional;
 
 /**
- * Tells peers what this daemon has sent to each endpoint, and hears the same of them, so that the
- * daemons' choices add up to one. The answers carry confirmations of the configuration. Changes are
- * gathered for a moment; without any, the statement is repeated before peers would forget it.
+ * Tells the aggregator what this daemon has sent to each endpoint, and hears the sums of all, so
+ * that the daemons' choices add up to one. Each daemon makes a few calls a second however many
+ * there are. Answers also carry confirmations of the configuration and endpoints that leave.
  */
 final class WorkExchange implements PeerHandler {
-    /** Time for which changes are gathered; a pass of an engine takes about twice that. */
-    private static final Duration GATHER = Duration.ofMillis(20);
+    private static final Duration CALL_TIMEOUT = Duration.ofMillis(400);
 
-    /** Further time for each peer, which bounds the bytes of a large fleet. */
-    private static final Duration GATHER_PER_PEER = Duration.ofMillis(5);
+    /** Pause between statements to the standby. */
+    private static final Duration STANDBY_PAUSE = Duration.ofMillis(500);
 
-    /** Pause after which the statement is repeated; a few fit into the time that it counts. */
-    private static final Duration REPEAT = Duration.ofMillis(600);
+    /** Pause between calls of a seed by an aggregator, which nobody else may know. */
+    private static final Duration SEED_PAUSE = Duration.ofMillis(500);
 
-    private static final Duration CALL_TIMEOUT = Duration.ofMillis(500);
+    /** Age of the aggregator's sums after which those of the standby are better. */
+    private static final Duration STALE = Duration.ofMillis(600);
 
     private final PeerNetwork mNetwork;
-    private final PeerBook mPeers;
+    private final FleetView mFleet;
+    private final FleetMember mSelf;
     private final WorkLedger mWork;
     private final Vouching mVouching;
-    private final Address mSelf;
+    private final StateController mState;
     private final Clocks mClocks;
     private final Timers mTimers;
+    private final WorkSums mSums = new WorkSums();
     private ImmutableMap<EndpointId, EndpointWork> mSaid = ImmutableMap.of();
-    private Instant mSaidAt = Instant.MIN;
+    private boolean mCalling;
+    private boolean mQuiet;
+    private Instant mStandbyAt = Instant.MIN;
+    private Instant mSeedAt = Instant.MIN;
 
     WorkExchange(
             PeerNetwork network,
-            PeerBook peers,
+            FleetView fleet,
+            FleetMember self,
             WorkLedger work,
             Vouching vouching,
-            Address self,
+            StateController state,
             Clocks clocks,
             Timers timers) {
         mNetwork = network;
-        mPeers = peers;
+        mFleet = fleet;
+        mSelf = self;
         mWork = work;
         mVouching = vouching;
-        mSelf = self;
+        mState = state;
         mClocks = clocks;
         mTimers = timers;
     }
 
-    /** Says what is new, again and again. */
+    /** States the work and asks for the sums, again and again. */
     void start() {
         Instant now = mClocks.now();
         ImmutableMap<EndpointId, EndpointWork> own = mWork.own();
-        if (!own.equals(mSaid) || mSaidAt.plus(REPEAT).isBefore(now)) {
-            mSaid = own;
-            mSaidAt = now;
-            PeerMessage.Work statement = statement(own, now);
-            mPeers.callable(now).forEach(p -> say(p, statement));
+        boolean quiet = mQuiet && own.equals(mSaid);
+        mSaid = own;
+        mSums.stated(mSelf.address(), own, now);
+        if (mFleet.isAggregator(now)) {
+            takeOwnSums(own, now);
+        } else if (!mCalling) {
+            mCalling = true;
+            call(mFleet.aggregator(now).address(), own);
         }
-        Duration pause = GATHER.plus(GATHER_PER_PEER.multipliedBy(mPeers.alive(now).size()));
-        mTimers.after(pause).subscribe().with(v -> start());
+        callOthers(own, now);
+        mTimers.after(ExchangePace.pause(mFleet.size(now), quiet)).subscribe().with(v -> start());
     }
 
-    private PeerMessage.Work statement(ImmutableMap<EndpointId, EndpointWork> own, Instant now) {
-        return new PeerMessage.Work(
-                mSelf.toString(),
-                mPeers.digest(now),
-                own.entrySet().stream()
-                        .map(e -> entry(e.getKey(), e.getValue()))
-                        .collect(ImmutableList.toImmutableList()));
+    private void takeOwnSums(ImmutableMap<EndpointId, EndpointWork> own, Instant now) {
+        HeardSums heard = mWork.heard();
+        long asked = heard.version(mSelf);
+        WorkSums.Update update = mSums.since(asked, now);
+        mQuiet = update.sums().isEmpty();
+        heard.heard(mSelf, asked, update, own, now);
     }
 
-    private static WorkEntry entry(EndpointId id, EndpointWork work) {
-        return new WorkEntry(
-                id.value(),
-                work.calls(),
-                work.readMillis(),
-                work.writers(),
-                work.strictCalls(),
-                work.tokens());
+    /**
+     * Keeps the standby up to date. A daemon that takes itself for the aggregator asks the seeds
+     * whether there is an older one.
+     */
+    private void callOthers(ImmutableMap<EndpointId, EndpointWork> own, Instant now) {
+        Optional<Address> standby =
+                mFleet.standby(now).filter(m -> !m.equals(mSelf)).map(FleetMember::address);
+        if (standby.isPresent() && !mStandbyAt.plus(STANDBY_PAUSE).isAfter(now)) {
+            mStandbyAt = now;
+            call(standby.get(), own);
+        }
+        if (mFleet.isAggregator(now) && !mSeedAt.plus(SEED_PAUSE).isAfter(now)) {
+            mSeedAt = now;
+            mFleet.nextSeed().ifPresent(s -> call(s, own));
+        }
     }
 
-    private void say(Address peer, PeerMessage.Work statement) {
-        mPeers.busy(peer, true);
+    private void call(Address peer, ImmutableMap<EndpointId, EndpointWork> own) {
         ClockReading askedAt = mClocks.read();
+        Instant now = mClocks.now();
+        FleetMember aggregator = mFleet.aggregator(now);
+        boolean primary = aggregator.address().equals(peer);
+        long version = primary ? mWork.heard().version(aggregator) : 0;
+        PeerMessage.Work statement =
+                new PeerMessage.Work(
+                        mSelf.address().toString(),
+                        version,
+                        WorkStatements.entries(own),
+                        WorkStatements.leaving(mState.endpoints().leaving().news(now)));
         mNetwork.call(peer, statement, CALL_TIMEOUT)
                 .subscribe()
                 .with(
                         reply -> {
-                            mPeers.busy(peer, false);
-                            mPeers.heard(peer, mClocks.now());
-                            if (reply instanceof PeerMessage.WorkHeard h && h.peers() != null) {
-                                h.peers().forEach(this::learn);
-                                mVouching.heard(Optional.ofNullable(h.confirmation()), askedAt);
+                            mCalling &= !primary;
+                            if (reply instanceof PeerMessage.WorkHeard h && wellFormed(h)) {
+                                answered(peer, h, new Asked(version, own, askedAt));
                             }
                         },
                         e -> {
-                            mPeers.busy(peer, false);
-                            mPeers.failed(peer, mClocks.now());
+                            mCalling &= !primary;
+                            mFleet.failed(peer, mClocks.now());
                         });
     }
 
-    private void learn(String address) {
-        Address.tryParse(address).ifPresent(a -> mPeers.learn(a, mClocks.now()));
+    private static boolean wellFormed(PeerMessage.WorkHeard h) {
+        return h.sums() != null && h.aggregators() != null && h.leaving() != null;
+    }
+
+    private void answered(Address peer, PeerMessage.WorkHeard h, Asked asked) {
+        Instant now = mClocks.now();
+        FleetMember source = new FleetMember(peer, h.startedAtMillis());
+        mFleet.heard(source, now);
+        mFleet.named(WorkStatements.members(h.aggregators()), h.fleet(), now);
+        takeSums(source, h, asked, now);
+        learnLeaving(h.leaving(), peer.toString());
+        mVouching.heard(Optional.ofNullable(h.confirmation()), asked.at());
+    }
+
+    private void takeSums(FleetMember source, PeerMessage.WorkHeard h, Asked asked, Instant now) {
+        HeardSums heard = mWork.heard();
+        boolean stale = heard.age(now).filter(a -> a.compareTo(STALE) < 0).isEmpty();
+        if (mFleet.isAggregator(now) || !(mFleet.aggregator(now).equals(source) || stale)) {
+            return;
+        }
+        mQuiet = h.sums().isEmpty();
+        heard.heard(
+                source,
+                asked.version(),
+                new WorkSums.Update(h.version(), h.whole(), WorkStatements.work(h.sums())),
+                asked.own(),
+                now);
     }
 
     @Override
     public Uni<PeerMessage> handle(PeerIdentity from, PeerMessage message) {
-        if (!(message instanceof PeerMessage.Work work) || work.entries() == null) {
+        if (!(message instanceof PeerMessage.Work work)
+                || work.entries() == null
+                || work.leaving() == null
+                || work.address() == null) {
             return Uni.createFrom().item(new PeerMessage.Failure("only work is exchanged here"));
         }
+        Optional<FleetMember> member =
+                WorkStatements.member(work.address(), from.incarnation().value());
+        if (member.isEmpty()) {
+            return Uni.createFrom().item(new PeerMessage.Failure("the address can't be read"));
+        }
         Instant now = mClocks.now();
-        mWork.heard(from.instance(), work(work.entries()), now);
-        Address.tryParse(work.address()).ifPresent(a -> mPeers.heard(a, now));
-        boolean same = work.peersDigest() == mPeers.digest(now);
-        List<String> known =
-                same
-                        ? ImmutableList.of()
-                        : mPeers.alive(now).stream().map(Address::toString).toList();
-        return Uni.createFrom().item(new PeerMessage.WorkHeard(known, mVouching.statement()));
+        mFleet.heard(member.get(), now);
+        mSums.stated(member.get().address(), WorkStatements.work(work.entries()), now);
+        learnLeaving(work.leaving(), work.address());
+        return Uni.createFrom().item(reply(work, now));
     }
 
-    private static ImmutableMap<EndpointId, EndpointWork> work(List<WorkEntry> entries) {
-        return entries.stream()
-                .collect(
-                        ImmutableMap.toImmutableMap(
-                                e -> new EndpointId(e.endpoint()),
-                                e ->
-                                        new EndpointWork(
-                                                e.calls(),
-                                                e.readMillis(),
-                                                e.writers(),
-                                                e.strictCalls(),
-                                                e.tokens())));
+    private void learnLeaving(List<LeavingRunEntry> leaving, String source) {
+        WorkStatements.runs(leaving).forEach(r -> mState.endpointLeaves(r, source));
     }
+
+    private PeerMessage.WorkHeard reply(PeerMessage.Work work, Instant now) {
+        WorkSums.Update update = mSums.since(work.version(), now);
+        LeavingRuns runs = mState.endpoints().leaving();
+        ImmutableList<EndpointRun> leaving = work.version() == 0 ? runs.newest() : runs.news(now);
+        return new PeerMessage.WorkHeard(
+                mSelf.startedAtMillis(),
+                update.version(),
+                update.whole(),
+                WorkStatements.entries(update.sums()),
+                WorkStatements.fleet(mFleet.heardAggregators(now)),
+                mFleet.size(now),
+                mVouching.statement(),
+                WorkStatements.leaving(leaving));
+    }
+
+    /** What a call stated and asked for, and when. */
+    private record Asked(
+            long version, ImmutableMap<EndpointId, EndpointWork> own, ClockReading at) {}
 }
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/WorkStatements.java
@@ -0,0 +1,80 @@
+package io.bilberrygrade.serving.forward;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.bilberrygrade.core.exchange.FleetMember;
+import io.bilberrygrade.core.forward.EndpointRun;
+import io.bilberrygrade.core.forward.EndpointWork;
+import io.bilberrygrade.core.identity.Address;
+import io.bilberrygrade.core.identity.EndpointId;
+import io.bilberrygrade.serving.peer.FleetEntry;
+import io.bilberrygrade.serving.peer.LeavingRunEntry;
+import io.bilberrygrade.serving.peer.WorkEntry;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+
+/** Converts between what daemons exchange and what they believe. */
+final class WorkStatements {
+    private WorkStatements() {}
+
+    static ImmutableList<WorkEntry> entries(ImmutableMap<EndpointId, EndpointWork> work) {
+        ImmutableList.Builder<WorkEntry> entries =
+                ImmutableList.builderWithExpectedSize(work.size());
+        work.forEach(
+                (id, w) ->
+                        entries.add(
+                                new WorkEntry(
+                                        id.value(),
+                                        w.calls(),
+                                        w.readMillis(),
+                                        w.writers(),
+                                        w.strictCalls(),
+                                        w.tokens())));
+        return entries.build();
+    }
+
+    static ImmutableMap<EndpointId, EndpointWork> work(List<WorkEntry> entries) {
+        ImmutableMap.Builder<EndpointId, EndpointWork> work = ImmutableMap.builder();
+        entries.forEach(
+                e ->
+                        work.put(
+                                new EndpointId(e.endpoint()),
+                                new EndpointWork(
+                                        e.calls(),
+                                        e.readMillis(),
+                                        e.writers(),
+                                        e.strictCalls(),
+                                        e.tokens())));
+        return work.buildKeepingLast();
+    }
+
+    static ImmutableList<FleetEntry> fleet(ImmutableList<FleetMember> members) {
+        return members.stream()
+                .map(m -> new FleetEntry(m.address().toString(), m.startedAtMillis()))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    /** Returns the members whose addresses can be read. */
+    static ImmutableList<FleetMember> members(List<FleetEntry> entries) {
+        return entries.stream()
+                .flatMap(e -> member(e.address(), e.startedAtMillis()).stream())
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    static Optional<FleetMember> member(String address, long startedAtMillis) {
+        return Address.tryParse(address).map(a -> new FleetMember(a, startedAtMillis));
+    }
+
+    static ImmutableList<LeavingRunEntry> leaving(Collection<EndpointRun> runs) {
+        return runs.stream()
+                .map(r -> new LeavingRunEntry(r.id().value(), r.startedAtMillis()))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    static ImmutableList<EndpointRun> runs(List<LeavingRunEntry> entries) {
+        return entries.stream()
+                .map(e -> new EndpointRun(new EndpointId(e.endpoint()), e.startedAtMillis()))
+                .collect(ImmutableList.toImmutableList());
+    }
+}
--- a/serving/src/main/java/io/bilberrygrade/serving/peer/PeerMessage.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/PeerMessage.java
@@ -95,17 +95,41 @@
 
     /**
      * Work that the sender has at each endpoint now, in place of what it said before; endpoints
-     * that aren't named have none. {@code address} is where the sender takes calls of peers, {@code
-     * peersDigest} tells whether it knows the same daemons as the receiver.
+     * that aren't named have none. Asks for the sums of all daemons' work.
+     *
+     * @param address where the sender takes calls of peers
+     * @param version version up to which the sender knows the receiver's sums; 0 if it knows none
+     * @param entries the sender's own work
+     * @param leaving runs of endpoints that have asked for no new work lately
      */
-    record Work(String address, long peersDigest, List<WorkEntry> entries) implements PeerMessage {}
+    record Work(
+            String address, long version, List<WorkEntry> entries, List<LeavingRunEntry> leaving)
+            implements PeerMessage {}
 
     /**
-     * Answers with the addresses of peers that the answering daemon has heard lately, none if the
-     * digests are equal, and with what it has read of the published configuration; null if it can't
-     * rely on that.
+     * Answers with what has changed in the sums of all daemons' work.
+     *
+     * @param startedAtMillis start of the answering daemon's run, by which its sums are known
+     * @param version number of the last change that counts in
+     * @param whole whether endpoints that aren't named have no work, rather than as much as before
+     * @param sums changed sums, the asking daemon's own work included
+     * @param aggregators the daemon that sums up and those that could take over, in their order
+     * @param fleet number of daemons that the answering one knows, itself included
+     * @param confirmation what it has read of the published configuration; null if it can't rely on
+     *     that
+     * @param leaving runs of endpoints that have asked for no new work lately, or for long if the
+     *     asking daemon is new
      */
-    record WorkHeard(List<String> peers, ConfirmationEntry confirmation) implements PeerMessage {}
+    record WorkHeard(
+            long startedAtMillis,
+            long version,
+            boolean whole,
+            List<WorkEntry> sums,
+            List<FleetEntry> aggregators,
+            int fleet,
+            ConfirmationEntry confirmation,
+            List<LeavingRunEntry> leaving)
+            implements PeerMessage {}
 
     /** Says that a call could not be carried out. */
     record Failure(String message) implements PeerMessage {}
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/VouchingTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/VouchingTest.java
@@ -47,7 +47,8 @@
                                 mState,
                                 mClocks,
                                 d -> Uni.createFrom().nothing(),
-                                RandomSource.SPLIT_MIX_64.create(1)));
+                                RandomSource.SPLIT_MIX_64.create(1),
+                                () -> false));
 
         void confirm(long revision) {
             mState.confirmed(
--- a/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedNetwork.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedNetwork.java
@@ -22,7 +22,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 
 /** Network between simulated daemons: delays, reorders, cuts, loses and doubles messages. */
-final class SimulatedNetwork {
+public final class SimulatedNetwork {
     private static final int MAX_DELAY_MILLIS = 40;
     private static final ObjectWriter WRITER = Mappers.MESSAGE_PACK.writerFor(PeerMessage.class);
     private static final ObjectReader READER = Mappers.MESSAGE_PACK.readerFor(PeerMessage.class);
@@ -33,40 +33,44 @@
     private boolean mDoubles;
     private long mSentBytes;
 
-    SimulatedNetwork(UniformRandomProvider random) {
+    /** Creates a network without members. */
+    public SimulatedNetwork(UniformRandomProvider random) {
         mRandom = random;
     }
 
-    void attach(Address address, SimulatedPeer daemon) {
+    /** Adds a member, in place of an earlier one at its address. */
+    public void attach(Address address, SimulatedPeer daemon) {
         mDaemons.put(address, daemon);
     }
 
     /** Cuts one direction between two daemons. */
-    void cut(Address from, Address to) {
+    public void cut(Address from, Address to) {
         mCuts.add(new Link(from, to));
     }
 
     /** Delivers each message twice from now on. */
-    void doubleMessages() {
+    public void doubleMessages() {
         mDoubles = true;
     }
 
-    void heal() {
+    /** Ends all cuts and doubles no more. */
+    public void heal() {
         mCuts.clear();
         mDoubles = false;
     }
 
     /** Returns the bytes of all messages sent so far, without the framing. */
-    long sentBytes() {
+    public long sentBytes() {
         return mSentBytes;
     }
 
-    Duration delay() {
+    /** Draws the delay of a message. */
+    public Duration delay() {
         return Duration.ofMillis(1 + mRandom.nextInt(MAX_DELAY_MILLIS));
     }
 
     /** Returns the network as a daemon sees it. */
-    PeerNetwork of(SimulatedPeer from) {
+    public PeerNetwork of(SimulatedPeer from) {
         return (peer, message, timeout) ->
                 Uni.createFrom().emitter(e -> send(e, from, peer, message, timeout));
     }
--- a/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedPeer.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedPeer.java
@@ -6,12 +6,16 @@
 import io.smallrye.mutiny.Uni;
 
 /** Daemon as the simulated network sees it. */
-interface SimulatedPeer {
+public interface SimulatedPeer {
+    /** Returns the process that it runs in. */
     SimulatedProcess process();
 
+    /** Returns who it is. */
     PeerIdentity identity();
 
+    /** Returns where it takes calls. */
     Address address();
 
+    /** Answers a call. */
     Uni<PeerMessage> handle(PeerIdentity from, PeerMessage message);
 }
--- a/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedProcess.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedProcess.java
@@ -9,7 +9,7 @@
 import java.util.List;
 
 /** Process that can be killed and paused, with a clock that differs from that of others. */
-final class SimulatedProcess implements Timers, InstantSource {
+public final class SimulatedProcess implements Timers, InstantSource {
     private final VirtualTime mTime;
     private final Duration mClockOffset;
     private final List<Runnable> mDeathActions = new ArrayList<>();
@@ -17,41 +17,47 @@
     private boolean mAlive = true;
     private int mPauses;
 
-    SimulatedProcess(VirtualTime time, Duration clockOffset) {
+    /** Creates a process whose clock is off by the given time. */
+    public SimulatedProcess(VirtualTime time, Duration clockOffset) {
         mTime = time;
         mClockOffset = clockOffset;
     }
 
-    boolean alive() {
+    /** Returns whether the process runs or is paused. */
+    public boolean alive() {
         return mAlive;
     }
 
-    Instant pausedUntil() {
+    /** Returns when the last pause ends. */
+    public Instant pausedUntil() {
         return mPausedUntil;
     }
 
     /** Returns how often the process has been paused. */
-    int pauses() {
+    public int pauses() {
         return mPauses;
     }
 
-    void pause(Duration duration) {
+    /** Stops the process for a time. */
+    public void pause(Duration duration) {
         mPauses++;
         mPausedUntil = mTime.now().plus(duration);
     }
 
-    void kill() {
+    /** Ends the process for good. */
+    public void kill() {
         mAlive = false;
         mPausedUntil = Instant.MIN;
         List.copyOf(mDeathActions).forEach(Runnable::run);
     }
 
     /** Registers what happens to the process's connections when it dies. */
-    void onDeath(Runnable action) {
+    public void onDeath(Runnable action) {
         mDeathActions.add(action);
     }
 
-    void schedule(Duration delay, Runnable action) {
+    /** Runs an action of the process after a delay. */
+    public void schedule(Duration delay, Runnable action) {
         mTime.schedule(this, delay, action);
     }
 
--- a/serving/src/test/java/io/bilberrygrade/serving/fuzz/VirtualTime.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/fuzz/VirtualTime.java
@@ -6,23 +6,24 @@
 import java.util.PriorityQueue;
 
 /** Clock and event queue of a simulation; nothing waits for real time. */
-final class VirtualTime {
+public final class VirtualTime {
     private final PriorityQueue<Event> mEvents =
             new PriorityQueue<>(Comparator.comparing(Event::at).thenComparing(Event::sequence));
     private Instant mNow = Instant.ofEpochSecond(1_700_000_000);
     private long mSequence;
 
-    Instant now() {
+    /** Returns the present time. */
+    public Instant now() {
         return mNow;
     }
 
     /** Runs an action of a process after a delay, later if it is paused, never if it has died. */
-    void schedule(SimulatedProcess process, Duration delay, Runnable action) {
+    public void schedule(SimulatedProcess process, Duration delay, Runnable action) {
         mEvents.add(new Event(mNow.plus(delay), mSequence++, process, action));
     }
 
     /** Lets time pass. */
-    void advance(Duration duration) {
+    public void advance(Duration duration) {
         Instant end = mNow.plus(duration);
         while (!mEvents.isEmpty() && !mEvents.peek().at().isAfter(end)) {
             Event event = mEvents.remove();
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/FleetSheet.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/FleetSheet.java
@@ -3,16 +3,11 @@
 import com.google.common.collect.ImmutableList;
 import io.bilberrygrade.core.forward.EngineCost;
 
-/**
- * A deployment that patterns are played on, with figures of a published sheet.
- *
- * @param peerDelayMillis mean delay until peers know of a change: it is gathered, then sent
- */
+/** A deployment that patterns are played on, with figures of a published sheet. */
 record FleetSheet(
         String name,
         int daemons,
         int engines,
-        double peerDelayMillis,
         EngineCost cost,
         ImmutableList<PatternClass> classes) {
     /** Four daemons before 16 engines. */
@@ -21,7 +16,6 @@
                 "small",
                 4,
                 16,
-                30,
                 new EngineCost(11, 450_000, 46, 0.925, 0.007, 0.00254, 256, 0.0917, 2_048),
                 ImmutableList.of(
                         new PatternClass(
@@ -33,13 +27,12 @@
                                 5.4)));
     }
 
-    /** Thirty daemons before 54 engines, which tell each other of their work more rarely. */
+    /** Thirty daemons before 54 engines. */
     static FleetSheet grown() {
         return new FleetSheet(
                 "grown",
                 30,
                 54,
-                100,
                 new EngineCost(8, 450_000, 52, 0.925, 0.00483, 0.00254, 256, 0.0917, 2_048),
                 ImmutableList.of(
                         new PatternClass(
@@ -49,4 +42,21 @@
                         new PatternClass(
                                 "audit", 1.34, 300_000, 0.55, 1_000_000, 16, 4_010, 800, 30, 7.5)));
     }
+
+    /** Thirty-eight daemons before 135 engines. */
+    static FleetSheet large() {
+        return new FleetSheet(
+                "large",
+                38,
+                135,
+                new EngineCost(7, 450_000, 73, 0.925, 0.00345, 0.00254, 256, 0.0917, 2_048),
+                ImmutableList.of(
+                        new PatternClass(
+                                "question", 137, 5_000, 0.9, 23_800, 24, 304, 250, 1.4, 0.34),
+                        new PatternClass(
+                                "review", 14.6, 45_000, 0.5, 110_000, 15, 1_506, 600, 2.3, 0.58),
+                        new PatternClass(
+                                "audit", 3.35, 300_000, 0.55, 1_000_000, 12, 4_010, 1_000, 26,
+                                6.6)));
+    }
 }
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternRun.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternRun.java
@@ -2,6 +2,10 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import io.bilberrygrade.core.exchange.ExchangePace;
+import io.bilberrygrade.core.exchange.FleetMember;
+import io.bilberrygrade.core.exchange.WorkLedger;
+import io.bilberrygrade.core.exchange.WorkSums;
 import io.bilberrygrade.core.forward.Candidate;
 import io.bilberrygrade.core.forward.EndpointWork;
 import io.bilberrygrade.core.forward.EngineCost;
@@ -9,11 +13,9 @@
 import io.bilberrygrade.core.forward.SendingWork;
 import io.bilberrygrade.core.forward.StreamNeed;
 import io.bilberrygrade.core.forward.StreamPlacement;
-import io.bilberrygrade.core.forward.WorkLedger;
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.identity.DataCentreId;
 import io.bilberrygrade.core.identity.EndpointId;
-import io.bilberrygrade.core.identity.InstanceId;
 import io.bilberrygrade.core.identity.ServiceId;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -41,12 +43,21 @@
 
     private static final double TAIL_MILLIS = 15_000;
 
+    /** Way of a call or an answer between daemons. */
+    private static final double PEER_WAY_MILLIS = 2;
+
+    /** Span over which daemons make their first calls, so that they don't call in step. */
+    private static final int FIRST_EXCHANGE_MILLIS = 100;
+
+    private static final FleetMember AGGREGATOR = new FleetMember(new Address("127.0.0.1", 1), 1);
+
     private final PatternPolicy mPolicy;
     private final FleetSheet mFleet;
     private final EngineCost mCost;
     private final VirtualClock mClock = new VirtualClock();
     private final Map<EndpointId, PassEngine> mEngines = new HashMap<>();
     private final List<WorkLedger> mDaemons = new ArrayList<>();
+    private final WorkSums mSums = new WorkSums();
     private final Map<PatternRequest, Sending> mRunning = new LinkedHashMap<>();
     private final List<PatternRequest> mRequests = new ArrayList<>();
     private final UniformRandomProvider mRandom;
@@ -82,6 +93,10 @@
     /** Plays the pattern and returns all requests. */
     ImmutableList<PatternRequest> play(LoadPattern pattern) {
         mFleet.classes().forEach(c -> arrivals(pattern, c));
+        for (int daemon = 0; daemon < mDaemons.size(); daemon++) {
+            int number = daemon;
+            mClock.after(mMixing.nextInt(FIRST_EXCHANGE_MILLIS), () -> exchange(number));
+        }
         mClock.after(pattern.lengthMillis() / 2, () -> crash(pattern.crashedPart()));
         mClock.runUntil(pattern.lengthMillis() + TAIL_MILLIS);
         return ImmutableList.copyOf(mRequests);
@@ -137,7 +152,6 @@
 
     private void sendAgain(PatternRequest request, Sending lost) {
         lost.ended(mDaemons.get(lost.daemon()));
-        said(lost.daemon());
         ask(request, lost.daemon(), 0);
     }
 
@@ -159,13 +173,11 @@
         StreamPlacement placed = sending.placed();
         mRunning.put(request, sending);
         sending.started(mDaemons.get(sending.daemon()));
-        said(sending.daemon());
         double end = sending.placed().partMillis() + SendingWork.PASS.toMillis();
         mClock.after(
                 end,
                 () -> {
                     sending.readDone(mDaemons.get(sending.daemon()));
-                    said(sending.daemon());
                 });
         request.sent(
                 () -> firstEvent(sending),
@@ -208,7 +220,6 @@
                 WAY_MILLIS,
                 () -> {
                     sending.firstEvent(mDaemons.get(sending.daemon()));
-                    said(sending.daemon());
                 });
     }
 
@@ -217,22 +228,27 @@
                 WAY_MILLIS,
                 () -> {
                     sending.ended(mDaemons.get(sending.daemon()));
-                    said(sending.daemon());
                 });
     }
 
-    /** Tells the peers after a while what the daemon has by then. */
-    private void said(int daemon) {
+    /** Has a daemon state its work and hear the sums of all, again and again. */
+    private void exchange(int daemon) {
+        WorkLedger ledger = mDaemons.get(daemon);
+        ImmutableMap<EndpointId, EndpointWork> own = ledger.own();
+        long version = ledger.heard().version(AGGREGATOR);
         mClock.after(
-                mFleet.peerDelayMillis(),
+                PEER_WAY_MILLIS,
                 () -> {
-                    InstanceId self = new InstanceId("d" + daemon);
-                    ImmutableMap<EndpointId, EndpointWork> own = mDaemons.get(daemon).own();
-                    for (int peer = 0; peer < mDaemons.size(); peer++) {
-                        if (peer != daemon) {
-                            mDaemons.get(peer).heard(self, own, mClock.now());
-                        }
-                    }
+                    mSums.stated(new Address("127.0.0.1", daemon + 1), own, mClock.now());
+                    WorkSums.Update update = mSums.since(version, mClock.now());
+                    mClock.after(
+                            PEER_WAY_MILLIS,
+                            () ->
+                                    ledger.heard()
+                                            .heard(AGGREGATOR, version, update, own, mClock.now()));
                 });
+        mClock.after(
+                (double) ExchangePace.pause(mDaemons.size(), false).toMillis(),
+                () -> exchange(daemon));
     }
 }
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/Sending.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/Sending.java
@@ -1,11 +1,11 @@
 package io.bilberrygrade.standins.load.pattern;
 
 import com.google.common.collect.ImmutableMap;
+import io.bilberrygrade.core.exchange.WorkLedger;
 import io.bilberrygrade.core.forward.EndpointWork;
 import io.bilberrygrade.core.forward.SendingWork;
 import io.bilberrygrade.core.forward.StreamNeed;
 import io.bilberrygrade.core.forward.StreamPlacement;
-import io.bilberrygrade.core.forward.WorkLedger;
 import io.bilberrygrade.core.identity.EndpointId;
 import java.util.Collection;
 
