Hand changes of the endpoints on, so that two daemons watch the store instead of all

While the store was away, each daemon tried again in two loops.

Change: the aggregator and the standby watch; their answers hand the changes on, and others watch only after a second without any. A daemon that can't reach the store leaves the reading of endpoints until its configuration is read, and others than the aggregator wait up to 2.5 s between tries.

Found by the new tests, each failed first: an entry that vanished while only the configuration's reading failed lapsed for ever (EndpointDirectoryTest); before a configuration is published the daemon read the store without a pause (StoreRelayTest); a tombstone that a peer had seen just after the store's return would have dropped an endpoint that had only lapsed, so that the time of the return is handed on too.

Ruled out: handing configurations on as well; a daemon reads a newer one once it hears of it, which costs a call a change and keeps keys on what the store itself said.

--- a/core/src/main/java/io/bilberrygrade/core/forward/EndpointDirectory.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/EndpointDirectory.java
@@ -40,6 +40,29 @@
         if (mAway) {
             mAway = false;
             mReturnedAt = now;
+            Optional<Instant> graceEnd = Optional.of(now.plus(RETURN_GRACE));
+            mEntries.values().stream()
+                    .filter(e -> e.mLapsedUntil.isPresent())
+                    .forEach(e -> e.mLapsedUntil = graceEnd);
+        }
+    }
+
+    /** Returns whether the store can't be reached. */
+    public boolean storeAway() {
+        return mAway;
+    }
+
+    /** Returns the time since the store's last return; empty if that is long ago. */
+    public Optional<Duration> returnedAgo(Instant now) {
+        return mReturnedAt.isBefore(now.minus(RETURN_GRACE))
+                ? Optional.empty()
+                : Optional.of(Duration.between(mReturnedAt, now));
+    }
+
+    /** States when the store has returned, as a daemon that reads it has seen. */
+    public void storeReturned(Instant at) {
+        if (at.isAfter(mReturnedAt)) {
+            mReturnedAt = at;
         }
     }
 
--- a/core/src/test/java/io/bilberrygrade/core/forward/EndpointDirectoryTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/forward/EndpointDirectoryTest.java
@@ -73,4 +73,15 @@
         mDirectory.replace(ImmutableList.of(), T0.plusSeconds(1));
         assertThat(usable(T0.plusSeconds(1))).isEmpty();
     }
+
+    @Test
+    void entryThatVanishedWhileTheStoreWasAwayIsGoneAfterItsReturnWithoutAnotherReading() {
+        mDirectory.put(endpoint("e", 1, false), T0);
+        mDirectory.storeLost();
+        mDirectory.remove(new EndpointId("e"), T0);
+        assertThat(usable(T0.plusSeconds(60))).containsExactly("e");
+        mDirectory.storeAnswered(T0.plusSeconds(60));
+        assertThat(usable(T0.plusMillis(61_999))).containsExactly("e");
+        assertThat(usable(T0.plusSeconds(62))).isEmpty();
+    }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -149,6 +149,7 @@
                 mWork,
                 new Vouching(mState, mReader),
                 mState,
+                new StoreRelay(mState, mReader, mClocks),
                 mClocks,
                 mTimers);
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/StateController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/StateController.java
@@ -172,14 +172,23 @@
     /** Takes over changes. */
     void changed(ImmutableList<PublishedState.Change> changes) {
         answered("watch");
+        take(changes, "watch");
+    }
+
+    /** Takes over changes that a peer has seen. */
+    void relayed(ImmutableList<PublishedState.Change> changes) {
+        take(changes, "peer");
+    }
+
+    private void take(ImmutableList<PublishedState.Change> changes, String source) {
         for (PublishedState.Change change : changes) {
             switch (change) {
                 case PublishedState.Change.Config c -> apply(c.config(), c.revision());
                 case PublishedState.Change.Endpoint e -> {
-                    noteChange(e.entry(), "watch");
+                    noteChange(e.entry(), source);
                     mDirectory.put(e.entry(), mClocks.now());
                 }
-                case PublishedState.Change.EndpointGone g -> gone(g.id());
+                case PublishedState.Change.EndpointGone g -> gone(g.id(), source);
             }
         }
     }
@@ -238,7 +247,7 @@
         }
     }
 
-    private void gone(EndpointId id) {
+    private void gone(EndpointId id, String source) {
         mDirectory
                 .find(id)
                 .ifPresent(
@@ -248,7 +257,7 @@
                                                 id.value(),
                                                 e.address().toString(),
                                                 "gone",
-                                                "watch")));
+                                                source)));
         mDirectory.remove(id, mClocks.now());
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/StateReader.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/StateReader.java
@@ -1,9 +1,11 @@
 package io.bilberrygrade.serving.forward;
 
+import com.google.common.collect.ImmutableList;
 import io.bilberrygrade.core.forward.ClockReading;
 import io.bilberrygrade.serving.time.Timers;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.function.BooleanSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
 
@@ -37,8 +39,15 @@
     /** Time in which a watch tells of a change that a confirmation has seen. */
     private static final Duration WATCH_LAG = Duration.ofMillis(400);
 
+    /** Time after which a peer that hands changes on is taken for gone, so that we watch. */
+    private static final Duration RELAY_TIME = Duration.ofSeconds(1);
+
     private static final Duration FIRST_RETRY = Duration.ofMillis(150);
     private static final Duration MAX_RETRY = Duration.ofSeconds(1);
+
+    /** Longest pause of a daemon that hears by the aggregator when the store answers again. */
+    private static final Duration MAX_FOLLOWERS_RETRY = Duration.ofMillis(2_500);
+
     private static final double JITTER = 0.3;
 
     private final PublishedState mStore;
@@ -47,12 +56,16 @@
     private final Timers mTimers;
     private final UniformRandomProvider mRandom;
     private final BooleanSupplier mAggregator;
+    private final ChangeHistory mHistory = new ChangeHistory();
     private Duration mConfirmRetry = FIRST_RETRY;
     private Duration mWatchRetry = FIRST_RETRY;
     private long mWatch;
     private boolean mWatching;
-    private long mWatchedRevision;
+    private boolean mReading;
+    private Instant mRelayedAt = Instant.MIN;
     private boolean mConfirming;
+    private boolean mConfirmFailed;
+    private boolean mEndpointsWait;
     private boolean mClosed;
 
     StateReader(
@@ -99,7 +112,12 @@
                         },
                         e -> {
                             later(mConfirmRetry, this::confirmAndRepeat);
-                            mConfirmRetry = doubled(mConfirmRetry);
+                            mConfirmRetry =
+                                    doubled(
+                                            mConfirmRetry,
+                                            mAggregator.getAsBoolean()
+                                                    ? MAX_RETRY
+                                                    : MAX_FOLLOWERS_RETRY);
                         });
     }
 
@@ -113,7 +131,11 @@
 
     /** Reads once the last confirmation is of the given age, unless peers keep it younger. */
     private void confirmOnceDue(Duration age) {
-        Duration left = age.minus(mState.confirmedAgo().orElse(age));
+        if (mState.confirmedAgo().isEmpty()) {
+            later(FIRST_RETRY, this::confirmAndRepeat);
+            return;
+        }
+        Duration left = age.minus(mState.confirmedAgo().get());
         if (left.isNegative() || left.isZero()) {
             confirmAndRepeat();
         } else {
@@ -129,20 +151,34 @@
                 .onTermination()
                 .invoke(() -> mConfirming = false)
                 .invoke(r -> mState.confirmed(r, sentAt))
+                .invoke(r -> reached())
                 .invoke(r -> checkWatch(r.storeRevision()))
                 .onFailure()
-                .invoke(e -> mState.lost("configuration", e.getMessage()))
+                .invoke(
+                        e -> {
+                            mConfirmFailed = true;
+                            mState.lost("configuration", e.getMessage());
+                        })
                 .replaceWithVoid();
     }
 
+    /** Goes on with what waited for the store. */
+    private void reached() {
+        mConfirmFailed = false;
+        if (mEndpointsWait) {
+            mEndpointsWait = false;
+            readEndpoints();
+        }
+    }
+
     /** Starts the watch anew if it doesn't tell of a change; its connection may be silent. */
     void checkWatch(long storeRevision) {
         long watch = mWatch;
-        if (mWatching && mWatchedRevision < storeRevision) {
+        if (mWatching && mHistory.revision() < storeRevision) {
             later(
                     WATCH_LAG,
                     () -> {
-                        if (mWatch == watch && mWatching && mWatchedRevision < storeRevision) {
+                        if (mWatch == watch && mWatching && mHistory.revision() < storeRevision) {
                             readEndpoints();
                         }
                     });
@@ -154,37 +190,65 @@
             return;
         }
         mWatching = false;
+        mReading = true;
         mStore.endpoints()
                 .subscribe()
                 .with(
                         r -> {
+                            mReading = false;
                             mState.endpointsRead(r);
+                            mHistory.readWhole(r.revision());
                             mWatchRetry = FIRST_RETRY;
-                            watch(r.revision());
+                            watchUnlessRelayed();
                         },
                         e -> retryEndpoints("endpoints", e));
     }
 
-    private void watch(long revision) {
-        if (mClosed) {
+    /** Leaves the watch to the peer that hands changes on, as long as it does. */
+    private void watchUnlessRelayed() {
+        if (mClosed || mWatching || mReading) {
             return;
         }
+        if (relays()) {
+            mTimers.after(RELAY_TIME.dividedBy(2)).subscribe().with(v -> watchUnlessRelayed());
+        } else {
+            watch(mHistory.revision());
+        }
+    }
+
+    private boolean relays() {
+        return mRelayedAt.plus(RELAY_TIME).isAfter(mClocks.now());
+    }
+
+    /** Returns whether this daemon sees changes itself, so that peers may rely on it. */
+    boolean watches() {
+        return mWatching && !relays();
+    }
+
+    /** Returns the changes that were seen lately. */
+    ChangeHistory history() {
+        return mHistory;
+    }
+
+    /** Takes over changes that a peer has seen after those in the history. */
+    void relayed(long revision, ImmutableList<PublishedState.Change> changes) {
+        if (mReading || revision < mHistory.revision()) {
+            return;
+        }
+        mRelayedAt = mClocks.now();
+        mState.relayed(changes);
+        mHistory.add(revision, changes);
+    }
+
+    private void watch(long revision) {
         long watch = ++mWatch;
         mWatching = true;
-        mWatchedRevision = revision;
         mStore.watch(revision, WATCH_WAIT)
                 .subscribe()
                 .with(
                         c -> {
-                            if (mWatch != watch || !mWatching) {
-                                return;
-                            }
-                            mState.changed(c.changes());
-                            if (c.historyLost()) {
-                                confirmNow();
-                                readEndpoints();
-                            } else {
-                                watchAfterGathering(watch, c.revision());
+                            if (mWatch == watch && mWatching) {
+                                watched(watch, c);
                             }
                         },
                         e -> {
@@ -195,22 +259,41 @@
                         });
     }
 
-    private void watchAfterGathering(long watch, long revision) {
-        mWatchedRevision = revision;
+    private void watched(long watch, PublishedState.Changes changes) {
+        if (changes.historyLost()) {
+            mState.changed(ImmutableList.of());
+            confirmNow();
+            readEndpoints();
+            return;
+        }
+        // A peer may have handed on later changes meanwhile; these would undo them.
+        boolean later = changes.revision() >= mHistory.revision();
+        mState.changed(later ? changes.changes() : ImmutableList.of());
+        mHistory.add(changes.revision(), changes.changes());
         mTimers.after(WATCH_GATHER)
                 .subscribe()
                 .with(
                         v -> {
                             if (mWatch == watch && mWatching) {
-                                watch(revision);
+                                mWatching = false;
+                                watchUnlessRelayed();
                             }
                         });
     }
 
     private void retryEndpoints(String call, Throwable e) {
         mState.lost(call, e.getMessage());
-        later(mWatchRetry, this::readEndpoints);
-        mWatchRetry = doubled(mWatchRetry);
+        later(mWatchRetry, this::readEndpointsOnceReached);
+        mWatchRetry = doubled(mWatchRetry, MAX_RETRY);
+    }
+
+    /** Leaves it to the configuration's reading to find out when the store answers again. */
+    private void readEndpointsOnceReached() {
+        if (mConfirmFailed) {
+            mEndpointsWait = true;
+        } else {
+            readEndpoints();
+        }
     }
 
     private void later(Duration delay, Runnable action) {
@@ -220,8 +303,8 @@
                 .with(v -> action.run());
     }
 
-    private static Duration doubled(Duration delay) {
+    private static Duration doubled(Duration delay, Duration most) {
         Duration twice = delay.multipliedBy(2);
-        return twice.compareTo(MAX_RETRY) > 0 ? MAX_RETRY : twice;
+        return twice.compareTo(most) > 0 ? most : twice;
     }
 }
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/StoreRelay.java
@@ -0,0 +1,117 @@
+package io.bilberrygrade.serving.forward;
+
+import com.google.common.collect.ImmutableList;
+import io.bilberrygrade.core.forward.RegisteredEndpoint;
+import io.bilberrygrade.core.identity.Address;
+import io.bilberrygrade.core.identity.DataCentreId;
+import io.bilberrygrade.core.identity.EndpointId;
+import io.bilberrygrade.core.identity.ServiceId;
+import io.bilberrygrade.serving.forward.PublishedState.Change;
+import io.bilberrygrade.serving.peer.EndpointChangeEntry;
+import io.bilberrygrade.serving.peer.StoreChanges;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+/**
+ * Hands changes of the endpoints on to peers, so that a fleet watches the store about as often as
+ * two daemons would. Configurations aren't handed on: a peer that hears of a newer one reads it.
+ */
+final class StoreRelay {
+    private final StateController mState;
+    private final StateReader mReader;
+    private final Clocks mClocks;
+
+    StoreRelay(StateController state, StateReader reader, Clocks clocks) {
+        mState = state;
+        mReader = reader;
+        mClocks = clocks;
+    }
+
+    /** Returns the revision up to which this daemon knows the endpoints. */
+    long revision() {
+        return mReader.history().revision();
+    }
+
+    /**
+     * Returns what this daemon has seen after a revision; null if it doesn't know all of it, or if
+     * it can't rely on the store itself.
+     */
+    StoreChanges since(long revision) {
+        if (!mReader.watches() || mState.endpoints().storeAway()) {
+            return null;
+        }
+        long returnedAgo =
+                mState.endpoints().returnedAgo(mClocks.now()).map(Duration::toMillis).orElse(-1L);
+        return mReader.history()
+                .since(revision)
+                .map(c -> new StoreChanges(mReader.history().revision(), returnedAgo, encode(c)))
+                .orElse(null);
+    }
+
+    private static ImmutableList<EndpointChangeEntry> encode(ImmutableList<Change> changes) {
+        return changes.stream()
+                .flatMap(
+                        c ->
+                                switch (c) {
+                                    case Change.Config config -> Stream.empty();
+                                    case Change.Endpoint e -> Stream.of(encode(e.entry()));
+                                    case Change.EndpointGone g -> Stream.of(gone(g.id()));
+                                })
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    private static EndpointChangeEntry encode(RegisteredEndpoint e) {
+        return new EndpointChangeEntry(
+                e.id().value(),
+                e.startedAtMillis(),
+                e.service().value(),
+                e.address().toString(),
+                e.dataCentre().value(),
+                e.slots(),
+                e.leaving());
+    }
+
+    private static EndpointChangeEntry gone(EndpointId id) {
+        return new EndpointChangeEntry(id.value(), 0, null, null, null, 0, false);
+    }
+
+    /** Takes over what a peer has seen after the given revision of this daemon. */
+    void heard(StoreChanges said, long askedWith) {
+        if (said.changes() == null || askedWith != revision()) {
+            return;
+        }
+        if (said.returnedAgoMillis() >= 0) {
+            mState.endpoints()
+                    .storeReturned(
+                            mClocks.now().minus(Duration.ofMillis(said.returnedAgoMillis())));
+        }
+        mReader.relayed(said.revision(), decode(said.changes()));
+    }
+
+    private static ImmutableList<Change> decode(List<EndpointChangeEntry> entries) {
+        return entries.stream()
+                .flatMap(e -> decode(e).stream())
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    private static Optional<Change> decode(EndpointChangeEntry e) {
+        EndpointId id = new EndpointId(e.endpoint());
+        if (e.address() == null) {
+            return Optional.of(new Change.EndpointGone(id));
+        }
+        return Address.tryParse(e.address())
+                .map(
+                        a ->
+                                new Change.Endpoint(
+                                        new RegisteredEndpoint(
+                                                id,
+                                                e.startedAtMillis(),
+                                                new ServiceId(e.service()),
+                                                a,
+                                                new DataCentreId(e.dataCentre()),
+                                                e.slots(),
+                                                e.leaving())));
+    }
+}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
@@ -49,6 +49,7 @@
     private final WorkLedger mWork;
     private final Vouching mVouching;
     private final StateController mState;
+    private final StoreRelay mRelay;
     private final Clocks mClocks;
     private final Timers mTimers;
     private final WorkSums mSums = new WorkSums();
@@ -65,6 +66,7 @@
             WorkLedger work,
             Vouching vouching,
             StateController state,
+            StoreRelay relay,
             Clocks clocks,
             Timers timers) {
         mNetwork = network;
@@ -73,6 +75,7 @@
         mWork = work;
         mVouching = vouching;
         mState = state;
+        mRelay = relay;
         mClocks = clocks;
         mTimers = timers;
     }
@@ -125,19 +128,21 @@
         FleetMember aggregator = mFleet.aggregator(now);
         boolean primary = aggregator.address().equals(peer);
         long version = primary ? mWork.heard().version(aggregator) : 0;
+        long storeRevision = mRelay.revision();
         PeerMessage.Work statement =
                 new PeerMessage.Work(
                         mSelf.address().toString(),
                         version,
                         WorkStatements.entries(own),
-                        WorkStatements.leaving(mState.endpoints().leaving().news(now)));
+                        WorkStatements.leaving(mState.endpoints().leaving().news(now)),
+                        storeRevision);
         mNetwork.call(peer, statement, CALL_TIMEOUT)
                 .subscribe()
                 .with(
                         reply -> {
                             mCalling &= !primary;
                             if (reply instanceof PeerMessage.WorkHeard h && wellFormed(h)) {
-                                answered(peer, h, new Asked(version, own, askedAt));
+                                answered(peer, h, new Asked(version, own, askedAt, storeRevision));
                             }
                         },
                         e -> {
@@ -158,6 +163,18 @@
         takeSums(source, h, asked, now);
         learnLeaving(h.leaving(), peer.toString());
         mVouching.heard(Optional.ofNullable(h.confirmation()), asked.at());
+        boolean follows =
+                !mFleet.isAggregator(now)
+                        && mFleet.aggregator(now).equals(source)
+                        && !standsBy(now);
+        if (follows && h.store() != null) {
+            mRelay.heard(h.store(), asked.storeRevision());
+        }
+    }
+
+    /** Returns whether this daemon would take over, for which it has to watch the store itself. */
+    private boolean standsBy(Instant now) {
+        return mFleet.standby(now).filter(mSelf::equals).isPresent();
     }
 
     private void takeSums(FleetMember source, PeerMessage.WorkHeard h, Asked asked, Instant now) {
@@ -211,10 +228,14 @@
                 WorkStatements.fleet(mFleet.heardAggregators(now)),
                 mFleet.size(now),
                 mVouching.statement(),
-                WorkStatements.leaving(leaving));
+                WorkStatements.leaving(leaving),
+                mRelay.since(work.storeRevision()));
     }
 
     /** What a call stated and asked for, and when. */
     private record Asked(
-            long version, ImmutableMap<EndpointId, EndpointWork> own, ClockReading at) {}
+            long version,
+            ImmutableMap<EndpointId, EndpointWork> own,
+            ClockReading at,
+            long storeRevision) {}
 }
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/EndpointChangeEntry.java
@@ -0,0 +1,27 @@
+package io.bilberrygrade.serving.peer;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonPropertyOrder;
+
+/**
+ * Change of an endpoint's published entry, as an array to keep messages small. An entry that has
+ * vanished has no service and no address.
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+@JsonPropertyOrder({
+    "endpoint",
+    "startedAtMillis",
+    "service",
+    "address",
+    "dataCentre",
+    "slots",
+    "leaving"
+})
+public record EndpointChangeEntry(
+        String endpoint,
+        long startedAtMillis,
+        String service,
+        String address,
+        String dataCentre,
+        int slots,
+        boolean leaving) {}
--- a/serving/src/main/java/io/bilberrygrade/serving/peer/PeerMessage.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/PeerMessage.java
@@ -101,9 +101,14 @@
      * @param version version up to which the sender knows the receiver's sums; 0 if it knows none
      * @param entries the sender's own work
      * @param leaving runs of endpoints that have asked for no new work lately
+     * @param storeRevision the store's revision up to which the sender knows the endpoints
      */
     record Work(
-            String address, long version, List<WorkEntry> entries, List<LeavingRunEntry> leaving)
+            String address,
+            long version,
+            List<WorkEntry> entries,
+            List<LeavingRunEntry> leaving,
+            long storeRevision)
             implements PeerMessage {}
 
     /**
@@ -119,6 +124,8 @@
      *     that
      * @param leaving runs of endpoints that have asked for no new work lately, or for long if the
      *     asking daemon is new
+     * @param store changes of the endpoints after the revision that the asking daemon knows; null
+     *     if the answering one doesn't know all of them or doesn't watch the store
      */
     record WorkHeard(
             long startedAtMillis,
@@ -128,7 +135,8 @@
             List<FleetEntry> aggregators,
             int fleet,
             ConfirmationEntry confirmation,
-            List<LeavingRunEntry> leaving)
+            List<LeavingRunEntry> leaving,
+            StoreChanges store)
             implements PeerMessage {}
 
     /** Says that a call could not be carried out. */
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/StoreChanges.java
@@ -0,0 +1,13 @@
+package io.bilberrygrade.serving.peer;
+
+import java.util.List;
+
+/**
+ * What a daemon has read of the endpoints in the store after the revision that it was asked for.
+ *
+ * @param revision the store's revision up to which the changes go
+ * @param returnedAgoMillis time since the store answered again after it had been away; negative if
+ *     that is long ago
+ */
+public record StoreChanges(
+        long revision, long returnedAgoMillis, List<EndpointChangeEntry> changes) {}
--- /dev/null
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/StoreRelayTest.java
@@ -0,0 +1,247 @@
+package io.bilberrygrade.serving.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import io.bilberrygrade.core.forward.RegisteredEndpoint;
+import io.bilberrygrade.core.identity.Address;
+import io.bilberrygrade.core.identity.DataCentreId;
+import io.bilberrygrade.core.identity.EndpointId;
+import io.bilberrygrade.core.identity.ServiceId;
+import io.bilberrygrade.core.request.Step;
+import io.bilberrygrade.serving.error.CallException;
+import io.bilberrygrade.serving.error.Delivery;
+import io.bilberrygrade.serving.forward.PublishedState.Change;
+import io.bilberrygrade.serving.fuzz.SimulatedProcess;
+import io.bilberrygrade.serving.fuzz.VirtualTime;
+import io.bilberrygrade.serving.peer.StoreChanges;
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
+
+/** Two daemons before one store; the first hands on what it has seen. */
+final class StoreRelayTest {
+    private static final ServiceId SERVICE = new ServiceId("s");
+    private static final Duration STALENESS = Duration.ofSeconds(5);
+
+    private final VirtualTime mTime = new VirtualTime();
+    private final FakeStore mStore = new FakeStore();
+    private final Daemon mWatching = new Daemon(true);
+    private final Daemon mFollowing = new Daemon(false);
+
+    /** A daemon that reads the store. */
+    private final class Daemon {
+        private final SimulatedProcess mProcess = new SimulatedProcess(mTime, Duration.ZERO);
+        private final Clocks mClocks = new Clocks(mProcess, mProcess);
+        private final StateController mState =
+                new StateController(STALENESS, mClocks, mProcess, e -> {});
+        private final StateReader mReader;
+        private final StoreRelay mRelay;
+
+        Daemon(boolean aggregator) {
+            mReader =
+                    new StateReader(
+                            mStore,
+                            mState,
+                            mClocks,
+                            mProcess,
+                            RandomSource.SPLIT_MIX_64.create(1),
+                            () -> aggregator);
+            mRelay = new StoreRelay(mState, mReader, mClocks);
+        }
+
+        List<String> usable() {
+            return mState.endpoints().usable(SERVICE, mTime.now()).stream()
+                    .map(e -> e.id().value())
+                    .toList();
+        }
+    }
+
+    private static RegisteredEndpoint endpoint(String id, boolean leaving) {
+        return new RegisteredEndpoint(
+                new EndpointId(id),
+                1,
+                SERVICE,
+                new Address("10.0.0.1", 80),
+                new DataCentreId("a"),
+                4,
+                leaving);
+    }
+
+    private void start() {
+        mStore.mEntries = ImmutableList.of(endpoint("a", false), endpoint("b", false));
+        mWatching.mReader.start();
+        mFollowing.mReader.start();
+        mTime.advance(Duration.ofSeconds(1));
+    }
+
+    /** Has the follower ask for a time, every tenth of a second. */
+    private void relayFor(Duration span) {
+        for (long i = 0; i < span.toMillis() / 100; i++) {
+            long asked = mFollowing.mRelay.revision();
+            StoreChanges said = mWatching.mRelay.since(asked);
+            if (said != null) {
+                mFollowing.mRelay.heard(said, asked);
+            }
+            mTime.advance(Duration.ofMillis(100));
+        }
+    }
+
+    @Test
+    void followerHearsOfChangesAndWatchesNoMore() {
+        start();
+        relayFor(Duration.ofSeconds(1));
+        mStore.change(new Change.Endpoint(endpoint("c", false)));
+        relayFor(Duration.ofSeconds(1));
+        int watches = mStore.mWatches;
+        mStore.change(new Change.Endpoint(endpoint("a", true)));
+        mStore.change(new Change.EndpointGone(new EndpointId("b")));
+        relayFor(Duration.ofSeconds(1));
+        assertThat(mFollowing.usable()).containsExactly("c");
+        assertThat(mWatching.usable()).containsExactly("c");
+        assertThat(mStore.mWatches - watches).isLessThanOrEqualTo(2);
+    }
+
+    @Test
+    void followerWatchesAgainOnceNobodyHandsChangesOn() {
+        start();
+        relayFor(Duration.ofSeconds(1));
+        mStore.change(new Change.Endpoint(endpoint("c", false)));
+        relayFor(Duration.ofSeconds(1));
+        mTime.advance(Duration.ofSeconds(2));
+        mStore.change(new Change.EndpointGone(new EndpointId("a")));
+        mTime.advance(Duration.ofMillis(500));
+        assertThat(mFollowing.usable()).containsExactly("b", "c");
+    }
+
+    @Test
+    void daemonThatCannotReachTheStoreHandsNothingOn() {
+        start();
+        assertThat(mWatching.mRelay.since(mFollowing.mRelay.revision())).isNotNull();
+        mWatching.mState.lost("watch", "cut off");
+        assertThat(mWatching.mRelay.since(mFollowing.mRelay.revision())).isNull();
+    }
+
+    @Test
+    void entryThatLapsedWhileTheStoreWasAwayLapsesForTheFollowerToo() {
+        start();
+        relayFor(Duration.ofSeconds(1));
+        mStore.change(new Change.Endpoint(endpoint("c", false)));
+        relayFor(Duration.ofSeconds(1));
+        mWatching.mState.lost("configuration", "cut off");
+        mStore.change(new Change.EndpointGone(new EndpointId("a")));
+        mTime.advance(Duration.ofMillis(300));
+        assertThat(mFollowing.usable()).containsExactly("a", "b", "c");
+        mWatching.mReader.confirmNow();
+        relayFor(Duration.ofMillis(1_500));
+        assertThat(mWatching.usable()).containsExactly("a", "b", "c");
+        assertThat(mFollowing.usable()).containsExactly("a", "b", "c");
+        relayFor(Duration.ofSeconds(1));
+        assertThat(mWatching.usable()).containsExactly("b", "c");
+        assertThat(mFollowing.usable()).containsExactly("b", "c");
+    }
+
+    @Test
+    void storeThatIsAwayIsAskedSeldom() {
+        start();
+        mStore.mDown = true;
+        mStore.failWatches();
+        mTime.advance(Duration.ofSeconds(3));
+        int calls = mStore.mCalls;
+        mTime.advance(Duration.ofSeconds(10));
+        assertThat(mStore.mCalls - calls).isLessThanOrEqualTo(10 + 10 / 2 + 2);
+        mStore.mDown = false;
+        mTime.advance(Duration.ofSeconds(3));
+        mStore.change(new Change.EndpointGone(new EndpointId("a")));
+        mTime.advance(Duration.ofSeconds(5));
+        assertThat(mWatching.usable()).containsExactly("b");
+        assertThat(mFollowing.usable()).containsExactly("b");
+    }
+
+    @Test
+    void storeWithoutConfigurationIsNotAskedWithoutPause() {
+        start();
+        int calls = mStore.mCalls;
+        mTime.advance(Duration.ofSeconds(1));
+        assertThat(mStore.mCalls - calls).isBetween(2, 20);
+    }
+
+    /** Store with endpoints only, which counts the calls. */
+    private static final class FakeStore implements PublishedState {
+        private final List<UniEmitter<? super Changes>> mWaiting = new ArrayList<>();
+        private final TreeMap<Long, Change> mChanges = new TreeMap<>();
+        private ImmutableList<RegisteredEndpoint> mEntries = ImmutableList.of();
+        private long mRevision = 1;
+        private int mWatches;
+        private int mCalls;
+        private boolean mDown;
+
+        /** Makes a change known to those that watch, now or later. */
+        void change(Change change) {
+            mRevision++;
+            mChanges.put(mRevision, change);
+            if (change instanceof Change.EndpointGone gone) {
+                mEntries =
+                        mEntries.stream()
+                                .filter(e -> !e.id().equals(gone.id()))
+                                .collect(ImmutableList.toImmutableList());
+            }
+            List<UniEmitter<? super Changes>> waiting = List.copyOf(mWaiting);
+            mWaiting.clear();
+            waiting.forEach(w -> w.complete(after(mRevision - 1)));
+        }
+
+        private Changes after(long revision) {
+            return new Changes(
+                    mRevision,
+                    false,
+                    ImmutableList.copyOf(mChanges.tailMap(revision, false).values()));
+        }
+
+        void failWatches() {
+            List<UniEmitter<? super Changes>> waiting = List.copyOf(mWaiting);
+            mWaiting.clear();
+            waiting.forEach(w -> w.fail(failure()));
+        }
+
+        private CallException failure() {
+            return new CallException(
+                    Step.MEMBERSHIP, "store", Delivery.MAY_HAVE_RUN, "down for the test");
+        }
+
+        @Override
+        public Uni<ConfigReading> config(long knownRevision) {
+            mCalls++;
+            return mDown
+                    ? Uni.createFrom().failure(failure())
+                    : Uni.createFrom()
+                            .item(new ConfigReading(false, 0, Optional.empty(), mRevision));
+        }
+
+        @Override
+        public Uni<EndpointsReading> endpoints() {
+            mCalls++;
+            return mDown
+                    ? Uni.createFrom().failure(failure())
+                    : Uni.createFrom().item(new EndpointsReading(mRevision, mEntries));
+        }
+
+        @Override
+        public Uni<Changes> watch(long afterRevision, Duration wait) {
+            mCalls++;
+            mWatches++;
+            if (mDown) {
+                return Uni.createFrom().failure(failure());
+            }
+            return afterRevision < mRevision
+                    ? Uni.createFrom().item(after(afterRevision))
+                    : Uni.createFrom().emitter(mWaiting::add);
+        }
+    }
+}
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/WorkExchangeFleetTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/WorkExchangeFleetTest.java
@@ -84,6 +84,7 @@
                             mLedger,
                             new Vouching(mState, reader),
                             mState,
+                            new StoreRelay(mState, reader, clocks),
                             clocks,
                             mProcess);
         }
