Count only events with fields as a stream's progress; prove answers without end harmless

Cause: the users ask whether bytes without end, and stalled streams that send a byte now and then, can hold a caller.

Found: a stream that had stopped and sent only comments was never taken elsewhere (EndlessAnswerTest#streamGoesOnElsewhere with SIGNS_OF_LIFE, red before). Events without any field no longer count as progress. A case that seemed to leave its connection open was the test's: the first endpoint had not been chosen.

--- a/serving/src/main/java/io/bilberrygrade/serving/forward/EventStreamParser.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/EventStreamParser.java
@@ -15,6 +15,7 @@
     private static final int MAX_EVENT_BYTES = 1 << 20;
 
     private static final String ID_FIELD = "id:";
+    private static final String COMMENT = ":";
 
     private Buffer mPending = Buffer.buffer();
     private int mScanned;
@@ -66,12 +67,14 @@
 
     private static StreamEvent event(Buffer bytes) throws MalformedStreamException {
         OptionalLong id = OptionalLong.empty();
+        boolean progress = false;
         for (String line : bytes.toString(StandardCharsets.UTF_8).split("\r?\n", -1)) {
+            progress |= !line.isEmpty() && !line.startsWith(COMMENT);
             if (line.startsWith(ID_FIELD)) {
                 id = OptionalLong.of(number(line.substring(ID_FIELD.length()).strip()));
             }
         }
-        return new StreamEvent(id, bytes);
+        return new StreamEvent(id, progress, bytes);
     }
 
     private static long number(String text) throws MalformedStreamException {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
@@ -216,14 +216,17 @@
     private void relay(Buffer part) {
         try {
             List<StreamEvent> events = mParser.feed(part);
-            for (StreamEvent event : events) {
+            boolean progress = events.stream().anyMatch(StreamEvent::progress);
+            if (progress) {
                 firstEvent();
+            }
+            for (StreamEvent event : events) {
                 if (!mRelay.pass(mHead.orElseThrow(), event, mParts.clocks().now())) {
                     mCall.pause();
                     mRelay.answer().onRoom(mCall::resume);
                 }
             }
-            if (!events.isEmpty() && mExchange.route().repeatable()) {
+            if (progress && mExchange.route().repeatable()) {
                 expectWithin(SilenceLimit.betweenEvents(mExchange.route()));
             }
         } catch (MalformedStreamException e) {
