Go on hearing changes while the store turns this daemon away; ask the standby for no sums

Cause: read again as a newcomer. A daemon whose whole reading of the endpoints had failed took itself for reading until the next success, and ignored the changes that the aggregator handed on meanwhile; the users' store may turn some daemons away and serve others. And each daemon got all sums and up to 256 leaving runs twice a second from the standby, which it needs only once the aggregator's are too old. Figures: StoreRelayTest#daemonThatTheStoreTurnsAway... failed before, passes now; 42 tests of exchange, relay and vouching green.

--- a/serving/src/main/java/io/bilberrygrade/serving/forward/StateReader.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/StateReader.java
@@ -201,7 +201,10 @@
                             mWatchRetry = FIRST_RETRY;
                             watchUnlessRelayed();
                         },
-                        e -> retryEndpoints("endpoints", e));
+                        e -> {
+                            mReading = false;
+                            retryEndpoints("endpoints", e);
+                        });
     }
 
     /** Leaves the watch to the peer that hands changes on, as long as it does. */
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
@@ -127,7 +127,7 @@
         Instant now = mClocks.now();
         FleetMember aggregator = mFleet.aggregator(now);
         boolean primary = aggregator.address().equals(peer);
-        long version = primary ? mWork.heard().version(aggregator) : 0;
+        long version = primary ? mWork.heard().version(aggregator) : versionForOthers(now);
         long storeRevision = mRelay.revision();
         PeerMessage.Work statement =
                 new PeerMessage.Work(
@@ -151,6 +151,15 @@
                         });
     }
 
+    /** Asks others than the aggregator for sums only if its own have become too old. */
+    private long versionForOthers(Instant now) {
+        return stale(now) ? 0 : PeerMessage.Work.NO_SUMS;
+    }
+
+    private boolean stale(Instant now) {
+        return mWork.heard().age(now).filter(a -> a.compareTo(STALE) < 0).isEmpty();
+    }
+
     private static boolean wellFormed(PeerMessage.WorkHeard h) {
         return h.sums() != null && h.aggregators() != null && h.leaving() != null;
     }
@@ -178,18 +187,18 @@
     }
 
     private void takeSums(FleetMember source, PeerMessage.WorkHeard h, Asked asked, Instant now) {
-        HeardSums heard = mWork.heard();
-        boolean stale = heard.age(now).filter(a -> a.compareTo(STALE) < 0).isEmpty();
-        if (mFleet.isAggregator(now) || !(mFleet.aggregator(now).equals(source) || stale)) {
+        boolean wanted = mFleet.aggregator(now).equals(source) || stale(now);
+        if (asked.version() == PeerMessage.Work.NO_SUMS || mFleet.isAggregator(now) || !wanted) {
             return;
         }
         mQuiet = h.sums().isEmpty();
-        heard.heard(
-                source,
-                asked.version(),
-                new WorkSums.Update(h.version(), h.whole(), WorkStatements.work(h.sums())),
-                asked.own(),
-                now);
+        mWork.heard()
+                .heard(
+                        source,
+                        asked.version(),
+                        new WorkSums.Update(h.version(), h.whole(), WorkStatements.work(h.sums())),
+                        asked.own(),
+                        now);
     }
 
     @Override
@@ -217,7 +226,10 @@
     }
 
     private PeerMessage.WorkHeard reply(PeerMessage.Work work, Instant now) {
-        WorkSums.Update update = mSums.since(work.version(), now);
+        WorkSums.Update update =
+                work.version() == PeerMessage.Work.NO_SUMS
+                        ? new WorkSums.Update(0, false, ImmutableMap.of())
+                        : mSums.since(work.version(), now);
         LeavingRuns runs = mState.endpoints().leaving();
         ImmutableList<EndpointRun> leaving = work.version() == 0 ? runs.newest() : runs.news(now);
         return new PeerMessage.WorkHeard(
--- a/serving/src/main/java/io/bilberrygrade/serving/peer/PeerMessage.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/PeerMessage.java
@@ -98,7 +98,8 @@
      * that aren't named have none. Asks for the sums of all daemons' work.
      *
      * @param address where the sender takes calls of peers
-     * @param version version up to which the sender knows the receiver's sums; 0 if it knows none
+     * @param version version up to which the sender knows the receiver's sums; 0 if it knows none,
+     *     {@link #NO_SUMS} if it wants none
      * @param entries the sender's own work
      * @param leaving runs of endpoints that have asked for no new work lately
      * @param storeRevision the store's revision up to which the sender knows the endpoints
@@ -109,7 +110,10 @@
             List<WorkEntry> entries,
             List<LeavingRunEntry> leaving,
             long storeRevision)
-            implements PeerMessage {}
+            implements PeerMessage {
+        /** Version of a sender that only states its own work. */
+        public static final long NO_SUMS = -1;
+    }
 
     /**
      * Answers with what has changed in the sums of all daemons' work.
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/StoreRelayTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/StoreRelayTest.java
@@ -147,6 +147,19 @@
         assertThat(mFollowing.usable()).containsExactly("b", "c");
     }
 
+    @Test
+    void daemonThatTheStoreTurnsAwayGoesOnHearingChanges() {
+        start();
+        relayFor(Duration.ofSeconds(1));
+        mStore.mTurnedAway = true;
+        mFollowing.mReader.checkWatch(99);
+        relayFor(Duration.ofSeconds(2));
+        mStore.change(new Change.EndpointGone(new EndpointId("a")));
+        relayFor(Duration.ofSeconds(2));
+        assertThat(mWatching.usable()).containsExactly("b");
+        assertThat(mFollowing.mRelay.revision()).isEqualTo(mStore.mRevision);
+    }
+
     @Test
     void storeThatIsAwayIsAskedSeldom() {
         start();
@@ -181,6 +194,7 @@
         private int mWatches;
         private int mCalls;
         private boolean mDown;
+        private boolean mTurnedAway;
 
         /** Makes a change known to those that watch, now or later. */
         void change(Change change) {
@@ -227,7 +241,7 @@
         @Override
         public Uni<EndpointsReading> endpoints() {
             mCalls++;
-            return mDown
+            return mDown || mTurnedAway
                     ? Uni.createFrom().failure(failure())
                     : Uni.createFrom().item(new EndpointsReading(mRevision, mEntries));
         }
