Work out the aggregators once for an answer; make one piece of what stood twice

Cause: read again as a newcomer. Ruled out: one class for the fixtures of the tests over sockets and for the sheets of fleets, which share a shape and no logic; keeping members sorted in FleetView, whose order changes with time by itself.

--- a/core/src/main/java/io/bilberrygrade/core/exchange/FleetView.java
+++ b/core/src/main/java/io/bilberrygrade/core/exchange/FleetView.java
@@ -17,7 +17,7 @@
  */
 public final class FleetView {
     /** Members that are named to peers: the aggregator and those that could take over. */
-    public static final int MAX_NAMED = 4;
+    private static final int MAX_NAMED = 4;
 
     /** Time after which a member that was neither heard nor named is taken for gone. */
     private static final Duration LIFETIME = Duration.ofSeconds(3);
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/StateController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/StateController.java
@@ -228,12 +228,14 @@
         Optional<RegisteredEndpoint> old = mDirectory.find(entry.id());
         String change = entry.leaving() ? "leaving" : "ready";
         if (old.isEmpty() || old.get().leaving() != entry.leaving() || !old.get().sameRun(entry)) {
-            mEvents.record(
-                    new ForwardEvent.EndpointChanged(
-                            entry.id().value(), entry.address().toString(), change, source));
+            recordChange(entry.id(), entry.address().toString(), change, source);
         }
     }
 
+    private void recordChange(EndpointId id, String address, String change, String source) {
+        mEvents.record(new ForwardEvent.EndpointChanged(id.value(), address, change, source));
+    }
+
     /**
      * Takes note that a run of an endpoint asks for no new work, as it said itself in an answer or
      * as a peer has heard.
@@ -242,22 +244,14 @@
         if (mDirectory.leaves(run, mClocks.now())) {
             String address =
                     mDirectory.find(run.id()).map(e -> e.address().toString()).orElse("unknown");
-            mEvents.record(
-                    new ForwardEvent.EndpointChanged(run.id().value(), address, "leaving", source));
+            recordChange(run.id(), address, "leaving", source);
         }
     }
 
     private void gone(EndpointId id, String source) {
         mDirectory
                 .find(id)
-                .ifPresent(
-                        e ->
-                                mEvents.record(
-                                        new ForwardEvent.EndpointChanged(
-                                                id.value(),
-                                                e.address().toString(),
-                                                "gone",
-                                                source)));
+                .ifPresent(e -> recordChange(id, e.address().toString(), "gone", source));
         mDirectory.remove(id, mClocks.now());
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
@@ -169,26 +169,22 @@
         FleetMember source = new FleetMember(peer, h.startedAtMillis());
         mFleet.heard(source, now);
         mFleet.named(WorkStatements.members(h.aggregators()), h.fleet(), now);
-        takeSums(source, h, asked, now);
+        ImmutableList<FleetMember> aggregators = mFleet.aggregators(now);
+        FleetMember aggregator = aggregators.getFirst();
+        if (!aggregator.equals(mSelf) && (aggregator.equals(source) || stale(now))) {
+            takeSums(source, h, asked, now);
+        }
         learnLeaving(h.leaving(), peer.toString());
         mVouching.heard(Optional.ofNullable(h.confirmation()), asked.at());
-        boolean follows =
-                !mFleet.isAggregator(now)
-                        && mFleet.aggregator(now).equals(source)
-                        && !standsBy(now);
-        if (follows && h.store() != null) {
+        // The standby watches the store itself, since it may have to hand changes on.
+        boolean standby = aggregators.size() > 1 && aggregators.get(1).equals(mSelf);
+        if (aggregator.equals(source) && !standby && h.store() != null) {
             mRelay.heard(h.store(), asked.storeRevision());
         }
     }
 
-    /** Returns whether this daemon would take over, for which it has to watch the store itself. */
-    private boolean standsBy(Instant now) {
-        return mFleet.standby(now).filter(mSelf::equals).isPresent();
-    }
-
     private void takeSums(FleetMember source, PeerMessage.WorkHeard h, Asked asked, Instant now) {
-        boolean wanted = mFleet.aggregator(now).equals(source) || stale(now);
-        if (asked.version() == PeerMessage.Work.NO_SUMS || mFleet.isAggregator(now) || !wanted) {
+        if (asked.version() == PeerMessage.Work.NO_SUMS) {
             return;
         }
         mQuiet = h.sums().isEmpty();
