--- a/core/src/main/java/io/bilberrygrade/core/exchange/FleetView.java
+++ b/core/src/main/java/io/bilberrygrade/core/exchange/FleetView.java
@@ -47,6 +47,11 @@
                         .collect(ImmutableSet.toImmutableSet());
     }
 
+    /** Returns the seeds but this daemon. */
+    public ImmutableList<Address> seeds() {
+        return mSeeds.asList();
+    }
+
     /** Takes note that a member called or answered. */
     public void heard(FleetMember member, Instant now) {
         if (!member.address().equals(mSelf.address())) {
--- a/core/src/main/java/io/bilberrygrade/core/forward/EndpointDirectory.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/EndpointDirectory.java
@@ -6,6 +6,7 @@
 import io.bilberrygrade.core.identity.ServiceId;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -21,6 +22,7 @@
 
     private final Map<EndpointId, Entry> mEntries = new LinkedHashMap<>();
     private final LeavingRuns mLeaving = new LeavingRuns();
+    private final VanishedRuns mVanished = new VanishedRuns();
     private boolean mAway;
     private Instant mReturnedAt = Instant.MIN;
     private boolean mKnown;
@@ -66,24 +68,48 @@
         }
     }
 
+    /**
+     * States that the store came back from an older copy. Entries that it lacks may be written
+     * again; entries that had vanished before and that it has again count only once written.
+     */
+    public void storeCameBackOlder(Instant now) {
+        mVanished.copyShown(now);
+        storeReturned(now);
+    }
+
     /** Takes over a whole list of entries. */
     public void replace(ImmutableList<RegisteredEndpoint> entries, Instant now) {
         ImmutableMap.Builder<EndpointId, RegisteredEndpoint> builder = ImmutableMap.builder();
         entries.forEach(e -> builder.put(e.id(), e));
         ImmutableMap<EndpointId, RegisteredEndpoint> read = builder.buildKeepingLast();
         ImmutableList.copyOf(mEntries.keySet()).stream()
-                .filter(id -> !read.containsKey(id))
+                .filter(id -> !read.containsKey(id) || supersededInCopy(read.get(id), now))
                 .forEach(id -> remove(id, now));
-        read.values().forEach(e -> put(e, now));
+        read.values().stream().filter(e -> !supersededInCopy(e, now)).forEach(e -> take(e, now));
         mKnown = true;
     }
 
-    /** Takes over one entry. A run that asked for no new work once gets none any more. */
+    /** Returns whether a copy shows a run that had made way for the one that is known. */
+    private boolean supersededInCopy(RegisteredEndpoint entry, Instant now) {
+        return mVanished.onlyInCopy(entry.run(), now)
+                && find(entry.id()).filter(e -> !e.run().equals(entry.run())).isPresent();
+    }
+
+    /** Takes over an entry that was just written. */
     public void put(RegisteredEndpoint entry, Instant now) {
+        mVanished.written(entry.run());
+        take(entry, now);
+    }
+
+    /** Takes over an entry. A run that asked for no new work once gets none any more. */
+    private void take(RegisteredEndpoint entry, Instant now) {
         if (entry.leaving()) {
             mLeaving.add(entry.run(), now);
         }
-        mEntries.put(entry.id(), new Entry(entry));
+        Entry before = mEntries.put(entry.id(), new Entry(entry));
+        if (before != null && !before.mEndpoint.run().equals(entry.run())) {
+            mVanished.vanished(before.mEndpoint.run(), now);
+        }
     }
 
     /** Takes note that a run asks for no new work; returns whether that is new. */
@@ -99,10 +125,14 @@
     /** Returns whether an endpoint that was chosen a while ago may still get work. */
     public boolean mayGetWork(RegisteredEndpoint endpoint, Instant now) {
         forgetLapsed(now);
-        return !mLeaving.contains(endpoint.run())
+        return mayGetWork(endpoint.run(), now)
                 && find(endpoint.id()).filter(endpoint::sameRun).isPresent();
     }
 
+    private boolean mayGetWork(EndpointRun run, Instant now) {
+        return !mLeaving.contains(run) && !mVanished.onlyInCopy(run, now);
+    }
+
     /** Takes note that an entry has vanished. */
     public void remove(EndpointId id, Instant now) {
         Entry entry = mEntries.get(id);
@@ -114,6 +144,7 @@
             entry.mLapsedUntil = Optional.of(mAway ? Instant.MAX : graceEnd);
         } else {
             mEntries.remove(id);
+            mVanished.vanished(entry.mEndpoint.run(), now);
         }
     }
 
@@ -127,12 +158,23 @@
         forgetLapsed(now);
         return mEntries.values().stream()
                 .map(e -> e.mEndpoint)
-                .filter(e -> e.service().equals(service) && !mLeaving.contains(e.run()))
+                .filter(e -> e.service().equals(service) && mayGetWork(e.run(), now))
                 .collect(ImmutableList.toImmutableList());
     }
 
+    /** Forgets what didn't come back in time, unless the store has gone away again meanwhile. */
     private void forgetLapsed(Instant now) {
-        mEntries.values().removeIf(e -> e.mLapsedUntil.filter(t -> !now.isBefore(t)).isPresent());
+        if (mAway) {
+            return;
+        }
+        Iterator<Entry> entries = mEntries.values().iterator();
+        while (entries.hasNext()) {
+            Entry entry = entries.next();
+            if (entry.mLapsedUntil.filter(t -> !now.isBefore(t)).isPresent()) {
+                mVanished.vanished(entry.mEndpoint.run(), now);
+                entries.remove();
+            }
+        }
     }
 
     private static final class Entry {
--- a/core/src/test/java/io/bilberrygrade/core/forward/ConfirmationTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/forward/ConfirmationTest.java
@@ -15,14 +15,14 @@
         return new ClockReading(T0.plusMillis(millis), T0.plusMillis(millis));
     }
 
-    private static Confirmation said(long revision, long ageMillis) {
-        return new Confirmation(revision, 20, Duration.ofMillis(ageMillis));
+    private static Confirmation said(long version, long ageMillis) {
+        return new Confirmation(version, new StorePosition(1, 20), Duration.ofMillis(ageMillis));
     }
 
     @ParameterizedTest
     @CsvSource({"6, 1000, false", "7, 1000, true", "8, 1000, false", "7, -1, false"})
-    void confirmsTheSameRevisionOnly(long revision, long age, boolean confirms) {
-        assertThat(said(revision, age).confirms(7, at(5_000)).isPresent()).isEqualTo(confirms);
+    void confirmsTheSameVersionOnly(long version, long age, boolean confirms) {
+        assertThat(said(version, age).confirms(7, at(5_000)).isPresent()).isEqualTo(confirms);
     }
 
     @Test
--- a/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
@@ -85,6 +85,19 @@
     @EventInfo(number = 7013, level = EventLevel.INFO)
     record StoreRegained(String call, long lostForMillis) implements ForwardEvent {}
 
+    /**
+     * The store came back from an older copy. What this daemon has in force stays; the endpoints
+     * are read again.
+     */
+    @EventInfo(number = 7017, level = EventLevel.WARN, audited = true)
+    record StoreCameBackOlder(
+            long eraBefore, long eraNow, long storeRevision, long configVersionKept)
+            implements ForwardEvent {}
+
+    /** A peer handed its newer configuration on, or what it sent was not taken. */
+    @EventInfo(number = 7018, level = EventLevel.INFO)
+    record ConfigHandedOn(String peer, long version, String outcome) implements ForwardEvent {}
+
     /** Whether the daemon tells the platform that it takes callers has changed. */
     @EventInfo(number = 7014, level = EventLevel.INFO, audited = true)
     record ReadinessChanged(boolean ready, String reason, long confirmedAgoMillis)
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ChangeHistory.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ChangeHistory.java
@@ -1,6 +1,7 @@
 package io.bilberrygrade.serving.forward;
 
 import com.google.common.collect.ImmutableList;
+import io.bilberrygrade.core.forward.StorePosition;
 import io.bilberrygrade.serving.forward.PublishedState.Change;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -8,7 +9,8 @@
 
 /**
  * Latest changes of the published state that this daemon has seen, for peers that don't watch the
- * store themselves. Changes that are told twice do no harm, as long as none is left out.
+ * store themselves. Changes that are told twice do no harm, as long as none is left out. All are of
+ * one era of the store; a whole reading begins the next.
  */
 final class ChangeHistory {
     /** Changes that are kept; a release replaces some hundred endpoints within a minute. */
@@ -16,27 +18,27 @@
 
     private final Deque<Batch> mBatches = new ArrayDeque<>();
     private long mKnownFrom = Long.MAX_VALUE;
-    private long mRevision;
+    private StorePosition mPosition = StorePosition.NONE;
     private int mChanges;
 
     /** Begins anew after a whole reading, whose changes aren't known one by one. */
-    void readWhole(long revision) {
+    void readWhole(StorePosition position) {
         mBatches.clear();
         mChanges = 0;
-        mKnownFrom = revision;
-        mRevision = revision;
+        mKnownFrom = position.revision();
+        mPosition = position;
     }
 
-    /** Adds the changes up to a revision that follow those seen before. */
-    void add(long revision, ImmutableList<Change> changes) {
-        if (revision <= mRevision) {
+    /** Adds the changes up to a position of the same era that follow those seen before. */
+    void add(StorePosition position, ImmutableList<Change> changes) {
+        if (!position.sameEra(mPosition) || !mPosition.isBefore(position)) {
             return;
         }
-        mRevision = revision;
+        mPosition = position;
         if (changes.isEmpty()) {
             return;
         }
-        mBatches.add(new Batch(revision, changes));
+        mBatches.add(new Batch(position.revision(), changes));
         mChanges += changes.size();
         while (mChanges > MAX_CHANGES) {
             Batch oldest = mBatches.remove();
@@ -45,19 +47,19 @@
         }
     }
 
-    /** Returns the revision up to which changes were seen. */
-    long revision() {
-        return mRevision;
+    /** Returns the position up to which changes were seen. */
+    StorePosition position() {
+        return mPosition;
     }
 
-    /** Returns all changes after a revision; empty if some of them aren't known. */
-    Optional<ImmutableList<Change>> since(long revision) {
-        if (revision < mKnownFrom) {
+    /** Returns all changes after a position; empty if some of them aren't known. */
+    Optional<ImmutableList<Change>> since(StorePosition position) {
+        if (!position.sameEra(mPosition) || position.revision() < mKnownFrom) {
             return Optional.empty();
         }
         return Optional.of(
                 mBatches.stream()
-                        .filter(b -> b.revision() > revision)
+                        .filter(b -> b.revision() > position.revision())
                         .flatMap(b -> b.changes().stream())
                         .collect(ImmutableList.toImmutableList()));
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -57,6 +57,7 @@
     private final FleetView mFleet;
     private final FleetMember mMember;
     private TcpPeerNetwork mPeers;
+    private WorkExchange mExchange;
     private StateController mState;
     private StateReader mReader;
     private ReadinessController mReadiness;
@@ -105,15 +106,7 @@
                         mOutside.readinessPath(),
                         mReadiness::ready,
                         new PrometheusPage(mMetrics));
-        WorkExchange exchange = exchange();
-        PeerServer peers =
-                new PeerServer(
-                        vertx,
-                        mSelf,
-                        mSettings.get().peerKey(),
-                        exchange,
-                        ControlTraffic.unread(),
-                        mEvents);
+        PeerServer peers = peers();
         showState();
         mReader.start();
         mFront.listen(mSettings.get().callers())
@@ -123,7 +116,7 @@
                                 peers.listen(
                                         mSettings.get().peers().host(),
                                         mSettings.get().peers().port()))
-                .invoke(exchange::start)
+                .invoke(mExchange::start)
                 .subscribe()
                 .with(v -> opened(started), started::fail);
     }
@@ -138,16 +131,29 @@
                 () -> mFleet.isAggregator(mClocks.now()));
     }
 
-    private WorkExchange exchange() {
+    private PeerServer peers() {
         mPeers =
                 new TcpPeerNetwork(
                         vertx, mSelf, mSettings.get().peerKey(), ControlTraffic.unread());
+        ConfigHandOver handOver =
+                new ConfigHandOver(mState, mPeers, mOutside.configDecoder(), mTimers, mEvents);
+        mExchange = exchange(new Vouching(mState, mReader, handOver));
+        return new PeerServer(
+                vertx,
+                mSelf,
+                mSettings.get().peerKey(),
+                new PeerCalls(mExchange, handOver),
+                ControlTraffic.unread(),
+                mEvents);
+    }
+
+    private WorkExchange exchange(Vouching vouching) {
         return new WorkExchange(
                 mPeers,
                 mFleet,
                 mMember,
                 mWork,
-                new Vouching(mState, mReader),
+                vouching,
                 mState,
                 new StoreRelay(mState, mReader, mClocks),
                 mClocks,
@@ -187,6 +193,7 @@
     private void showState() {
         mEvents.show("running_requests", mDrain::running);
         mEvents.show("config_version", () -> mState.config().map(c -> c.version()).orElse(0L));
+        mEvents.show("store_era", mState::era);
         mEvents.show(
                 "confirmed_ago_millis",
                 () -> mState.confirmedAgo().map(Duration::toMillis).orElse(-1L));
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOutside.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOutside.java
@@ -13,6 +13,9 @@
     /** Returns the platform's store. */
     PublishedState store(Vertx vertx);
 
+    /** Returns the reading of configurations that peers hand on. */
+    ConfigDecoder configDecoder();
+
     /** Returns the orders to engines. */
     EngineMemory memory(Vertx vertx);
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/PublishedState.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/PublishedState.java
@@ -1,8 +1,8 @@
 package io.bilberrygrade.serving.forward;
 
 import com.google.common.collect.ImmutableList;
-import io.bilberrygrade.core.forward.ForwardingConfig;
 import io.bilberrygrade.core.forward.RegisteredEndpoint;
+import io.bilberrygrade.core.forward.StorePosition;
 import io.bilberrygrade.core.identity.EndpointId;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
@@ -11,10 +11,10 @@
 /** The platform's store, read only. Failures are {@code CallException}s. */
 public interface PublishedState {
     /**
-     * Reads the configuration by a linearizable read; decodes it only if its revision differs from
+     * Reads the configuration by a linearizable read; decodes it only if its position differs from
      * the given one.
      */
-    Uni<ConfigReading> config(long knownRevision);
+    Uni<ConfigReading> config(StorePosition known);
 
     /** Reads all endpoints' entries; unreadable entries are left out. */
     Uni<EndpointsReading> endpoints();
@@ -25,26 +25,23 @@
     /**
      * The configuration as read.
      *
-     * @param published whether there is a configuration
-     * @param config empty if nothing is published or the revision is the known one
-     * @param storeRevision the store's revision, which counts every change
+     * @param at position of its last change; empty if there is no configuration
+     * @param config empty if nothing is published or the position is the known one
+     * @param store the store's position, which counts every change
      */
     record ConfigReading(
-            boolean published,
-            long revision,
-            Optional<ForwardingConfig> config,
-            long storeRevision) {}
+            Optional<StorePosition> at, Optional<PublishedConfig> config, StorePosition store) {}
 
-    /** All entries and the revision from which to go on watching. */
-    record EndpointsReading(long revision, ImmutableList<RegisteredEndpoint> entries) {}
+    /** All entries and the position from which to go on watching. */
+    record EndpointsReading(StorePosition store, ImmutableList<RegisteredEndpoint> entries) {}
 
-    /** Changes up to a revision; {@code historyLost} says that some can't be had any more. */
-    record Changes(long revision, boolean historyLost, ImmutableList<Change> changes) {}
+    /** Changes up to a position; {@code historyLost} says that some can't be had any more. */
+    record Changes(StorePosition store, boolean historyLost, ImmutableList<Change> changes) {}
 
     /** One change. */
     sealed interface Change {
         /** A configuration was published. */
-        record Config(long revision, ForwardingConfig config) implements Change {}
+        record Config(StorePosition at, PublishedConfig config) implements Change {}
 
         /** An endpoint's entry was written. */
         record Endpoint(RegisteredEndpoint entry) implements Change {}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ReadinessController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ReadinessController.java
@@ -47,6 +47,9 @@
         if (!mState.endpoints().known()) {
             return "no endpoints are known yet";
         }
+        if (!mState.peersAsked()) {
+            return "peers weren't asked for a newer configuration yet";
+        }
         return mState.fresh() ? "" : "keys can't be checked";
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/StateController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/StateController.java
@@ -8,7 +8,11 @@
 import io.bilberrygrade.core.forward.EndpointRun;
 import io.bilberrygrade.core.forward.ForwardingConfig;
 import io.bilberrygrade.core.forward.FreshnessLease;
+import io.bilberrygrade.core.forward.LeaseRenewal;
 import io.bilberrygrade.core.forward.RegisteredEndpoint;
+import io.bilberrygrade.core.forward.StartGate;
+import io.bilberrygrade.core.forward.StoreEra;
+import io.bilberrygrade.core.forward.StorePosition;
 import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.core.identity.TeamId;
 import io.bilberrygrade.core.request.Reason;
@@ -42,9 +46,11 @@
     private final EventLog mEvents;
     private final FreshnessLease mLease;
     private final EndpointDirectory mDirectory = new EndpointDirectory();
-    private Optional<ForwardingConfig> mConfig = Optional.empty();
-    private long mRevision;
-    private long mStoreRevision;
+    private final StoreEra mEra = new StoreEra();
+    private final StartGate mStartGate;
+    private Optional<PublishedConfig> mPublished = Optional.empty();
+    private StorePosition mConfigAt = StorePosition.NONE;
+    private StorePosition mStore = StorePosition.NONE;
     private final Timers mTimers;
     private final List<Runnable> mAwaiting = new ArrayList<>();
     private Optional<Instant> mLostAt = Optional.empty();
@@ -54,25 +60,73 @@
         mTimers = timers;
         mEvents = events;
         mLease = new FreshnessLease(keyStaleness);
+        mStartGate = new StartGate(clocks.now());
     }
 
     /** Returns the configuration in force. */
     Optional<ForwardingConfig> config() {
-        return mConfig;
+        return mPublished.map(PublishedConfig::config);
     }
 
-    /** Returns the store's revision of the configuration in force; 0 before there is one. */
-    long revision() {
-        return mRevision;
+    /** Returns the configuration in force with its document, for peers that lack it. */
+    Optional<PublishedConfig> published() {
+        return mPublished;
+    }
+
+    /** Returns the version in force; -1 before there is one. */
+    long version() {
+        return mPublished.map(PublishedConfig::version).orElse(-1L);
+    }
+
+    /** Returns where in the store the configuration in force was last seen. */
+    StorePosition configAt() {
+        return mConfigAt;
+    }
+
+    /** Returns the store's present era, as far as this daemon has noticed. */
+    long era() {
+        return mEra.present();
+    }
+
+    /**
+     * Takes note of the era that an answer names; returns whether the answer counts. In a new era
+     * the configuration in force stays, and so do the endpoints that are known, until the store has
+     * been written again.
+     */
+    boolean counts(StorePosition store) {
+        long before = mEra.present();
+        return switch (mEra.judge(store.era())) {
+            case PRESENT -> true;
+            case ENDED -> false;
+            case BEGUN -> {
+                mStore = store;
+                mDirectory.storeCameBackOlder(mClocks.now());
+                mEvents.record(
+                        new ForwardEvent.StoreCameBackOlder(
+                                before, store.era(), store.revision(), version()));
+                yield true;
+            }
+        };
     }
 
     EndpointDirectory endpoints() {
         return mDirectory;
     }
 
-    /** Returns whether a configuration and the endpoints were read. */
+    /** Returns whether a configuration and the endpoints are known, as far as peers know them. */
     boolean complete() {
-        return mConfig.isPresent() && mDirectory.known();
+        return mPublished.isPresent() && mDirectory.known() && peersAsked();
+    }
+
+    /** Returns whether a daemon that has just started has heard what its peers have in force. */
+    boolean peersAsked() {
+        return mStartGate.open(version(), mClocks.now());
+    }
+
+    /** States that the daemon that sums up for the fleet was asked, or that there is none. */
+    void askedPeers() {
+        mStartGate.asked();
+        noteKnowledge();
     }
 
     /**
@@ -80,7 +134,7 @@
      * known to be out of reach.
      */
     Uni<Void> awaitKnowledge() {
-        if (mLostAt.isPresent() && mConfig.isPresent()) {
+        if (mLostAt.isPresent() && mPublished.isPresent()) {
             return Uni.createFrom().voidItem();
         }
         Uni<Void> known = Uni.createFrom().emitter(e -> mAwaiting.add(() -> e.complete(null)));
@@ -115,7 +169,7 @@
             return Optional.of(Reason.CONFIGURATION_STALE);
         }
         Optional<TeamId> holder =
-                mConfig.flatMap(c -> exchange.head().key().flatMap(c.keys()::team));
+                config().flatMap(c -> exchange.head().key().flatMap(c.keys()::team));
         return holder.equals(exchange.team())
                 ? Optional.empty()
                 : Optional.of(Reason.BAD_CREDENTIALS);
@@ -128,35 +182,39 @@
 
     /** Takes over a linearizable reading whose call was sent at the given time. */
     void confirmed(PublishedState.ConfigReading reading, ClockReading sentAt) {
-        reading.config().ifPresent(c -> apply(c, reading.revision()));
-        if (mConfig.isPresent() && reading.revision() <= mRevision) {
-            mStoreRevision = Math.max(mStoreRevision, reading.storeRevision());
-            mLease.confirm(sentAt);
-        }
+        reading.at().ifPresent(at -> seen(reading.config(), at, sentAt));
+        mStore = mStore.later(reading.store());
         answered("configuration");
         noteKnowledge();
     }
 
+    private void seen(Optional<PublishedConfig> read, StorePosition at, ClockReading sentAt) {
+        long version = read.map(PublishedConfig::version).orElse(version());
+        read.ifPresent(c -> apply(c, at, STORE));
+        if (LeaseRenewal.renews(version, at.era(), version(), mConfigAt.era())) {
+            mLease.confirm(sentAt);
+        }
+    }
+
     /**
-     * Takes over what a peer that was asked at the given time says of its reading; returns whether
-     * that speaks of the configuration in force here.
+     * Takes over what a peer that was asked at the given time says of its reading, as far as that
+     * speaks of the configuration in force here.
      */
-    boolean confirmed(Confirmation said, ClockReading askedAt) {
-        Optional<ClockReading> at = mConfig.flatMap(c -> said.confirms(mRevision, askedAt));
+    void confirmed(Confirmation said, ClockReading askedAt) {
+        mStartGate.said(said.configVersion());
+        Optional<ClockReading> at = mPublished.flatMap(c -> said.confirms(c.version(), askedAt));
         at.ifPresent(
                 t -> {
-                    mStoreRevision = Math.max(mStoreRevision, said.storeRevision());
                     mLease.confirm(t);
                     noteKnowledge();
                 });
-        return at.isPresent();
     }
 
     /** Returns what peers may rely on of the last confirmation; empty if it is void or too old. */
     Optional<Confirmation> confirmation() {
         ClockReading now = mClocks.read();
         return mLease.held(now)
-                ? mLease.age(now).map(a -> new Confirmation(mRevision, mStoreRevision, a))
+                ? mLease.age(now).map(a -> new Confirmation(version(), mStore, a))
                 : Optional.empty();
     }
 
@@ -183,7 +241,7 @@
     private void take(ImmutableList<PublishedState.Change> changes, String source) {
         for (PublishedState.Change change : changes) {
             switch (change) {
-                case PublishedState.Change.Config c -> apply(c.config(), c.revision());
+                case PublishedState.Change.Config c -> apply(c.config(), c.at(), STORE);
                 case PublishedState.Change.Endpoint e -> {
                     noteChange(e.entry(), source);
                     mDirectory.put(e.entry(), mClocks.now());
@@ -213,14 +271,22 @@
         mLostAt = Optional.empty();
     }
 
-    private void apply(ForwardingConfig config, long revision) {
-        long inForce = mConfig.map(ForwardingConfig::version).orElse(-1L);
+    /** Takes over a configuration that a peer has in force. */
+    void handedOn(PublishedConfig config, StorePosition at, String peer) {
+        apply(config, at, peer);
+        noteKnowledge();
+    }
+
+    private void apply(PublishedConfig config, StorePosition at, String source) {
+        long inForce = version();
         if (VersionGuard.supersedes(config.version(), inForce)) {
-            mConfig = Optional.of(config);
-            mRevision = revision;
-            mEvents.record(new ConfigEvent.InForce(config.version(), inForce, STORE));
+            mPublished = Optional.of(config);
+            mConfigAt = at;
+            mEvents.record(new ConfigEvent.InForce(config.version(), inForce, source));
         } else if (config.version() < inForce) {
-            mEvents.record(new ConfigEvent.StaleOffer(STORE, config.version(), inForce));
+            mEvents.record(new ConfigEvent.StaleOffer(source, config.version(), inForce));
+        } else {
+            mConfigAt = mConfigAt.later(at);
         }
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/StateReader.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/StateReader.java
@@ -2,6 +2,10 @@
 
 import com.google.common.collect.ImmutableList;
 import io.bilberrygrade.core.forward.ClockReading;
+import io.bilberrygrade.core.forward.StorePosition;
+import io.bilberrygrade.core.request.Step;
+import io.bilberrygrade.serving.error.CallException;
+import io.bilberrygrade.serving.error.Delivery;
 import io.bilberrygrade.serving.time.Timers;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
@@ -147,12 +151,14 @@
     private Uni<Void> confirm() {
         ClockReading sentAt = mClocks.read();
         mConfirming = true;
-        return mStore.config(mState.revision())
+        return mStore.config(mState.configAt())
                 .onTermination()
                 .invoke(() -> mConfirming = false)
+                .onItem()
+                .transformToUni(r -> current(r, r.store(), Step.CONFIGURATION))
                 .invoke(r -> mState.confirmed(r, sentAt))
                 .invoke(r -> reached())
-                .invoke(r -> checkWatch(r.storeRevision()))
+                .invoke(r -> checkWatch(r.store()))
                 .onFailure()
                 .invoke(
                         e -> {
@@ -162,6 +168,20 @@
                 .replaceWithVoid();
     }
 
+    /** Fails an answer of an era of the store that has ended. */
+    private <T> Uni<T> current(T answer, StorePosition store, Step step) {
+        return mState.counts(store)
+                ? Uni.createFrom().item(answer)
+                : Uni.createFrom()
+                        .failure(
+                                new CallException(
+                                        step,
+                                        "store",
+                                        Delivery.MAY_HAVE_RUN,
+                                        "an answer of era %d, which has ended"
+                                                .formatted(store.era())));
+    }
+
     /** Goes on with what waited for the store. */
     private void reached() {
         mConfirmFailed = false;
@@ -171,20 +191,31 @@
         }
     }
 
-    /** Starts the watch anew if it doesn't tell of a change; its connection may be silent. */
-    void checkWatch(long storeRevision) {
+    /**
+     * Starts the watch anew if it doesn't tell of a change, since its connection may be silent; at
+     * once if the store has begun a new era, of which the watch can't tell.
+     */
+    void checkWatch(StorePosition store) {
+        if (mHistory.position().era() < store.era() && known()) {
+            readEndpoints();
+            return;
+        }
         long watch = mWatch;
-        if (mWatching && mHistory.revision() < storeRevision) {
+        if (mWatching && mHistory.position().isBefore(store)) {
             later(
                     WATCH_LAG,
                     () -> {
-                        if (mWatch == watch && mWatching && mHistory.revision() < storeRevision) {
+                        if (mWatch == watch && mWatching && mHistory.position().isBefore(store)) {
                             readEndpoints();
                         }
                     });
         }
     }
 
+    private boolean known() {
+        return mState.endpoints().known() && !mReading;
+    }
+
     private void readEndpoints() {
         if (mClosed) {
             return;
@@ -192,12 +223,14 @@
         mWatching = false;
         mReading = true;
         mStore.endpoints()
+                .onItem()
+                .transformToUni(r -> current(r, r.store(), Step.MEMBERSHIP))
                 .subscribe()
                 .with(
                         r -> {
                             mReading = false;
                             mState.endpointsRead(r);
-                            mHistory.readWhole(r.revision());
+                            mHistory.readWhole(r.store());
                             mWatchRetry = FIRST_RETRY;
                             watchUnlessRelayed();
                         },
@@ -215,7 +248,7 @@
         if (relays()) {
             mTimers.after(RELAY_TIME.dividedBy(2)).subscribe().with(v -> watchUnlessRelayed());
         } else {
-            watch(mHistory.revision());
+            watch(mHistory.position().revision());
         }
     }
 
@@ -234,19 +267,23 @@
     }
 
     /** Takes over changes that a peer has seen after those in the history. */
-    void relayed(long revision, ImmutableList<PublishedState.Change> changes) {
-        if (mReading || revision < mHistory.revision()) {
+    void relayed(StorePosition position, ImmutableList<PublishedState.Change> changes) {
+        if (mReading
+                || !position.sameEra(mHistory.position())
+                || position.isBefore(mHistory.position())) {
             return;
         }
         mRelayedAt = mClocks.now();
         mState.relayed(changes);
-        mHistory.add(revision, changes);
+        mHistory.add(position, changes);
     }
 
     private void watch(long revision) {
         long watch = ++mWatch;
         mWatching = true;
         mStore.watch(revision, WATCH_WAIT)
+                .onItem()
+                .transformToUni(c -> current(c, c.store(), Step.MEMBERSHIP))
                 .subscribe()
                 .with(
                         c -> {
@@ -263,16 +300,16 @@
     }
 
     private void watched(long watch, PublishedState.Changes changes) {
-        if (changes.historyLost()) {
+        if (changes.historyLost() || !changes.store().sameEra(mHistory.position())) {
             mState.changed(ImmutableList.of());
             confirmNow();
             readEndpoints();
             return;
         }
         // A peer may have handed on later changes meanwhile; these would undo them.
-        boolean later = changes.revision() >= mHistory.revision();
+        boolean later = !changes.store().isBefore(mHistory.position());
         mState.changed(later ? changes.changes() : ImmutableList.of());
-        mHistory.add(changes.revision(), changes.changes());
+        mHistory.add(changes.store(), changes.changes());
         mTimers.after(WATCH_GATHER)
                 .subscribe()
                 .with(
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/StoreRelay.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/StoreRelay.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import io.bilberrygrade.core.forward.RegisteredEndpoint;
+import io.bilberrygrade.core.forward.StorePosition;
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.identity.DataCentreId;
 import io.bilberrygrade.core.identity.EndpointId;
@@ -29,24 +30,30 @@
         mClocks = clocks;
     }
 
-    /** Returns the revision up to which this daemon knows the endpoints. */
-    long revision() {
-        return mReader.history().revision();
+    /** Returns the position in the store up to which this daemon knows the endpoints. */
+    StorePosition position() {
+        return mReader.history().position();
     }
 
     /**
-     * Returns what this daemon has seen after a revision; null if it doesn't know all of it, or if
-     * it can't rely on the store itself.
+     * Returns what this daemon has seen after a position; null if it doesn't know all of it, if it
+     * can't rely on the store itself, or if the position is of another era of the store.
      */
-    StoreChanges since(long revision) {
+    StoreChanges since(StorePosition position) {
         if (!mReader.watches() || mState.endpoints().storeAway()) {
             return null;
         }
         long returnedAgo =
                 mState.endpoints().returnedAgo(mClocks.now()).map(Duration::toMillis).orElse(-1L);
         return mReader.history()
-                .since(revision)
-                .map(c -> new StoreChanges(mReader.history().revision(), returnedAgo, encode(c)))
+                .since(position)
+                .map(
+                        c ->
+                                new StoreChanges(
+                                        position().era(),
+                                        position().revision(),
+                                        returnedAgo,
+                                        encode(c)))
                 .orElse(null);
     }
 
@@ -77,9 +84,10 @@
         return new EndpointChangeEntry(id.value(), 0, null, null, null, 0, false);
     }
 
-    /** Takes over what a peer has seen after the given revision of this daemon. */
-    void heard(StoreChanges said, long askedWith) {
-        if (said.changes() == null || askedWith != revision()) {
+    /** Takes over what a peer has seen after the given position of this daemon. */
+    void heard(StoreChanges said, StorePosition askedWith) {
+        StorePosition upTo = new StorePosition(said.era(), said.revision());
+        if (said.changes() == null || !askedWith.equals(position()) || !upTo.sameEra(askedWith)) {
             return;
         }
         if (said.returnedAgoMillis() >= 0) {
@@ -87,7 +95,7 @@
                     .storeReturned(
                             mClocks.now().minus(Duration.ofMillis(said.returnedAgoMillis())));
         }
-        mReader.relayed(said.revision(), decode(said.changes()));
+        mReader.relayed(upTo, decode(said.changes()));
     }
 
     private static ImmutableList<Change> decode(List<EndpointChangeEntry> entries) {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
@@ -12,10 +12,10 @@
 import io.bilberrygrade.core.forward.EndpointRun;
 import io.bilberrygrade.core.forward.EndpointWork;
 import io.bilberrygrade.core.forward.LeavingRuns;
+import io.bilberrygrade.core.forward.StorePosition;
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.serving.peer.LeavingRunEntry;
-import io.bilberrygrade.serving.peer.PeerHandler;
 import io.bilberrygrade.serving.peer.PeerIdentity;
 import io.bilberrygrade.serving.peer.PeerMessage;
 import io.bilberrygrade.serving.peer.PeerNetwork;
@@ -31,7 +31,7 @@
  * that the daemons' choices add up to one. Each daemon makes a few calls a second however many
  * there are. Answers also carry confirmations of the configuration and endpoints that leave.
  */
-final class WorkExchange implements PeerHandler {
+final class WorkExchange {
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(400);
 
     /** Pause between statements to the standby. */
@@ -56,6 +56,7 @@
     private ImmutableMap<EndpointId, EndpointWork> mSaid = ImmutableMap.of();
     private boolean mCalling;
     private boolean mQuiet;
+    private int mSeedsToAsk;
     private Instant mStandbyAt = Instant.MIN;
     private Instant mSeedAt = Instant.MIN;
 
@@ -80,8 +81,26 @@
         mTimers = timers;
     }
 
-    /** States the work and asks for the sums, again and again. */
+    /** Asks all seeds for the fleet, and states the work and asks for the sums from then on. */
     void start() {
+        ImmutableList<Address> seeds = mFleet.seeds();
+        mSeedsToAsk = seeds.size();
+        if (seeds.isEmpty()) {
+            mState.askedPeers();
+        }
+        seeds.forEach(s -> call(s, mWork.own()).subscribe().with(v -> seedAsked()));
+        exchange();
+    }
+
+    /** Lets the daemon serve if it is the oldest; otherwise it asks the aggregator first. */
+    private void seedAsked() {
+        mSeedsToAsk--;
+        if (mSeedsToAsk == 0 && mFleet.isAggregator(mClocks.now())) {
+            mState.askedPeers();
+        }
+    }
+
+    private void exchange() {
         Instant now = mClocks.now();
         ImmutableMap<EndpointId, EndpointWork> own = mWork.own();
         boolean quiet = mQuiet && own.equals(mSaid);
@@ -91,10 +110,12 @@
             takeOwnSums(own, now);
         } else if (!mCalling) {
             mCalling = true;
-            call(mFleet.aggregator(now).address(), own);
+            call(mFleet.aggregator(now).address(), own).subscribe().with(v -> {});
         }
         callOthers(own, now);
-        mTimers.after(ExchangePace.pause(mFleet.size(now), quiet)).subscribe().with(v -> start());
+        mTimers.after(ExchangePace.pause(mFleet.size(now), quiet))
+                .subscribe()
+                .with(v -> exchange());
     }
 
     private void takeOwnSums(ImmutableMap<EndpointId, EndpointWork> own, Instant now) {
@@ -114,41 +135,45 @@
                 mFleet.standby(now).filter(m -> !m.equals(mSelf)).map(FleetMember::address);
         if (standby.isPresent() && !mStandbyAt.plus(STANDBY_PAUSE).isAfter(now)) {
             mStandbyAt = now;
-            call(standby.get(), own);
+            call(standby.get(), own).subscribe().with(v -> {});
         }
         if (mFleet.isAggregator(now) && !mSeedAt.plus(SEED_PAUSE).isAfter(now)) {
             mSeedAt = now;
-            mFleet.nextSeed().ifPresent(s -> call(s, own));
+            mFleet.nextSeed().ifPresent(s -> call(s, own).subscribe().with(v -> {}));
         }
     }
 
-    private void call(Address peer, ImmutableMap<EndpointId, EndpointWork> own) {
+    /** Calls a peer; completes once it has answered or failed. */
+    private Uni<Void> call(Address peer, ImmutableMap<EndpointId, EndpointWork> own) {
         ClockReading askedAt = mClocks.read();
         Instant now = mClocks.now();
         FleetMember aggregator = mFleet.aggregator(now);
         boolean primary = aggregator.address().equals(peer);
         long version = primary ? mWork.heard().version(aggregator) : versionForOthers(now);
-        long storeRevision = mRelay.revision();
+        StorePosition store = mRelay.position();
         PeerMessage.Work statement =
                 new PeerMessage.Work(
                         mSelf.address().toString(),
                         version,
                         WorkStatements.entries(own),
                         WorkStatements.leaving(mState.endpoints().leaving().news(now)),
-                        storeRevision);
-        mNetwork.call(peer, statement, CALL_TIMEOUT)
-                .subscribe()
-                .with(
+                        store.era(),
+                        store.revision());
+        return mNetwork.call(peer, statement, CALL_TIMEOUT)
+                .onTermination()
+                .invoke(() -> mCalling &= !primary)
+                .onItem()
+                .invoke(
                         reply -> {
-                            mCalling &= !primary;
                             if (reply instanceof PeerMessage.WorkHeard h && wellFormed(h)) {
-                                answered(peer, h, new Asked(version, own, askedAt, storeRevision));
+                                answered(peer, h, new Asked(version, own, askedAt, store));
                             }
-                        },
-                        e -> {
-                            mCalling &= !primary;
-                            mFleet.failed(peer, mClocks.now());
-                        });
+                        })
+                .onFailure()
+                .invoke(e -> mFleet.failed(peer, mClocks.now()))
+                .replaceWithVoid()
+                .onFailure()
+                .recoverWithNull();
     }
 
     /** Asks others than the aggregator for sums only if its own have become too old. */
@@ -175,11 +200,14 @@
             takeSums(source, h, asked, now);
         }
         learnLeaving(h.leaving(), peer.toString());
-        mVouching.heard(Optional.ofNullable(h.confirmation()), asked.at());
+        mVouching.heard(Optional.ofNullable(h.confirmation()), peer, asked.at());
+        if (aggregator.equals(source)) {
+            mState.askedPeers();
+        }
         // The standby watches the store itself, since it may have to hand changes on.
         boolean standby = aggregators.size() > 1 && aggregators.get(1).equals(mSelf);
         if (aggregator.equals(source) && !standby && h.store() != null) {
-            mRelay.heard(h.store(), asked.storeRevision());
+            mRelay.heard(h.store(), asked.store());
         }
     }
 
@@ -197,24 +225,21 @@
                         now);
     }
 
-    @Override
-    public Uni<PeerMessage> handle(PeerIdentity from, PeerMessage message) {
-        if (!(message instanceof PeerMessage.Work work)
-                || work.entries() == null
-                || work.leaving() == null
-                || work.address() == null) {
-            return Uni.createFrom().item(new PeerMessage.Failure("only work is exchanged here"));
+    /** Takes a peer's statement in and answers with the sums. */
+    PeerMessage answer(PeerIdentity from, PeerMessage.Work work) {
+        if (work.entries() == null || work.leaving() == null || work.address() == null) {
+            return new PeerMessage.Failure("the statement lacks a part");
         }
         Optional<FleetMember> member =
                 WorkStatements.member(work.address(), from.incarnation().value());
         if (member.isEmpty()) {
-            return Uni.createFrom().item(new PeerMessage.Failure("the address can't be read"));
+            return new PeerMessage.Failure("the address can't be read");
         }
         Instant now = mClocks.now();
         mFleet.heard(member.get(), now);
         mSums.stated(member.get().address(), WorkStatements.work(work.entries()), now);
         learnLeaving(work.leaving(), work.address());
-        return Uni.createFrom().item(reply(work, now));
+        return reply(work, now);
     }
 
     private void learnLeaving(List<LeavingRunEntry> leaving, String source) {
@@ -237,7 +262,7 @@
                 mFleet.size(now),
                 mVouching.statement(),
                 WorkStatements.leaving(leaving),
-                mRelay.since(work.storeRevision()));
+                mRelay.since(new StorePosition(work.storeEra(), work.storeRevision())));
     }
 
     /** What a call stated and asked for, and when. */
@@ -245,5 +270,5 @@
             long version,
             ImmutableMap<EndpointId, EndpointWork> own,
             ClockReading at,
-            long storeRevision) {}
+            StorePosition store) {}
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/http/HttpAnswer.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/HttpAnswer.java
@@ -2,6 +2,7 @@
 
 import io.bilberrygrade.serving.json.Mappers;
 import io.bilberrygrade.serving.wire.RefusalDocument;
+import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.mutiny.ext.web.client.HttpResponse;
 import java.io.IOException;
@@ -9,15 +10,25 @@
 import java.util.Optional;
 
 /** Answer of an HTTP call, read whole. */
-public record HttpAnswer(
-        int status, Optional<String> contentType, Optional<String> load, Buffer body) {
+public record HttpAnswer(int status, MultiMap headers, Buffer body) {
     static HttpAnswer of(HttpResponse<io.vertx.mutiny.core.buffer.Buffer> response) {
         Buffer body = response.body() == null ? Buffer.buffer() : response.body().getDelegate();
-        return new HttpAnswer(
-                response.statusCode(),
-                Optional.ofNullable(response.getHeader("Content-Type")),
-                Optional.ofNullable(response.getHeader("X-Load")),
-                body);
+        return new HttpAnswer(response.statusCode(), response.headers().getDelegate(), body);
+    }
+
+    /** Returns the value of a header. */
+    public Optional<String> header(String name) {
+        return Optional.ofNullable(headers.get(name));
+    }
+
+    /** Returns the type of the body. */
+    public Optional<String> contentType() {
+        return header("Content-Type");
+    }
+
+    /** Returns what an engine says of its load. */
+    public Optional<String> load() {
+        return header("X-Load");
     }
 
     /** Returns the reason that a refusal gives. */
--- a/serving/src/main/java/io/bilberrygrade/serving/peer/PeerMessage.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/PeerMessage.java
@@ -27,6 +27,8 @@
     @JsonSubTypes.Type(value = PeerMessage.PartReply.class, name = "part-reply"),
     @JsonSubTypes.Type(value = PeerMessage.Work.class, name = "work"),
     @JsonSubTypes.Type(value = PeerMessage.WorkHeard.class, name = "work-heard"),
+    @JsonSubTypes.Type(value = PeerMessage.ConfigWanted.class, name = "config-wanted"),
+    @JsonSubTypes.Type(value = PeerMessage.ConfigHanded.class, name = "config-handed"),
     @JsonSubTypes.Type(value = PeerMessage.Failure.class, name = "failure")
 })
 public sealed interface PeerMessage {
@@ -102,6 +104,8 @@
      *     {@link #NO_SUMS} if it wants none
      * @param entries the sender's own work
      * @param leaving runs of endpoints that have asked for no new work lately
+     * @param storeEra the store's era in which the sender reads; 0 from daemons that don't know of
+     *     eras
      * @param storeRevision the store's revision up to which the sender knows the endpoints
      */
     record Work(
@@ -109,6 +113,7 @@
             long version,
             List<WorkEntry> entries,
             List<LeavingRunEntry> leaving,
+            long storeEra,
             long storeRevision)
             implements PeerMessage {
         /** Version of a sender that only states its own work. */
@@ -143,6 +148,20 @@
             StoreChanges store)
             implements PeerMessage {}
 
+    /** Asks for the configuration in force if it is newer than the given version. */
+    record ConfigWanted(long newerThan) implements PeerMessage {}
+
+    /**
+     * Hands the configuration in force on, for a daemon that can't read it from the store.
+     *
+     * @param version its version; the receiver checks it against the document
+     * @param storeEra the store's era in which it was last seen there
+     * @param storeRevision its revision there
+     * @param document the configuration as published; null if none is newer than what was asked for
+     */
+    record ConfigHanded(long version, long storeEra, long storeRevision, Bytes document)
+            implements PeerMessage {}
+
     /** Says that a call could not be carried out. */
     record Failure(String message) implements PeerMessage {}
 }
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/ChangeHistoryTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/ChangeHistoryTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.common.collect.ImmutableList;
+import io.bilberrygrade.core.forward.StorePosition;
 import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.serving.forward.PublishedState.Change;
 import org.junit.jupiter.api.Test;
@@ -14,50 +15,69 @@
         return new Change.EndpointGone(new EndpointId("e" + number));
     }
 
+    private static StorePosition at(long revision) {
+        return new StorePosition(1, revision);
+    }
+
     @Test
     void knowsNothingBeforeItsFirstWholeReading() {
-        assertThat(mHistory.since(0)).isEmpty();
-        mHistory.readWhole(10);
-        assertThat(mHistory.since(9)).isEmpty();
-        assertThat(mHistory.since(10)).contains(ImmutableList.of());
-        assertThat(mHistory.revision()).isEqualTo(10);
+        assertThat(mHistory.since(at(0))).isEmpty();
+        mHistory.readWhole(at(10));
+        assertThat(mHistory.since(at(9))).isEmpty();
+        assertThat(mHistory.since(at(10))).contains(ImmutableList.of());
+        assertThat(mHistory.position()).isEqualTo(at(10));
     }
 
     @Test
     void tellsAllAfterTheRevisionAndAllOfTheBatchThatItFallsInto() {
-        mHistory.readWhole(10);
-        mHistory.add(14, ImmutableList.of(gone(1), gone(2)));
-        mHistory.add(20, ImmutableList.of(gone(3)));
-        assertThat(mHistory.since(10)).contains(ImmutableList.of(gone(1), gone(2), gone(3)));
-        assertThat(mHistory.since(12)).contains(ImmutableList.of(gone(1), gone(2), gone(3)));
-        assertThat(mHistory.since(14)).contains(ImmutableList.of(gone(3)));
-        assertThat(mHistory.since(20)).contains(ImmutableList.of());
+        mHistory.readWhole(at(10));
+        mHistory.add(at(14), ImmutableList.of(gone(1), gone(2)));
+        mHistory.add(at(20), ImmutableList.of(gone(3)));
+        assertThat(mHistory.since(at(10))).contains(ImmutableList.of(gone(1), gone(2), gone(3)));
+        assertThat(mHistory.since(at(12))).contains(ImmutableList.of(gone(1), gone(2), gone(3)));
+        assertThat(mHistory.since(at(14))).contains(ImmutableList.of(gone(3)));
+        assertThat(mHistory.since(at(20))).contains(ImmutableList.of());
     }
 
     @Test
     void earlierRevisionChangesNothing() {
-        mHistory.readWhole(10);
-        mHistory.add(9, ImmutableList.of(gone(1)));
-        mHistory.add(10, ImmutableList.of(gone(2)));
-        assertThat(mHistory.since(10)).contains(ImmutableList.of());
+        mHistory.readWhole(at(10));
+        mHistory.add(at(9), ImmutableList.of(gone(1)));
+        mHistory.add(at(10), ImmutableList.of(gone(2)));
+        assertThat(mHistory.since(at(10))).contains(ImmutableList.of());
     }
 
     @Test
     void wholeReadingEndsWhatWasKnownBefore() {
-        mHistory.readWhole(10);
-        mHistory.add(14, ImmutableList.of(gone(1)));
-        mHistory.readWhole(30);
-        assertThat(mHistory.since(14)).isEmpty();
-        assertThat(mHistory.since(30)).contains(ImmutableList.of());
+        mHistory.readWhole(at(10));
+        mHistory.add(at(14), ImmutableList.of(gone(1)));
+        mHistory.readWhole(at(30));
+        assertThat(mHistory.since(at(14))).isEmpty();
+        assertThat(mHistory.since(at(30))).contains(ImmutableList.of());
     }
 
     @Test
     void oldestChangesAreForgottenAndNeverLeftOut() {
-        mHistory.readWhole(0);
+        mHistory.readWhole(at(0));
         for (int i = 1; i <= ChangeHistory.MAX_CHANGES + 5; i++) {
-            mHistory.add(i, ImmutableList.of(gone(i)));
+            mHistory.add(at(i), ImmutableList.of(gone(i)));
         }
-        assertThat(mHistory.since(4)).isEmpty();
-        assertThat(mHistory.since(5).orElseThrow()).hasSize(ChangeHistory.MAX_CHANGES);
+        assertThat(mHistory.since(at(4))).isEmpty();
+        assertThat(mHistory.since(at(5)).orElseThrow()).hasSize(ChangeHistory.MAX_CHANGES);
+    }
+
+    @Test
+    void tellsNothingToWhoeverReadsInAnotherEra() {
+        mHistory.readWhole(at(10));
+        mHistory.add(at(14), ImmutableList.of(gone(1)));
+        assertThat(mHistory.since(new StorePosition(0, 10))).isEmpty();
+        assertThat(mHistory.since(new StorePosition(2, 10))).isEmpty();
+    }
+
+    @Test
+    void changeOfAnotherEraIsNotAdded() {
+        mHistory.readWhole(at(10));
+        mHistory.add(new StorePosition(2, 14), ImmutableList.of(gone(1)));
+        assertThat(mHistory.position()).isEqualTo(at(10));
     }
 }
--- /dev/null
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/CopiedStore.java
@@ -0,0 +1,276 @@
+package io.bilberrygrade.serving.forward;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import io.bilberrygrade.core.forward.EndpointRun;
+import io.bilberrygrade.core.forward.RegisteredEndpoint;
+import io.bilberrygrade.core.forward.StorePosition;
+import io.bilberrygrade.core.identity.Address;
+import io.bilberrygrade.core.identity.DataCentreId;
+import io.bilberrygrade.core.identity.EndpointId;
+import io.bilberrygrade.core.identity.ServiceId;
+import io.bilberrygrade.core.request.Step;
+import io.bilberrygrade.serving.error.CallException;
+import io.bilberrygrade.serving.error.Delivery;
+import io.bilberrygrade.serving.fuzz.SimulatedProcess;
+import io.bilberrygrade.serving.fuzz.VirtualTime;
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Store on virtual time that goes away and comes back from a copy of its own past, in the next era,
+ * with revisions that are given out again.
+ */
+final class CopiedStore {
+    static final ServiceId SERVICE = new ServiceId("s");
+    private static final Duration ANSWER_TIME = Duration.ofMillis(4);
+    private static final Duration LONGEST_CALL = Duration.ofMillis(900);
+
+    private final VirtualTime mTime;
+    private final SimulatedProcess mProcess;
+    private final TreeMap<Instant, Content> mPast = new TreeMap<>();
+    private final TreeMap<Long, PublishedState.Change> mChanges = new TreeMap<>();
+    private final List<Watcher> mWatchers = new ArrayList<>();
+    private final Set<SimulatedProcess> mCut = new HashSet<>();
+    private Content mContent;
+    private long mEra = 1;
+    private long mHistoryFrom;
+    private boolean mDown;
+
+    CopiedStore(VirtualTime time) {
+        mTime = time;
+        mProcess = new SimulatedProcess(time, Duration.ZERO);
+        mContent = new Content(10, 10, Optional.empty(), ImmutableMap.of());
+        mHistoryFrom = 10;
+    }
+
+    static RegisteredEndpoint endpoint(String id, long startedAt, boolean leaving) {
+        return new RegisteredEndpoint(
+                new EndpointId(id),
+                startedAt,
+                SERVICE,
+                new Address("10.1.0.1", 80),
+                new DataCentreId("a"),
+                4,
+                leaving);
+    }
+
+    long era() {
+        return mEra;
+    }
+
+    Optional<PublishedConfig> config() {
+        return mContent.config();
+    }
+
+    ImmutableMap<EndpointId, RegisteredEndpoint> endpoints() {
+        return mContent.endpoints();
+    }
+
+    void publish(long version, ImmutableSet<String> keys) {
+        PublishedConfig config = Configs.of(version, keys);
+        long revision = mContent.revision() + 1;
+        written(
+                new Content(revision, revision, Optional.of(config), mContent.endpoints()),
+                new PublishedState.Change.Config(new StorePosition(mEra, revision), config));
+    }
+
+    void register(RegisteredEndpoint endpoint) {
+        Map<EndpointId, RegisteredEndpoint> endpoints = new HashMap<>(mContent.endpoints());
+        endpoints.put(endpoint.id(), endpoint);
+        written(mContent.with(endpoints), new PublishedState.Change.Endpoint(endpoint));
+    }
+
+    void deregister(EndpointRun run) {
+        Map<EndpointId, RegisteredEndpoint> endpoints = new HashMap<>(mContent.endpoints());
+        if (endpoints.remove(run.id()) != null) {
+            written(mContent.with(endpoints), new PublishedState.Change.EndpointGone(run.id()));
+        }
+    }
+
+    private void written(Content content, PublishedState.Change change) {
+        mContent = content;
+        mPast.put(mTime.now(), content);
+        mChanges.put(content.revision(), change);
+        List.copyOf(mWatchers).forEach(this::answer);
+    }
+
+    /** Stops answering; what waits fails. */
+    void goAway() {
+        mDown = true;
+        List<Watcher> waiting = List.copyOf(mWatchers);
+        mWatchers.clear();
+        waiting.forEach(w -> w.emitter().fail(failure()));
+    }
+
+    /** Answers again, with what it held some time ago, in the next era. */
+    void comeBackOlderBy(Duration age) {
+        mDown = false;
+        mEra++;
+        Map.Entry<Instant, Content> copy = mPast.floorEntry(mTime.now().minus(age));
+        mContent = copy == null ? mPast.firstEntry().getValue() : copy.getValue();
+        mPast.tailMap(mTime.now().minus(age), false).clear();
+        mChanges.clear();
+        mHistoryFrom = mContent.revision();
+    }
+
+    /** Answers again as it was. */
+    void comeBack() {
+        mDown = false;
+    }
+
+    void cut(SimulatedProcess process) {
+        mCut.add(process);
+    }
+
+    void heal() {
+        mCut.clear();
+    }
+
+    private static CallException failure() {
+        return new CallException(
+                Step.CONFIGURATION, "store", Delivery.MAY_HAVE_RUN, "down for the test");
+    }
+
+    /** Returns the store as a process sees it. */
+    PublishedState of(SimulatedProcess process) {
+        return new View(process);
+    }
+
+    private StorePosition position() {
+        return new StorePosition(mEra, mContent.revision());
+    }
+
+    private void answer(Watcher watcher) {
+        long after = watcher.after();
+        Optional<PublishedState.Changes> changes =
+                after < mHistoryFrom || after > mContent.revision()
+                        ? Optional.of(
+                                new PublishedState.Changes(
+                                        position().at(0), true, ImmutableList.of()))
+                        : after == mContent.revision()
+                                ? Optional.empty()
+                                : Optional.of(
+                                        new PublishedState.Changes(
+                                                position(),
+                                                false,
+                                                ImmutableList.copyOf(
+                                                        mChanges.tailMap(after, false).values())));
+        changes.ifPresent(
+                c -> {
+                    mWatchers.remove(watcher);
+                    mTime.schedule(
+                            watcher.process(),
+                            ANSWER_TIME,
+                            () -> {
+                                if (!mCut.contains(watcher.process())) {
+                                    watcher.emitter().complete(c);
+                                }
+                            });
+                });
+    }
+
+    private record Watcher(
+            SimulatedProcess process,
+            long after,
+            UniEmitter<? super PublishedState.Changes> emitter) {}
+
+    private record Content(
+            long revision,
+            long configRevision,
+            Optional<PublishedConfig> config,
+            ImmutableMap<EndpointId, RegisteredEndpoint> endpoints) {
+        Content with(Map<EndpointId, RegisteredEndpoint> newer) {
+            return new Content(revision + 1, configRevision, config, ImmutableMap.copyOf(newer));
+        }
+    }
+
+    private final class View implements PublishedState {
+        private final SimulatedProcess mCaller;
+
+        View(SimulatedProcess caller) {
+            mCaller = caller;
+        }
+
+        private <T> Uni<T> call(java.util.function.Supplier<T> answer) {
+            return Uni.createFrom()
+                    .emitter(
+                            e -> {
+                                if (mCut.contains(mCaller)) {
+                                    mTime.schedule(mCaller, LONGEST_CALL, () -> e.fail(failure()));
+                                    return;
+                                }
+                                Optional<T> made =
+                                        mDown ? Optional.empty() : Optional.of(answer.get());
+                                mTime.schedule(
+                                        mCaller,
+                                        ANSWER_TIME,
+                                        () ->
+                                                made.ifPresentOrElse(
+                                                        e::complete, () -> e.fail(failure())));
+                            });
+        }
+
+        @Override
+        public Uni<ConfigReading> config(StorePosition known) {
+            return call(
+                    () -> {
+                        StorePosition at = position().at(mContent.configRevision());
+                        Optional<PublishedConfig> config =
+                                mContent.config().filter(c -> !at.equals(known));
+                        return new ConfigReading(
+                                mContent.config().map(c -> at), config, position());
+                    });
+        }
+
+        @Override
+        public Uni<EndpointsReading> endpoints() {
+            return call(
+                    () ->
+                            new EndpointsReading(
+                                    position(),
+                                    ImmutableList.copyOf(mContent.endpoints().values())));
+        }
+
+        @Override
+        public Uni<Changes> watch(long afterRevision, Duration wait) {
+            return Uni.createFrom()
+                    .emitter(
+                            e -> {
+                                if (mCut.contains(mCaller) || mDown) {
+                                    mTime.schedule(
+                                            mCaller,
+                                            mDown ? ANSWER_TIME : LONGEST_CALL,
+                                            () -> e.fail(failure()));
+                                    return;
+                                }
+                                Watcher watcher = new Watcher(mCaller, afterRevision, e);
+                                mWatchers.add(watcher);
+                                mTime.schedule(
+                                        mProcess,
+                                        wait,
+                                        () -> {
+                                            if (mWatchers.remove(watcher)) {
+                                                e.complete(
+                                                        new Changes(
+                                                                position(),
+                                                                false,
+                                                                ImmutableList.of()));
+                                            }
+                                        });
+                                answer(watcher);
+                            });
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/EraMember.java
@@ -0,0 +1,144 @@
+package io.bilberrygrade.serving.forward;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import io.bilberrygrade.core.exchange.FleetMember;
+import io.bilberrygrade.core.exchange.FleetView;
+import io.bilberrygrade.core.exchange.WorkLedger;
+import io.bilberrygrade.core.forward.EndpointRun;
+import io.bilberrygrade.core.forward.ForwardingConfig;
+import io.bilberrygrade.core.forward.RegisteredEndpoint;
+import io.bilberrygrade.core.identity.Address;
+import io.bilberrygrade.core.identity.Incarnation;
+import io.bilberrygrade.core.identity.InstanceId;
+import io.bilberrygrade.serving.fuzz.SimulatedNetwork;
+import io.bilberrygrade.serving.fuzz.SimulatedPeer;
+import io.bilberrygrade.serving.fuzz.SimulatedProcess;
+import io.bilberrygrade.serving.fuzz.VirtualTime;
+import io.bilberrygrade.serving.peer.PeerIdentity;
+import io.bilberrygrade.serving.peer.PeerMessage;
+import io.smallrye.mutiny.Uni;
+import java.time.Duration;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/** What one daemon believes of the store, with all that it hears by, on virtual time. */
+final class EraMember implements SimulatedPeer {
+    static final Duration STALENESS = Duration.ofSeconds(5);
+
+    private final SimulatedProcess mProcess;
+    private final Address mAddress;
+    private final PeerIdentity mIdentity;
+    private final VirtualTime mTime;
+    final StateController mState;
+    private final StateReader mReader;
+    private final WorkExchange mExchange;
+    private final PeerCalls mCalls;
+
+    EraMember(
+            int number,
+            ImmutableList<Address> seeds,
+            VirtualTime time,
+            PublishedState store,
+            SimulatedProcess process,
+            SimulatedNetwork network,
+            ConfigDecoder decoder,
+            UniformRandomProvider random) {
+        mTime = time;
+        mProcess = process;
+        mAddress = addressOf(number);
+        mIdentity =
+                new PeerIdentity(
+                        new InstanceId("i" + number), new Incarnation(time.now().toEpochMilli()));
+        FleetMember self = new FleetMember(mAddress, mIdentity.incarnation().value());
+        FleetView fleet = new FleetView(self, seeds);
+        Clocks clocks = new Clocks(process, process);
+        mState = new StateController(STALENESS, clocks, process, e -> {});
+        mReader =
+                new StateReader(
+                        store,
+                        mState,
+                        clocks,
+                        process,
+                        random,
+                        () -> fleet.isAggregator(time.now()));
+        ConfigHandOver handOver =
+                new ConfigHandOver(mState, network.of(this), decoder, process, e -> {});
+        mExchange =
+                new WorkExchange(
+                        network.of(this),
+                        fleet,
+                        self,
+                        new WorkLedger(),
+                        new Vouching(mState, mReader, handOver),
+                        mState,
+                        new StoreRelay(mState, mReader, clocks),
+                        clocks,
+                        process);
+        mCalls = new PeerCalls(mExchange, handOver);
+        network.attach(mAddress, this);
+    }
+
+    static Address addressOf(int number) {
+        return new Address("10.0.0." + (number + 1), 1);
+    }
+
+    void start() {
+        mProcess.schedule(
+                Duration.ZERO,
+                () -> {
+                    mReader.start();
+                    mExchange.start();
+                });
+    }
+
+    long version() {
+        return mState.version();
+    }
+
+    long era() {
+        return mState.era();
+    }
+
+    /** Returns whether the daemon would answer the platform that it is ready. */
+    boolean ready() {
+        return mState.complete() && mState.fresh();
+    }
+
+    boolean fresh() {
+        return mState.fresh();
+    }
+
+    boolean honours(String key) {
+        return mState.fresh()
+                && mState.config()
+                        .map(ForwardingConfig::keys)
+                        .flatMap(k -> k.team(key))
+                        .isPresent();
+    }
+
+    ImmutableSet<EndpointRun> usable() {
+        return mState.endpoints().usable(CopiedStore.SERVICE, mTime.now()).stream()
+                .map(RegisteredEndpoint::run)
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
+    @Override
+    public SimulatedProcess process() {
+        return mProcess;
+    }
+
+    @Override
+    public PeerIdentity identity() {
+        return mIdentity;
+    }
+
+    @Override
+    public Address address() {
+        return mAddress;
+    }
+
+    @Override
+    public Uni<PeerMessage> handle(PeerIdentity from, PeerMessage message) {
+        return mCalls.handle(from, message);
+    }
+}
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/StoreRelayTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/StoreRelayTest.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import io.bilberrygrade.core.forward.RegisteredEndpoint;
+import io.bilberrygrade.core.forward.StorePosition;
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.identity.DataCentreId;
 import io.bilberrygrade.core.identity.EndpointId;
@@ -74,6 +75,10 @@
                 leaving);
     }
 
+    private static StorePosition position(long revision) {
+        return new StorePosition(1, revision);
+    }
+
     private void start() {
         mStore.mEntries = ImmutableList.of(endpoint("a", false), endpoint("b", false));
         mWatching.mReader.start();
@@ -84,7 +89,7 @@
     /** Has the follower ask for a time, every tenth of a second. */
     private void relayFor(Duration span) {
         for (long i = 0; i < span.toMillis() / 100; i++) {
-            long asked = mFollowing.mRelay.revision();
+            StorePosition asked = mFollowing.mRelay.position();
             StoreChanges said = mWatching.mRelay.since(asked);
             if (said != null) {
                 mFollowing.mRelay.heard(said, asked);
@@ -123,9 +128,9 @@
     @Test
     void daemonThatCannotReachTheStoreHandsNothingOn() {
         start();
-        assertThat(mWatching.mRelay.since(mFollowing.mRelay.revision())).isNotNull();
+        assertThat(mWatching.mRelay.since(mFollowing.mRelay.position())).isNotNull();
         mWatching.mState.lost("watch", "cut off");
-        assertThat(mWatching.mRelay.since(mFollowing.mRelay.revision())).isNull();
+        assertThat(mWatching.mRelay.since(mFollowing.mRelay.position())).isNull();
     }
 
     @Test
@@ -152,12 +157,12 @@
         start();
         relayFor(Duration.ofSeconds(1));
         mStore.mTurnedAway = true;
-        mFollowing.mReader.checkWatch(99);
+        mFollowing.mReader.checkWatch(position(99));
         relayFor(Duration.ofSeconds(2));
         mStore.change(new Change.EndpointGone(new EndpointId("a")));
         relayFor(Duration.ofSeconds(2));
         assertThat(mWatching.usable()).containsExactly("b");
-        assertThat(mFollowing.mRelay.revision()).isEqualTo(mStore.mRevision);
+        assertThat(mFollowing.mRelay.position()).isEqualTo(position(mStore.mRevision));
     }
 
     @Test
@@ -213,7 +218,7 @@
 
         private Changes after(long revision) {
             return new Changes(
-                    mRevision,
+                    position(mRevision),
                     false,
                     ImmutableList.copyOf(mChanges.tailMap(revision, false).values()));
         }
@@ -230,12 +235,16 @@
         }
 
         @Override
-        public Uni<ConfigReading> config(long knownRevision) {
+        public Uni<ConfigReading> config(StorePosition known) {
             mCalls++;
             return mDown
                     ? Uni.createFrom().failure(failure())
                     : Uni.createFrom()
-                            .item(new ConfigReading(false, 0, Optional.empty(), mRevision));
+                            .item(
+                                    new ConfigReading(
+                                            Optional.empty(),
+                                            Optional.empty(),
+                                            position(mRevision)));
         }
 
         @Override
@@ -243,7 +252,7 @@
             mCalls++;
             return mDown || mTurnedAway
                     ? Uni.createFrom().failure(failure())
-                    : Uni.createFrom().item(new EndpointsReading(mRevision, mEntries));
+                    : Uni.createFrom().item(new EndpointsReading(position(mRevision), mEntries));
         }
 
         @Override
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/VouchingTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/VouchingTest.java
@@ -2,13 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import io.bilberrygrade.core.forward.ClockReading;
-import io.bilberrygrade.core.forward.ForwardingConfig;
-import io.bilberrygrade.core.forward.KeyRing;
-import io.bilberrygrade.core.forward.RequestLimits;
-import io.bilberrygrade.core.forward.RouteTable;
+import io.bilberrygrade.core.forward.StorePosition;
+import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.serving.peer.ConfirmationEntry;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
@@ -21,14 +17,8 @@
 
 /** Daemons that share their confirmations, one of which doesn't reach the store any more. */
 final class VouchingTest {
+    private static final Address PEER = new Address("10.0.0.1", 1);
     private static final Duration STALENESS = Duration.ofSeconds(5);
-    private static final ForwardingConfig CONFIG =
-            new ForwardingConfig(
-                    1,
-                    new RouteTable(ImmutableList.of()),
-                    ImmutableMap.of(),
-                    new RequestLimits(1, 1, Duration.ZERO),
-                    new KeyRing(false, ImmutableMap.of()));
 
     private final FakeStore mStore = new FakeStore();
     private final Clocks mClocks = new Clocks(() -> mStore.mNow, () -> mStore.mNow);
@@ -48,12 +38,17 @@
                                 mClocks,
                                 d -> Uni.createFrom().nothing(),
                                 RandomSource.SPLIT_MIX_64.create(1),
-                                () -> false));
+                                () -> false),
+                        new ConfigHandOver(
+                                mState,
+                                (peer, message, timeout) -> Uni.createFrom().nothing(),
+                                Configs::decode,
+                                d -> Uni.createFrom().nothing(),
+                                e -> {}));
 
-        void confirm(long revision) {
+        void confirm(long version) {
             mState.confirmed(
-                    new PublishedState.ConfigReading(true, revision, Optional.of(CONFIG), 9),
-                    mClocks.read());
+                    Configs.reading(version, new StorePosition(1, version)), mClocks.read());
         }
     }
 
@@ -65,7 +60,7 @@
         ClockReading askedAt = mClocks.read();
         Optional<ConfirmationEntry> said = Optional.ofNullable(mNear.mVouching.statement());
         pass(answerAfterMillis);
-        mCut.mVouching.heard(said, askedAt);
+        mCut.mVouching.heard(said, PEER, askedAt);
     }
 
     @Test
@@ -93,11 +88,11 @@
 
     @ParameterizedTest
     @CsvSource({"6, false", "7, true", "8, false"})
-    void vouchesForTheSameConfigurationOnly(long revision, boolean fresh) {
+    void vouchesForTheSameConfigurationOnly(long version, boolean fresh) {
         mCut.confirm(7);
-        mNear.confirm(revision);
+        mNear.confirm(version);
         pass(4_000);
-        mNear.confirm(revision);
+        mNear.confirm(version);
         ask(10);
         pass(1_000);
         assertThat(mCut.mState.fresh()).isEqualTo(fresh);
@@ -125,7 +120,7 @@
         private int mReads;
 
         @Override
-        public Uni<ConfigReading> config(long knownRevision) {
+        public Uni<ConfigReading> config(StorePosition known) {
             mReads++;
             return Uni.createFrom().nothing();
         }
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/WorkExchangeFleetTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/WorkExchangeFleetTest.java
@@ -3,16 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import io.bilberrygrade.core.exchange.FleetMember;
 import io.bilberrygrade.core.exchange.FleetView;
 import io.bilberrygrade.core.exchange.WorkLedger;
 import io.bilberrygrade.core.forward.EndpointRun;
 import io.bilberrygrade.core.forward.EndpointWork;
-import io.bilberrygrade.core.forward.ForwardingConfig;
-import io.bilberrygrade.core.forward.KeyRing;
-import io.bilberrygrade.core.forward.RequestLimits;
-import io.bilberrygrade.core.forward.RouteTable;
+import io.bilberrygrade.core.forward.StorePosition;
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.core.identity.Incarnation;
@@ -38,6 +34,7 @@
 final class WorkExchangeFleetTest {
     private static final EndpointId ENGINE = new EndpointId("e");
     private static final EndpointWork ONE = new EndpointWork(1, 0, 0, 1, 5_000);
+    private static final StorePosition SEEN = new StorePosition(1, 9);
     private static final Duration STALENESS = Duration.ofSeconds(5);
 
     /** Time in which all know all, whatever has happened: a statement's lifetime and one more. */
@@ -82,7 +79,15 @@
                             mFleet,
                             self,
                             mLedger,
-                            new Vouching(mState, reader),
+                            new Vouching(
+                                    mState,
+                                    reader,
+                                    new ConfigHandOver(
+                                            mState,
+                                            (peer, message, timeout) -> Uni.createFrom().nothing(),
+                                            Configs::decode,
+                                            mProcess,
+                                            e -> {})),
                             mState,
                             new StoreRelay(mState, reader, clocks),
                             clocks,
@@ -125,7 +130,7 @@
         @Override
         public Uni<PeerMessage> handle(PeerIdentity from, PeerMessage message) {
             mHandled++;
-            return mExchange.handle(from, message);
+            return Uni.createFrom().item(mExchange.answer(from, (PeerMessage.Work) message));
         }
     }
 
@@ -285,18 +290,11 @@
     @ValueSource(ints = {0, 1})
     void confirmationOfTheAggregatorOrStandbyReachesAll(int reader) {
         fleet(38);
-        ForwardingConfig config =
-                new ForwardingConfig(
-                        1,
-                        new RouteTable(ImmutableList.of()),
-                        ImmutableMap.of(),
-                        new RequestLimits(1, 1, Duration.ZERO),
-                        new KeyRing(false, ImmutableMap.of()));
         List<Member> oldest =
                 mMembers.getFirst().mFleet.aggregators(mTime.now()).stream()
                         .map(a -> member(a.address()))
                         .toList();
-        mMembers.forEach(m -> confirm(m, Optional.of(config)));
+        mMembers.forEach(m -> confirm(m, Optional.of(Configs.of(1))));
         for (int second = 0; second < 12; second++) {
             mTime.advance(Duration.ofSeconds(1));
             confirm(oldest.get(reader), Optional.empty());
@@ -308,16 +306,16 @@
         return mMembers.stream().filter(m -> m.address().equals(address)).findFirst().orElseThrow();
     }
 
-    private static void confirm(Member member, Optional<ForwardingConfig> config) {
+    private static void confirm(Member member, Optional<PublishedConfig> config) {
         Clocks clocks = new Clocks(member.mProcess, member.mProcess);
         member.mState.confirmed(
-                new PublishedState.ConfigReading(true, 7, config, 9), clocks.read());
+                new PublishedState.ConfigReading(Optional.of(SEEN), config, SEEN), clocks.read());
     }
 
     /** Store that answers nothing. */
     private static final class SilentStore implements PublishedState {
         @Override
-        public Uni<ConfigReading> config(long knownRevision) {
+        public Uni<ConfigReading> config(StorePosition known) {
             return Uni.createFrom().nothing();
         }
 
