Count prompts as unread while they wait in engines

Cause: at a peak of long prompts a prompt's reading was struck off the beliefs after its own reading time, counted from its sending, though engines first read what they were given before. So engines looked free just while they were full, the next prompts were placed behind each other there, and prompts were taken that could not be in time. Found on the new recipe desk fleets of the pattern tool (5 daemons before 23 engines, 33 before 78), whose prompts take four seconds of an engine.

Change: a placement says how long its engines read others first, and the prompt counts as unread for that time more. Of two engines for a question, the one with less to read is taken, not the one with fewer requests, which hardly lengthen a pass.

PatternTest#peakOfLongPromptsIsServedBetterIfWhatWaitsInEnginesIsCounted replays the load; two new tests of the policy fail on the code before.

--- a/core/src/main/java/io/bilberrygrade/core/forward/StreamPlacementPolicy.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/StreamPlacementPolicy.java
@@ -23,9 +23,14 @@
     /** Most engines that help with one prompt; from the protocol of the engines. */
     private static final int MAX_HELPERS = 16;
 
-    /** Engines for questions of which the one with the least work is taken. */
+    /** Engines for questions of which the one with the least to read is taken. */
     private static final int DRAWN = 2;
 
+    /** A question's first event comes once what its engine was given before has been read. */
+    private static final Comparator<Candidate> LEAST_READING =
+            Comparator.comparingLong((Candidate c) -> c.work().readMillis())
+                    .thenComparingInt(c -> c.work().calls());
+
     private StreamPlacementPolicy() {}
 
     /** Returns the placement of a prompt, or empty if there is no engine. */
@@ -46,11 +51,15 @@
                         .filter(c -> engines.contains(c.endpoint().id()))
                         .filter(c -> hasRoom(c, need, cost))
                         .limit(DRAWN)
-                        .min(Comparator.comparingInt(c -> c.work().calls()))
+                        .min(LEAST_READING)
                         .orElseGet(() -> leastLoaded(candidates, need, cost));
         double millis = cost.readMillis(need.prompt().promptTokens());
         return new StreamPlacement(
-                chosen.endpoint(), ImmutableList.of(), ImmutableMap.of(), millis);
+                chosen.endpoint(),
+                ImmutableList.of(),
+                ImmutableMap.of(),
+                (double) chosen.work().readMillis(),
+                millis);
     }
 
     private static Candidate leastLoaded(
@@ -58,8 +67,7 @@
         return candidates.stream()
                 .min(
                         Comparator.comparing((Candidate c) -> !hasRoom(c, need, cost))
-                                .thenComparing(c -> c.work().readMillis())
-                                .thenComparing(c -> c.work().calls()))
+                                .thenComparing(LEAST_READING))
                 .orElseThrow();
     }
 
@@ -82,9 +90,14 @@
                 first.endpoint(),
                 helpers.stream().map(Candidate::endpoint).collect(ImmutableList.toImmutableList()),
                 MemoryPlan.reservations(need.prompt(), cost, helpers),
+                waitMillis(readers),
                 millis / readers.size());
     }
 
+    private static double waitMillis(ImmutableList<Candidate> readers) {
+        return readers.stream().mapToLong(c -> c.work().readMillis()).max().orElse(0);
+    }
+
     /**
      * Returns the engine that writes the answer: the one with the most in its memory that has room,
      * so that others stay without writers, whom long parts would hold up.
--- a/core/src/test/java/io/bilberrygrade/core/forward/StreamPlacementPolicyTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/forward/StreamPlacementPolicyTest.java
@@ -103,6 +103,28 @@
         assertThat(question(List.of(reading, free)).first()).isEqualTo(free.endpoint());
     }
 
+    @Test
+    void questionGoesWhereTheLeastIsToBeReadBefore() {
+        Candidate reading = candidate(0, new EndpointWork(4, 50, 3, 4, 0));
+        Candidate writing = candidate(1, new EndpointWork(6, 0, 6, 6, 0));
+        assertThat(question(List.of(reading, writing)).first()).isEqualTo(writing.endpoint());
+        assertThat(question(List.of(writing, reading)).first()).isEqualTo(writing.endpoint());
+    }
+
+    @Test
+    void promptIsReadOnceWhatItsEnginesHadBeforeIsRead() {
+        Candidate first = candidate(0, new EndpointWork(1, 100, 0, 0, 0));
+        Candidate second = candidate(1, new EndpointWork(1, 200, 0, 0, 0));
+        StreamPlacement placed = audit(120_000, List.of(first, second));
+        assertThat(placed.waitMillis()).isEqualTo(200);
+        assertThat(placed.readByMillis()).isEqualTo(200 + COST.readMillis(120_000) / 2);
+    }
+
+    @Test
+    void promptThatNeedNotWaitIsReadInItsOwnTime() {
+        assertThat(question(idle(4)).readByMillis()).isEqualTo(COST.readMillis(5_000));
+    }
+
     @Test
     void longPromptIsReadByAllEnginesWithoutQuestions() {
         StreamPlacement placed = audit(210_000, idle(16));
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
@@ -67,10 +67,10 @@
     /** Starts the sending; the endpoint has the given time. */
     void start(Duration left) {
         count(mPlaced.work().reading());
-        if (mPlaced.partMillis() > 0) {
+        if (mPlaced.readByMillis() > 0) {
             mReadTimer =
                     after(
-                            Duration.ofMillis(mPlaced.partMillis()).plus(SendingWork.PASS),
+                            Duration.ofMillis(mPlaced.readByMillis()).plus(SendingWork.PASS),
                             this::readByNow);
         }
         SendOrder order =
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/PlacedSend.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/PlacedSend.java
@@ -13,7 +13,7 @@
  *
  * @param reservations tokens of memory to reserve on some helpers first
  * @param work what the sending is for each engine
- * @param partMillis time that each engine reads; 0 for a plain service
+ * @param readByMillis time until the prompt must have been read; 0 for a plain service
  * @param known what was known of the first engine's work when it was chosen
  */
 record PlacedSend(
@@ -21,7 +21,7 @@
         ImmutableList<RegisteredEndpoint> helpers,
         ImmutableMap<EndpointId, Long> reservations,
         SendingWork work,
-        long partMillis,
+        long readByMillis,
         EndpointWork known,
         int candidates) {
     /** Returns the names of the helpers, for the log. */
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/SendPlanner.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/SendPlanner.java
@@ -94,7 +94,7 @@
                 placement.helpers(),
                 placement.reservations(),
                 SendingWork.of(need, placement),
-                Math.round(placement.partMillis()),
+                Math.round(placement.readByMillis()),
                 work(placement.first(), candidates),
                 candidates.size());
     }
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/FleetSheet.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/FleetSheet.java
@@ -59,4 +59,38 @@
                                 "audit", 3.35, 300_000, 0.55, 1_000_000, 12, 4_010, 1_000, 26,
                                 6.6)));
     }
+
+    /** Five daemons before 23 engines that read slowly; long prompts cost most of the time. */
+    static FleetSheet desk() {
+        return new FleetSheet(
+                "desk",
+                5,
+                23,
+                new EngineCost(11, 405_000, 34, 1.31, 0.00133, 0.00213, 154, 0.162, 2_048),
+                ImmutableList.of(
+                        new PatternClass(
+                                "question", 32.2, 5_000, 0.9, 23_800, 38, 300, 250, 1.3, 0.33),
+                        new PatternClass(
+                                "review", 1.8, 45_000, 0.5, 110_000, 23, 1_500, 600, 3.9, 0.97),
+                        new PatternClass(
+                                "audit", 0.833, 182_000, 0.55, 1_000_000, 19, 3_000, 1_000, 24,
+                                6.1)));
+    }
+
+    /** Thirty-three daemons before 78 engines of the same kind. */
+    static FleetSheet deskGrown() {
+        return new FleetSheet(
+                "desk-grown",
+                33,
+                78,
+                new EngineCost(8, 405_000, 38, 1.31, 0.00138, 0.00213, 154, 0.162, 2_048),
+                ImmutableList.of(
+                        new PatternClass(
+                                "question", 86.8, 5_000, 0.9, 23_800, 36, 304, 250, 1.3, 0.34),
+                        new PatternClass(
+                                "review", 6.08, 45_000, 0.5, 110_000, 21, 1_506, 600, 3.3, 0.82),
+                        new PatternClass(
+                                "audit", 1.52, 260_000, 0.55, 1_000_000, 18, 4_010, 1_000, 34,
+                                8.6)));
+    }
 }
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternMain.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternMain.java
@@ -20,7 +20,12 @@
     private static final int EXIT_USAGE = 2;
     private static final ImmutableList<Long> SEEDS = ImmutableList.of(1L, 2L, 3L, 4L, 5L, 6L);
     private static final ImmutableList<FleetSheet> FLEETS =
-            ImmutableList.of(FleetSheet.small(), FleetSheet.grown(), FleetSheet.large());
+            ImmutableList.of(
+                    FleetSheet.small(),
+                    FleetSheet.grown(),
+                    FleetSheet.large(),
+                    FleetSheet.desk(),
+                    FleetSheet.deskGrown());
     private static final ImmutableList<LoadPattern> PATTERNS =
             ImmutableList.of(
                     LoadPattern.swings(),
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternPolicy.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternPolicy.java
@@ -60,7 +60,7 @@
                             .limit(MAX_HELPERS)
                             .collect(ImmutableList.toImmutableList());
             return new StreamPlacement(
-                    least.endpoint(), helpers, ImmutableMap.of(), millis / (helpers.size() + 1));
+                    least.endpoint(), helpers, ImmutableMap.of(), 0, millis / (helpers.size() + 1));
         }
     },
 
@@ -100,6 +100,26 @@
         }
     },
 
+    /** The product's policy, but prompts count as read as if they had never to wait. */
+    WITHOUT_WAIT {
+        @Override
+        StreamPlacement place(
+                StreamNeed need, EngineCost cost, ImmutableList<Candidate> engines, long turn) {
+            StreamPlacement placed = FULL.place(need, cost, engines, turn);
+            return new StreamPlacement(
+                    placed.first(),
+                    placed.helpers(),
+                    placed.reservations(),
+                    0,
+                    placed.partMillis());
+        }
+
+        @Override
+        boolean refuses(StreamNeed need, EngineCost cost, ImmutableList<Candidate> engines) {
+            return FULL.refuses(need, cost, engines);
+        }
+    },
+
     /** The product's policy, but nothing is turned away. */
     NO_REFUSALS {
         @Override
@@ -127,6 +147,7 @@
                 engine.endpoint(),
                 ImmutableList.of(),
                 ImmutableMap.of(),
+                0,
                 cost.readMillis(need.prompt().promptTokens()));
     }
 }
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternRun.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternRun.java
@@ -173,7 +173,7 @@
         StreamPlacement placed = sending.placed();
         mRunning.put(request, sending);
         sending.started(mDaemons.get(sending.daemon()));
-        double end = sending.placed().partMillis() + SendingWork.PASS.toMillis();
+        double end = sending.placed().readByMillis() + SendingWork.PASS.toMillis();
         mClock.after(
                 end,
                 () -> {
--- a/standins/src/test/java/io/bilberrygrade/standins/load/pattern/PatternTest.java
+++ b/standins/src/test/java/io/bilberrygrade/standins/load/pattern/PatternTest.java
@@ -75,6 +75,16 @@
         }
     }
 
+    @Test
+    void peakOfLongPromptsIsServedBetterIfWhatWaitsInEnginesIsCounted() {
+        for (FleetSheet fleet : ImmutableList.of(FleetSheet.desk(), FleetSheet.deskGrown())) {
+            double full = play(LoadPattern.highSwings(), PatternPolicy.FULL, fleet).worth();
+            double without =
+                    play(LoadPattern.highSwings(), PatternPolicy.WITHOUT_WAIT, fleet).worth();
+            assertThat(full).isGreaterThan(without);
+        }
+    }
+
     @Test
     void whatCrashedEnginesHadIsServedByOthers() {
         PatternRow row =
