Drop endpoints that a peer saw leave though this daemon has lost the store

A daemon's own reading had failed once by a reset; since peers confirmed its configuration, it read nothing itself for 17 s and went on believing that the store was away. An endpoint that deregistered without saying before that it leaves was seen by its peers and handed on, but kept by this daemon as one that may only have lapsed: it got a request 3.4 s later.

Change: what a peer hands on counts as the peer read it, whatever this daemon's own way to the store (EndpointDirectory#removeForPeer); a reading that failed is tried again until the store answers, also while peers confirm the configuration (StateReader), one try at a time. Entries of one id are ordered by their starts, so that an older copy doesn't replace the run that is known.

Proved: two new tests of the relay and one of the directory, red on the code before; three of the directory in all.

--- a/core/src/main/java/io/bilberrygrade/core/forward/EndpointDirectory.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/EndpointDirectory.java
@@ -32,9 +32,12 @@
         return mKnown;
     }
 
-    /** States that the store can't be reached. */
+    /** States that the store can't be reached; what had not come back yet can't come back now. */
     public void storeLost() {
         mAway = true;
+        mEntries.values().stream()
+                .filter(e -> e.mLapsedUntil.isPresent() && !e.mGoneForPeer)
+                .forEach(e -> e.mLapsedUntil = Optional.of(Instant.MAX));
     }
 
     /** States that the store answers; only the first answer after a loss matters. */
@@ -44,7 +47,7 @@
             mReturnedAt = now;
             Optional<Instant> graceEnd = Optional.of(now.plus(RETURN_GRACE));
             mEntries.values().stream()
-                    .filter(e -> e.mLapsedUntil.isPresent())
+                    .filter(e -> e.mLapsedUntil.isPresent() && !e.mGoneForPeer)
                     .forEach(e -> e.mLapsedUntil = graceEnd);
         }
     }
@@ -83,16 +86,17 @@
         entries.forEach(e -> builder.put(e.id(), e));
         ImmutableMap<EndpointId, RegisteredEndpoint> read = builder.buildKeepingLast();
         ImmutableList.copyOf(mEntries.keySet()).stream()
-                .filter(id -> !read.containsKey(id) || supersededInCopy(read.get(id), now))
+                .filter(id -> !read.containsKey(id) || superseded(read.get(id)))
                 .forEach(id -> remove(id, now));
-        read.values().stream().filter(e -> !supersededInCopy(e, now)).forEach(e -> take(e, now));
+        read.values().stream().filter(e -> !superseded(e)).forEach(e -> take(e, now));
         mKnown = true;
     }
 
-    /** Returns whether a copy shows a run that had made way for the one that is known. */
-    private boolean supersededInCopy(RegisteredEndpoint entry, Instant now) {
-        return mVanished.onlyInCopy(entry.run(), now)
-                && find(entry.id()).filter(e -> !e.run().equals(entry.run())).isPresent();
+    /** Returns whether an older copy shows a run that has made way for the one that is known. */
+    private boolean superseded(RegisteredEndpoint entry) {
+        return find(entry.id())
+                .filter(e -> e.startedAtMillis() > entry.startedAtMillis())
+                .isPresent();
     }
 
     /** Takes over an entry that was just written. */
@@ -107,7 +111,7 @@
             mLeaving.add(entry.run(), now);
         }
         Entry before = mEntries.put(entry.id(), new Entry(entry));
-        if (before != null && !before.mEndpoint.run().equals(entry.run())) {
+        if (before != null && before.mEndpoint.startedAtMillis() < entry.startedAtMillis()) {
             mVanished.vanished(before.mEndpoint.run(), now);
         }
     }
@@ -133,15 +137,33 @@
         return !mLeaving.contains(run) && !mVanished.onlyInCopy(run, now);
     }
 
-    /** Takes note that an entry has vanished. */
+    /** Takes note that an entry has vanished, as this daemon has read itself. */
     public void remove(EndpointId id, Instant now) {
+        if (mAway) {
+            Optional.ofNullable(mEntries.get(id))
+                    .ifPresent(e -> e.mLapsedUntil = Optional.of(Instant.MAX));
+        } else {
+            removeAfterGrace(id, now);
+        }
+    }
+
+    /**
+     * Takes note that an entry has vanished, as a peer has read that reaches the store. Whether
+     * this daemon reaches it doesn't matter.
+     */
+    public void removeForPeer(EndpointId id, Instant now) {
+        Optional.ofNullable(mEntries.get(id)).ifPresent(e -> e.mGoneForPeer = true);
+        removeAfterGrace(id, now);
+    }
+
+    private void removeAfterGrace(EndpointId id, Instant now) {
         Entry entry = mEntries.get(id);
         if (entry == null) {
             return;
         }
         Instant graceEnd = mReturnedAt.equals(Instant.MIN) ? now : mReturnedAt.plus(RETURN_GRACE);
-        if (mAway || now.isBefore(graceEnd)) {
-            entry.mLapsedUntil = Optional.of(mAway ? Instant.MAX : graceEnd);
+        if (now.isBefore(graceEnd)) {
+            entry.mLapsedUntil = Optional.of(graceEnd);
         } else {
             mEntries.remove(id);
             mVanished.vanished(entry.mEndpoint.run(), now);
@@ -162,11 +184,7 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
-    /** Forgets what didn't come back in time, unless the store has gone away again meanwhile. */
     private void forgetLapsed(Instant now) {
-        if (mAway) {
-            return;
-        }
         Iterator<Entry> entries = mEntries.values().iterator();
         while (entries.hasNext()) {
             Entry entry = entries.next();
@@ -180,6 +198,7 @@
     private static final class Entry {
         private final RegisteredEndpoint mEndpoint;
         private Optional<Instant> mLapsedUntil = Optional.empty();
+        private boolean mGoneForPeer;
 
         Entry(RegisteredEndpoint endpoint) {
             mEndpoint = endpoint;
--- a/core/src/test/java/io/bilberrygrade/core/forward/EndpointDirectoryTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/forward/EndpointDirectoryTest.java
@@ -66,6 +66,36 @@
         assertThat(usable(T0.plusMillis(2_100))).containsExactly("back");
     }
 
+    @Test
+    void entryThatVanishedForPeerIsGoneThoughThisDaemonCannotReachTheStore() {
+        mDirectory.put(endpoint("e", 1, false), T0);
+        mDirectory.storeLost();
+        mDirectory.removeForPeer(new EndpointId("e"), T0.plusSeconds(8));
+        assertThat(usable(T0.plusSeconds(8))).isEmpty();
+    }
+
+    @Test
+    void entryThatVanishedForPeerRightAfterTheReturnIsKeptForTheGraceOnly() {
+        mDirectory.put(endpoint("e", 1, false), T0);
+        mDirectory.storeReturned(T0);
+        mDirectory.removeForPeer(new EndpointId("e"), T0.plusSeconds(1));
+        mDirectory.storeLost();
+        assertThat(usable(T0.plusMillis(1_900))).containsExactly("e");
+        assertThat(usable(T0.plusMillis(2_100))).isEmpty();
+    }
+
+    @Test
+    void entryThatVanishedIsKeptIfTheStoreGoesAwayAgainBeforeItCouldComeBack() {
+        mDirectory.put(endpoint("e", 1, false), T0);
+        mDirectory.storeLost();
+        mDirectory.storeAnswered(T0);
+        mDirectory.remove(new EndpointId("e"), T0);
+        mDirectory.storeLost();
+        assertThat(usable(T0.plusSeconds(60))).containsExactly("e");
+        mDirectory.storeAnswered(T0.plusSeconds(60));
+        assertThat(usable(T0.plusSeconds(62))).isEmpty();
+    }
+
     @Test
     void entryMissingFromLaterListIsGone() {
         mDirectory.replace(ImmutableList.of(endpoint("e", 1, false)), T0);
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/StateController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/StateController.java
@@ -26,6 +26,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 /**
  * Owns what the daemon believes of the published state: the configuration, how fresh it is, and the
@@ -230,15 +231,18 @@
     /** Takes over changes. */
     void changed(ImmutableList<PublishedState.Change> changes) {
         answered("watch");
-        take(changes, "watch");
+        take(changes, "watch", id -> mDirectory.remove(id, mClocks.now()));
     }
 
     /** Takes over changes that a peer has seen. */
     void relayed(ImmutableList<PublishedState.Change> changes) {
-        take(changes, "peer");
+        take(changes, "peer", id -> mDirectory.removeForPeer(id, mClocks.now()));
     }
 
-    private void take(ImmutableList<PublishedState.Change> changes, String source) {
+    private void take(
+            ImmutableList<PublishedState.Change> changes,
+            String source,
+            Consumer<EndpointId> gone) {
         for (PublishedState.Change change : changes) {
             switch (change) {
                 case PublishedState.Change.Config c -> apply(c.config(), c.at(), STORE);
@@ -246,7 +250,10 @@
                     noteChange(e.entry(), source);
                     mDirectory.put(e.entry(), mClocks.now());
                 }
-                case PublishedState.Change.EndpointGone g -> gone(g.id(), source);
+                case PublishedState.Change.EndpointGone g -> {
+                    noteGone(g.id(), source);
+                    gone.accept(g.id());
+                }
             }
         }
     }
@@ -314,10 +321,9 @@
         }
     }
 
-    private void gone(EndpointId id, String source) {
+    private void noteGone(EndpointId id, String source) {
         mDirectory
                 .find(id)
                 .ifPresent(e -> recordChange(id, e.address().toString(), "gone", source));
-        mDirectory.remove(id, mClocks.now());
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/StateReader.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/StateReader.java
@@ -69,6 +69,8 @@
     private Instant mRelayedAt = Instant.MIN;
     private boolean mConfirming;
     private boolean mConfirmFailed;
+    private boolean mConfirmRetryWaits;
+    private boolean mRepeatStopped;
     private boolean mEndpointsWait;
     private boolean mClosed;
 
@@ -96,10 +98,35 @@
         mClosed = true;
     }
 
-    /** Reads the configuration now, unless it is being read. */
+    /**
+     * Reads the configuration now, unless it is being read. A failure is followed by tries until
+     * the store answers, also while peers confirm what this daemon has: endpoints may wait for it.
+     */
     void confirmNow() {
         if (!mConfirming && !mClosed) {
-            confirm().subscribe().with(v -> {}, e -> {});
+            confirm().subscribe().with(v -> {}, e -> retryConfirm(false));
+        }
+    }
+
+    /** Tries again after a pause that grows; one try waits at a time, whoever asked for it. */
+    private void retryConfirm(boolean repeat) {
+        mRepeatStopped |= repeat;
+        if (mConfirmRetryWaits) {
+            return;
+        }
+        mConfirmRetryWaits = true;
+        later(mConfirmRetry, this::confirmAgain);
+        Duration most = mAggregator.getAsBoolean() ? MAX_RETRY : MAX_FOLLOWERS_RETRY;
+        mConfirmRetry = doubled(mConfirmRetry, most);
+    }
+
+    private void confirmAgain() {
+        mConfirmRetryWaits = false;
+        if (mRepeatStopped) {
+            mRepeatStopped = false;
+            confirmAndRepeat();
+        } else if (mConfirmFailed) {
+            confirmNow();
         }
     }
 
@@ -114,15 +141,7 @@
                             mConfirmRetry = FIRST_RETRY;
                             confirmOnceDue(nextAge());
                         },
-                        e -> {
-                            later(mConfirmRetry, this::confirmAndRepeat);
-                            mConfirmRetry =
-                                    doubled(
-                                            mConfirmRetry,
-                                            mAggregator.getAsBoolean()
-                                                    ? MAX_RETRY
-                                                    : MAX_FOLLOWERS_RETRY);
-                        });
+                        e -> retryConfirm(true));
     }
 
     private Duration nextAge() {
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/StoreRelayTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/StoreRelayTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.common.collect.ImmutableList;
+import io.bilberrygrade.core.forward.Confirmation;
 import io.bilberrygrade.core.forward.RegisteredEndpoint;
 import io.bilberrygrade.core.forward.StorePosition;
 import io.bilberrygrade.core.identity.Address;
@@ -165,6 +166,34 @@
         assertThat(mFollowing.mRelay.position()).isEqualTo(position(mStore.mRevision));
     }
 
+    @Test
+    void endpointThatLeftIsGoneForFollowerWhoseOwnReadingFailed() {
+        start();
+        relayFor(Duration.ofSeconds(1));
+        mStore.change(new Change.Endpoint(endpoint("c", false)));
+        relayFor(Duration.ofSeconds(1));
+        mFollowing.mState.lost("configuration", "reset");
+        mStore.change(new Change.EndpointGone(new EndpointId("a")));
+        relayFor(Duration.ofMillis(500));
+        assertThat(mFollowing.usable()).containsExactly("b", "c");
+    }
+
+    @Test
+    void readingThatFailedIsTriedAgainThoughPeersConfirmTheConfiguration() {
+        start();
+        mStore.mDown = true;
+        mFollowing.mReader.confirmNow();
+        mTime.advance(Duration.ofMillis(50));
+        assertThat(mFollowing.mState.endpoints().storeAway()).isTrue();
+        mStore.mDown = false;
+        for (int i = 0; i < 10; i++) {
+            mFollowing.mState.confirmed(
+                    new Confirmation(1, position(1), Duration.ZERO), mFollowing.mClocks.read());
+            mTime.advance(Duration.ofMillis(100));
+        }
+        assertThat(mFollowing.mState.endpoints().storeAway()).isFalse();
+    }
+
     @Test
     void storeThatIsAwayIsAskedSeldom() {
         start();
