Log and count the rate limits that endpoints state

Cause: the incident on request limits can't be told from the logs: nothing shows whether an answer stated a limit, its value, or whether the daemon that chose the endpoint knew of it. Change: the adapter reads the header, the latest statement of each endpoint run is kept, event 7019 tells each change and each text that is no rate, event 7002 has the limit that was known when the endpoint was chosen, and a gauge counts the endpoints that state one. No choice depends on a limit yet. Tests: RateLimitTest, EndpointRateLimitsTest and EventCatalogueTest pass; the others not run yet.

--- a/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
@@ -26,6 +26,7 @@
             long timeLeftMillis,
             int candidates,
             String work,
+            String rateLimit,
             long configVersion,
             long confirmedAgoMillis)
             implements ForwardEvent {}
@@ -77,6 +78,14 @@
     record EndpointRests(String request, String endpoint, String seconds, long restMillis)
             implements ForwardEvent {}
 
+    /**
+     * The rate limit that an endpoint states began, changed or ended; {@code stated} is its text,
+     * empty if the limit ended, and {@code applied} whether the text is a valid rate.
+     */
+    @EventInfo(number = 7019, level = EventLevel.INFO)
+    record EndpointRateLimitChanged(String endpoint, String stated, boolean applied, String source)
+            implements ForwardEvent {}
+
     /** The store could not be read. */
     @EventInfo(number = 7012, level = EventLevel.WARN)
     record StoreLost(String call, String error) implements ForwardEvent {}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/AnswerHead.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AnswerHead.java
@@ -14,6 +14,7 @@
  * @param faulty endpoint that the answer names as the cause of the failure
  * @param leaving whether the endpoint asks for no new work until its next run
  * @param retryAfter backoff in seconds that the endpoint asks for, unparsed
+ * @param rateLimit requests a second that the endpoint accepts from all daemons together, unparsed
  * @param passedOn headers that are relayed to the caller unchanged
  */
 public record AnswerHead(
@@ -24,6 +25,7 @@
         Optional<Address> faulty,
         boolean leaving,
         Optional<String> retryAfter,
+        Optional<String> rateLimit,
         MultiMap passedOn) {
     /** Returns whether the endpoint refused for lack of capacity at the moment. */
     public boolean busy() {
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptLog.java
@@ -0,0 +1,40 @@
+package io.bilberrygrade.serving.forward;
+
+import io.bilberrygrade.core.forward.ForwardingConfig;
+import io.bilberrygrade.core.identity.RequestId;
+import io.bilberrygrade.serving.event.ForwardEvent;
+import java.time.Duration;
+
+/** Logs the attempts of requests together with the state that their placement was based on. */
+final class AttemptLog {
+    private AttemptLog() {}
+
+    /** Logs that an attempt is sent, with the time that the endpoint has. */
+    static void recordSent(
+            ForwardContext context,
+            RequestId request,
+            int attemptNumber,
+            AttemptPlan attemptPlan,
+            Duration remaining) {
+        context.events()
+                .record(
+                        new ForwardEvent.Sent(
+                                request.value(),
+                                attemptNumber,
+                                attemptPlan.endpoint().id().value(),
+                                attemptPlan.helperNames(),
+                                remaining.toMillis(),
+                                attemptPlan.candidates(),
+                                attemptPlan.known().toString(),
+                                context.tracker()
+                                        .rateLimits()
+                                        .of(attemptPlan.endpoint().run())
+                                        .map(l -> Double.toString(l.perSecond()))
+                                        .orElse(""),
+                                context.state().config().map(ForwardingConfig::version).orElse(0L),
+                                context.state()
+                                        .confirmationAge()
+                                        .map(Duration::toMillis)
+                                        .orElse(-1L)));
+    }
+}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointTracker.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointTracker.java
@@ -12,6 +12,8 @@
 import io.bilberrygrade.core.forward.RegisteredEndpoint;
 import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.core.identity.ServiceId;
+import io.bilberrygrade.core.ratelimit.EndpointRateLimits;
+import io.bilberrygrade.core.ratelimit.RateLimit;
 import io.bilberrygrade.core.routing.EjectionBound;
 import io.bilberrygrade.core.routing.EndpointHealth;
 import java.time.Duration;
@@ -30,6 +32,7 @@
     private final Map<EndpointId, EndpointHealth> mHealth = new HashMap<>();
     private final Map<EndpointId, EndpointActivity> mActivity = new HashMap<>();
     private final EndpointBackoffs mBackoffs = new EndpointBackoffs();
+    private final EndpointRateLimits mRateLimits = new EndpointRateLimits();
 
     EndpointTracker(EndpointDirectory directory, WorkLedger work) {
         mDirectory = directory;
@@ -40,6 +43,21 @@
         return mWork;
     }
 
+    /** Returns the rate limits that endpoints state. */
+    EndpointRateLimits rateLimits() {
+        return mRateLimits;
+    }
+
+    /**
+     * Records the rate limit that an answer states, if any; {@code sentAt} is when its request was
+     * sent. Returns whether the limit in force changed.
+     */
+    boolean recordRateLimit(
+            EndpointRun run, Optional<RateLimit> stated, Instant sentAt, Instant now) {
+        return stated.map(l -> mRateLimits.recordLimit(run, l, now))
+                .orElseGet(() -> mRateLimits.recordNoLimit(run, sentAt, now));
+    }
+
     /**
      * Returns the endpoints eligible for a request, without those already tried and those in
      * backoff. If none of them is healthy, returns them nevertheless, since an attempt that may
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
@@ -3,8 +3,6 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import io.bilberrygrade.core.forward.AttemptWork;
-import io.bilberrygrade.core.forward.EndpointBackoffs;
-import io.bilberrygrade.core.forward.EndpointRun;
 import io.bilberrygrade.core.forward.EndpointWork;
 import io.bilberrygrade.core.forward.LostRequestDetector;
 import io.bilberrygrade.core.forward.LostRequestDetector.EndpointActivity;
@@ -147,7 +145,13 @@
             fail(Delivery.MAY_HAVE_RUN, "the answer is to another request");
             return;
         }
-        applyEndpointStatus(head);
+        new EndpointStatusUpdater(mContext)
+                .apply(
+                        mPlan.endpoint().run(),
+                        head,
+                        mExchange.id(),
+                        mStartedAt,
+                        mContext.clocks().now());
         if (head.notRun() || head.status() == MISDIRECTED) {
             onRefusal(head);
         } else if (head.success() && !head.sealed()) {
@@ -155,39 +159,6 @@
         }
     }
 
-    /**
-     * Applies what the answer states about the endpoint (leaving, backoff), whatever becomes of the
-     * request.
-     */
-    private void applyEndpointStatus(AnswerHead head) {
-        EndpointRun run = mPlan.endpoint().run();
-        if (head.leaving()) {
-            mContext.state().onEndpointLeaving(run, "answer");
-        }
-        if (head.busy()) {
-            head.retryAfter().ifPresent(text -> backOffEndpoint(run, text));
-        }
-    }
-
-    private void backOffEndpoint(EndpointRun run, String text) {
-        Optional<Duration> backoff = EndpointBackoffs.parse(text);
-        backoff.ifPresent(
-                r ->
-                        mContext.tracker()
-                                .backOff(
-                                        run,
-                                        r,
-                                        mContext.random().nextDouble(),
-                                        mContext.clocks().now()));
-        mContext.events()
-                .record(
-                        new ForwardEvent.EndpointRests(
-                                mExchange.id().value(),
-                                run.id().value(),
-                                text,
-                                backoff.map(Duration::toMillis).orElse(0L)));
-    }
-
     private void onRefusal(AnswerHead head) {
         mContext.tracker().recordRefusal(faultyEndpoint(head), mContext.clocks().now());
         fail(Delivery.REFUSED, "the endpoint refused it with " + head.status());
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -200,6 +200,8 @@
         mEvents.registerGauge(
                 "confirmed_ago_millis",
                 () -> mState.confirmationAge().map(Duration::toMillis).orElse(-1L));
+        mEvents.registerGauge(
+                "rate_limited_endpoints", () -> mTracker.rateLimits().limitedRuns().size());
         mEvents.registerGauge("peers", () -> mFleet.size(mClocks.now()) - 1);
         mEvents.registerGauge("log_lines_dropped_total", mDroppedLines);
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOperation.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOperation.java
@@ -210,7 +210,7 @@
         mAttemptCount++;
         mTriedEndpoints.add(attemptPlan.endpoint().id());
         mContext.tracker().recordSent(attemptPlan.endpoint().id(), now);
-        logSent(attemptPlan, remaining);
+        AttemptLog.recordSent(mContext, mExchange.id(), mAttemptCount, attemptPlan, remaining);
         ForwardAttempt attempt =
                 new ForwardAttempt(
                         mContext, mExchange, attemptPlan, memory, mAttemptCount, mRelay, this);
@@ -218,24 +218,6 @@
         attempt.start(remaining);
     }
 
-    private void logSent(AttemptPlan attemptPlan, Duration remaining) {
-        mContext.events()
-                .record(
-                        new ForwardEvent.Sent(
-                                mExchange.id().value(),
-                                mAttemptCount,
-                                attemptPlan.endpoint().id().value(),
-                                attemptPlan.helperNames(),
-                                remaining.toMillis(),
-                                attemptPlan.candidates(),
-                                attemptPlan.known().toString(),
-                                mContext.state().config().map(ForwardingConfig::version).orElse(0L),
-                                mContext.state()
-                                        .confirmationAge()
-                                        .map(Duration::toMillis)
-                                        .orElse(-1L)));
-    }
-
     @Override
     public void onFailed(Delivery delivery, String detail) {
         if (mEnded) {
