Let parts of long prompts use rate-limited engines

Cause: long prompts were split over engines without a rate limit only. Such an engine counts requests, not work, so one part of a long prompt is the best use of a request. Only prompts whose memory is reserved by orders still use engines without a limit.

The policy without-limited stays as an ablation with a test.

--- a/core/src/main/java/io/bilberrygrade/core/forward/MemoryPlan.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/MemoryPlan.java
@@ -40,7 +40,7 @@
     }
 
     /** Returns whether a prompt exceeds the memory of one engine. */
-    private static boolean exceedsOneEngine(PromptShape prompt, EngineCost cost) {
+    static boolean exceedsOneEngine(PromptShape prompt, EngineCost cost) {
         return tokens(prompt) > cost.memoryTokens() * MAX_UNSPLIT_FRACTION;
     }
 
--- a/core/src/main/java/io/bilberrygrade/core/forward/StreamPlacementPolicy.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/StreamPlacementPolicy.java
@@ -39,8 +39,8 @@
         if (candidates.isEmpty()) {
             return Optional.empty();
         }
-        return Optional.of(
-                need.strict() ? packed(need, cost, candidates) : spread(need, cost, candidates));
+        ImmutableList<Candidate> usable = RateLimitedEngines.usable(need, cost, candidates);
+        return Optional.of(need.strict() ? packed(need, cost, usable) : spread(need, cost, usable));
     }
 
     private static StreamPlacement packed(
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptPlanner.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptPlanner.java
@@ -53,11 +53,7 @@
                         ConnectionBound.open(
                                 service, mTracker.candidates(service.id(), tried, now)));
         if (service.engine().isPresent() && prompt.isPresent()) {
-            StreamNeed need = need(route, prompt.get());
-            return planStream(
-                    need,
-                    service.engine().get(),
-                    need.strict() ? candidates : forSplitPrompt(candidates));
+            return planStream(need(route, prompt.get()), service.engine().get(), candidates);
         }
         return PlainPlacementPolicy.place(mSelf, candidates)
                 .map(
@@ -90,21 +86,6 @@
         return StreamNeed.of(prompt, route.goal(), route.gapGoal());
     }
 
-    /**
-     * Returns the engines for a prompt that may be split. Each part and each reservation is a
-     * request of its own, so rate-limited engines get such a prompt whole, and only if there are no
-     * others.
-     */
-    private static ImmutableList<Candidate> forSplitPrompt(ImmutableList<Candidate> candidates) {
-        ImmutableList<Candidate> unlimited =
-                candidates.stream()
-                        .filter(c -> !c.rateLimited())
-                        .collect(ImmutableList.toImmutableList());
-        return unlimited.isEmpty()
-                ? candidates.stream().limit(1).collect(ImmutableList.toImmutableList())
-                : unlimited;
-    }
-
     private static Optional<AttemptPlan> planStream(
             StreamNeed need, EngineCost cost, ImmutableList<Candidate> candidates) {
         return StreamPlacementPolicy.place(need, cost, candidates)
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointTracker.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointTracker.java
@@ -215,6 +215,13 @@
         mHealth.computeIfPresent(id, (k, h) -> h.sent(now));
     }
 
+    /**
+     * Uses up the permits for parts of a prompt that helpers prefill, each a request of its own.
+     */
+    void recordHelpers(ImmutableList<RegisteredEndpoint> helpers, Instant now) {
+        helpers.forEach(h -> mPermits.use(h.run(), now));
+    }
+
     /** Records that an endpoint has sent bytes. */
     void recordBytes(EndpointId id, Instant now) {
         mActivity.merge(id, EndpointActivity.NOTHING.withData(now), (old, n) -> old.withData(now));
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOperation.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOperation.java
@@ -217,6 +217,7 @@
         mAttemptCount++;
         mTriedEndpoints.add(attemptPlan.endpoint().id());
         mContext.tracker().recordSent(attemptPlan.endpoint().id(), now);
+        mContext.tracker().recordHelpers(attemptPlan.helpers(), now);
         AttemptLog.recordSent(mContext, mExchange.id(), mAttemptCount, attemptPlan, remaining);
         ForwardAttempt attempt =
                 new ForwardAttempt(
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/LoadPattern.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/LoadPattern.java
@@ -8,14 +8,17 @@
  * Arrival rates over time: each phase multiplies the classes' mean rates.
  *
  * @param crashedFraction fraction of the engines that crash permanently halfway through the pattern
+ * @param limitedFraction fraction of the engines that state a rate limit
  */
-record LoadPattern(String name, ImmutableList<Phase> phases, double crashedFraction) {
+record LoadPattern(
+        String name, ImmutableList<Phase> phases, double crashedFraction, double limitedFraction) {
     private static final String QUESTION = "question";
     private static final String REVIEW = "review";
     private static final String AUDIT = "audit";
     private static final double BURST = 2.2;
     private static final double CRASH_BURST = 1.5;
     private static final double CRASHED_FRACTION = 0.2;
+    private static final double LIMITED_FRACTION = 0.125;
     private static final double PHASE_MILLIS = 10_000;
 
     private static final Phase AUDITS =
@@ -24,7 +27,7 @@
             new Phase(PHASE_MILLIS, ImmutableMap.of(QUESTION, 2.5, REVIEW, 0.5, AUDIT, 0.05));
 
     private LoadPattern(String name, ImmutableList<Phase> phases) {
-        this(name, phases, 0);
+        this(name, phases, 0, 0);
     }
 
     /** Demand that alternates every ten seconds between audits and questions. */
@@ -55,7 +58,16 @@
     static LoadPattern crash() {
         Phase mean = new Phase(PHASE_MILLIS, ImmutableMap.of());
         return new LoadPattern(
-                "crash", ImmutableList.of(mean, mean.times(CRASH_BURST), mean), CRASHED_FRACTION);
+                "crash",
+                ImmutableList.of(mean, mean.times(CRASH_BURST), mean),
+                CRASHED_FRACTION,
+                0);
+    }
+
+    /** Demand that alternates while some engines state a rate limit below their usual rate. */
+    static LoadPattern limits() {
+        return new LoadPattern(
+                "limits", ImmutableList.of(AUDITS, QUESTIONS, AUDITS), 0, LIMITED_FRACTION);
     }
 
     /** Returns the length in milliseconds. */
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternMain.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternMain.java
@@ -32,7 +32,8 @@
                     LoadPattern.highSwings(),
                     LoadPattern.steady(),
                     LoadPattern.bursts(),
-                    LoadPattern.crash());
+                    LoadPattern.crash(),
+                    LoadPattern.limits());
 
     private PatternMain() {}
 
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternPolicy.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternPolicy.java
@@ -127,6 +127,24 @@
         }
     },
 
+    /** The product's policy, but uses rate-limited engines only if there are no others. */
+    WITHOUT_LIMITED {
+        @Override
+        StreamPlacement place(
+                StreamNeed need, EngineCost cost, ImmutableList<Candidate> engines, long turn) {
+            ImmutableList<Candidate> unlimited =
+                    engines.stream()
+                            .filter(c -> !c.rateLimited())
+                            .collect(ImmutableList.toImmutableList());
+            return FULL.place(need, cost, unlimited.isEmpty() ? engines : unlimited, turn);
+        }
+
+        @Override
+        boolean rejects(StreamNeed need, EngineCost cost, ImmutableList<Candidate> engines) {
+            return FULL.rejects(need, cost, engines);
+        }
+    },
+
     /** The product's policy without refusals. */
     NO_REFUSALS {
         @Override
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternRun.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternRun.java
@@ -58,6 +58,7 @@
     private final Map<EndpointId, BatchingEngine> mEngines = new HashMap<>();
     private final List<WorkLedger> mDaemons = new ArrayList<>();
     private final WorkSums mWorkSums = new WorkSums();
+    private final PatternLimits mLimits = new PatternLimits();
     private final Map<PatternRequest, PatternAttempt> mRunning = new LinkedHashMap<>();
     private final List<PatternRequest> mRequests = new ArrayList<>();
     private final UniformRandomProvider mRandom;
@@ -92,6 +93,7 @@
 
     /** Simulates the pattern and returns all requests. */
     ImmutableList<PatternRequest> simulate(LoadPattern pattern) {
+        mLimits.start(mFleet, mEngines.values(), pattern.limitedFraction(), mClock.now());
         mFleet.classes().forEach(c -> scheduleArrivals(pattern, c));
         for (int daemon = 0; daemon < mDaemons.size(); daemon++) {
             int number = daemon;
@@ -157,15 +159,19 @@
     }
 
     private ImmutableList<Candidate> candidates(int daemon) {
+        mLimits.fill(mClock.now());
         WorkLedger ledger = mDaemons.get(daemon);
         List<Candidate> candidates = new ArrayList<>();
-        mEngines.values()
+        mEngines.values().stream()
+                .map(BatchingEngine::endpoint)
+                .filter(e -> mLimits.accepts(e, mClock.now()))
                 .forEach(
                         e ->
                                 candidates.add(
                                         new Candidate(
-                                                e.endpoint(),
-                                                ledger.of(e.endpoint().id(), mClock.now()))));
+                                                e,
+                                                ledger.of(e.id(), mClock.now()),
+                                                mLimits.isLimited(e))));
         Collections.shuffle(candidates, mShuffleRandom::nextLong);
         return ImmutableList.copyOf(candidates);
     }
@@ -173,6 +179,7 @@
     private void send(PatternAttempt attempt, PatternRequest request) {
         StreamPlacement placed = attempt.placed();
         mRunning.put(request, attempt);
+        mLimits.use(placed, mClock.now());
         attempt.onStarted(mDaemons.get(attempt.daemon()));
         double end = attempt.placed().prefillEndMillis() + AttemptWork.PASS.toMillis();
         mClock.schedule(
--- a/standins/src/test/java/io/bilberrygrade/standins/load/pattern/PatternTest.java
+++ b/standins/src/test/java/io/bilberrygrade/standins/load/pattern/PatternTest.java
@@ -87,6 +87,17 @@
         }
     }
 
+    @Test
+    void usingRateLimitedEnginesUpToTheirLimitsEarnsMoreThanLeavingThemOut() {
+        for (FleetProfile fleet :
+                ImmutableList.of(FleetProfile.small(), FleetProfile.grown(), FleetProfile.desk())) {
+            double full = simulate(LoadPattern.limits(), PatternPolicy.FULL, fleet).worth();
+            double without =
+                    simulate(LoadPattern.limits(), PatternPolicy.WITHOUT_LIMITED, fleet).worth();
+            assertThat(full).isGreaterThan(without);
+        }
+    }
+
     @Test
     void requestsOfCrashedEnginesAreServedByOthers() {
         PatternRow row =
