--- a/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
@@ -86,6 +86,11 @@
     record EndpointRateLimitChanged(String endpoint, String stated, boolean applied, String source)
             implements ForwardEvent {}
 
+    /** An endpoint stated something about itself that this version doesn't know. */
+    @EventInfo(number = 7020, level = EventLevel.WARN)
+    record EndpointStatementUnknown(String endpoint, String name, String value)
+            implements ForwardEvent {}
+
     /** The store could not be read. */
     @EventInfo(number = 7012, level = EventLevel.WARN)
     record StoreLost(String call, String error) implements ForwardEvent {}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointStatusUpdater.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointStatusUpdater.java
@@ -2,31 +2,53 @@
 
 import io.bilberrygrade.core.forward.EndpointBackoffs;
 import io.bilberrygrade.core.forward.EndpointRun;
-import io.bilberrygrade.core.identity.RequestId;
 import io.bilberrygrade.core.ratelimit.RateLimit;
+import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.event.ForwardEvent;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
+import org.apache.commons.rng.UniformRandomProvider;
 
 /**
  * Applies what an answer states about the endpoint itself (leaving, backoff, rate limit), whatever
- * becomes of the request.
+ * becomes of the request. Statements that this version doesn't know are logged rather than ignored.
  */
 final class EndpointStatusUpdater {
     private static final int MISDIRECTED = 421;
     private static final String SOURCE = "answer";
 
-    private final ForwardContext mContext;
+    /** Maximum number of unknown names that are logged, each once. */
+    private static final int MAX_UNKNOWN_NAMES = 64;
 
-    EndpointStatusUpdater(ForwardContext context) {
-        mContext = context;
+    private final StateController mState;
+    private final EndpointTracker mTracker;
+    private final UniformRandomProvider mRandom;
+    private final EventLog mEvents;
+    private final Set<String> mUnknownNames = new HashSet<>();
+
+    EndpointStatusUpdater(
+            StateController state,
+            EndpointTracker tracker,
+            UniformRandomProvider random,
+            EventLog events) {
+        mState = state;
+        mTracker = tracker;
+        mRandom = random;
+        mEvents = events;
     }
 
-    /** Applies the head of an answer of a run to a request that was sent at the given time. */
-    void apply(EndpointRun run, AnswerHead head, RequestId request, Instant sentAt, Instant now) {
+    /**
+     * Applies the head of an answer of a run to a request that was sent at the given time.
+     *
+     * @param request id of the request, for the log
+     */
+    void apply(EndpointRun run, AnswerHead head, String request, Instant sentAt, Instant now) {
+        head.unknownStatements().forEach((name, value) -> logUnknown(run, name, value));
         if (head.leaving()) {
-            mContext.state().onEndpointLeaving(run, SOURCE);
+            mState.onEndpointLeaving(run, SOURCE);
         }
         if (head.busy()) {
             head.retryAfter().ifPresent(text -> backOff(run, text, request, now));
@@ -37,17 +59,22 @@
         }
     }
 
-    private void backOff(EndpointRun run, String text, RequestId request, Instant now) {
+    private void logUnknown(EndpointRun run, String name, String value) {
+        if (mUnknownNames.size() < MAX_UNKNOWN_NAMES && mUnknownNames.add(name)) {
+            mEvents.record(
+                    new ForwardEvent.EndpointStatementUnknown(run.id().value(), name, value));
+        }
+    }
+
+    private void backOff(EndpointRun run, String text, String request, Instant now) {
         Optional<Duration> backoff = EndpointBackoffs.parse(text);
-        backoff.ifPresent(
-                d -> mContext.tracker().backOff(run, d, mContext.random().nextDouble(), now));
-        mContext.events()
-                .record(
-                        new ForwardEvent.EndpointRests(
-                                request.value(),
-                                run.id().value(),
-                                text,
-                                backoff.map(Duration::toMillis).orElse(0L)));
+        backoff.ifPresent(d -> mTracker.backOff(run, d, mRandom.nextDouble(), now));
+        mEvents.record(
+                new ForwardEvent.EndpointRests(
+                        request,
+                        run.id().value(),
+                        text,
+                        backoff.map(Duration::toMillis).orElse(0L)));
     }
 
     /**
@@ -61,15 +88,14 @@
             return;
         }
         boolean credible = limit.isPresent() || head.sealed() || head.notRun();
-        if (credible && mContext.tracker().recordRateLimit(run, limit, sentAt, now)) {
+        if (credible && mTracker.recordRateLimit(run, limit, sentAt, now)) {
             recordRateLimitEvent(run, head, true);
         }
     }
 
     private void recordRateLimitEvent(EndpointRun run, AnswerHead head, boolean applied) {
-        mContext.events()
-                .record(
-                        new ForwardEvent.EndpointRateLimitChanged(
-                                run.id().value(), head.rateLimit().orElse(""), applied, SOURCE));
+        mEvents.record(
+                new ForwardEvent.EndpointRateLimitChanged(
+                        run.id().value(), head.rateLimit().orElse(""), applied, SOURCE));
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
@@ -145,11 +145,11 @@
             fail(Delivery.MAY_HAVE_RUN, "the answer is to another request");
             return;
         }
-        new EndpointStatusUpdater(mContext)
+        mContext.endpointStatus()
                 .apply(
                         mPlan.endpoint().run(),
                         head,
-                        mExchange.id(),
+                        mExchange.id().value(),
                         mStartedAt,
                         mContext.clocks().now());
         if (head.notRun() || head.status() == MISDIRECTED) {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardContext.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardContext.java
@@ -8,6 +8,7 @@
 record ForwardContext(
         StateController state,
         EndpointTracker tracker,
+        EndpointStatusUpdater endpointStatus,
         AttemptPlanner planner,
         RetryBudgets budgets,
         EndpointClient client,
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -172,6 +172,7 @@
                 new ForwardContext(
                         mState,
                         mTracker,
+                        new EndpointStatusUpdater(mState, mTracker, mRandom, mEvents),
                         new AttemptPlanner(mTracker, mSettings.get().dataCentre(), mRandom),
                         new RetryBudgets(mSettings.get(), () -> mFleet.size(mClocks.now())),
                         mClient,
