Apply what engines state in answers to orders

Cause: an endpoint states in all its answers that it leaves, backs off or has a rate limit, but the answers to the orders that reserve and release memory were read for their status only. An engine that said so to a daemon that holds memory there went on getting its requests. Change: the client of orders hands the head of each answer to the same class that applies those of requests. Why it works: there is one place now that applies such statements, whichever call they answer. Answers to orders bear no mark, so they can state a limit but never end one.

--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -42,6 +42,10 @@
     private static final Duration EXIT_MARGIN = Duration.ofMillis(400);
 
     private static final double PERCENT = 100;
+
+    /** Stands for the request in events about answers to orders. */
+    private static final String ORDER = "order";
+
     private static final Duration IDLE_CHECK_PERIOD = Duration.ofSeconds(1);
 
     private final ActiveSettings mSettings;
@@ -168,21 +172,17 @@
 
     private FilterChain<ForwardExchange> chain() {
         mTracker = new EndpointTracker(mState.endpoints(), mWork);
+        EndpointStatusUpdater endpointStatus =
+                new EndpointStatusUpdater(mState, mTracker, mRandom, mEvents);
         ForwardContext forwardContext =
                 new ForwardContext(
                         mState,
                         mTracker,
-                        new EndpointStatusUpdater(mState, mTracker, mRandom, mEvents),
+                        endpointStatus,
                         new AttemptPlanner(mTracker, mSettings.get().dataCentre(), mRandom),
                         new RetryBudgets(mSettings.get(), () -> mFleet.size(mClocks.now())),
                         mClient,
-                        new MemoryReservations(
-                                mPlatform.memory(vertx),
-                                mSettings.get().instance(),
-                                mRandom,
-                                mTimers,
-                                mClocks,
-                                mEvents),
+                        memory(endpointStatus),
                         () -> mExchange.requestPermits(),
                         mClocks,
                         mTimers,
@@ -198,6 +198,17 @@
                         new DispatchFilter(forwardContext)));
     }
 
+    private MemoryReservations memory(EndpointStatusUpdater endpointStatus) {
+        EngineMemory memory =
+                mPlatform.memory(
+                        vertx,
+                        (engine, head) ->
+                                endpointStatus.apply(
+                                        engine.run(), head, ORDER, mClocks.now(), mClocks.now()));
+        return new MemoryReservations(
+                memory, mSettings.get().instance(), mRandom, mTimers, mClocks, mEvents);
+    }
+
     private void registerGauges() {
         mEvents.registerGauge("running_requests", mDrain::runningRequests);
         mEvents.registerGauge(
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/PlatformBindings.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/PlatformBindings.java
@@ -16,6 +16,6 @@
     /** Returns the decoder of configurations that peers send. */
     ConfigDecoder configDecoder();
 
-    /** Returns a client that reserves memory on engines. */
-    EngineMemory memory(Vertx vertx);
+    /** Returns a client that reserves memory on engines; the listener gets their answers. */
+    EngineMemory memory(Vertx vertx, EndpointAnswerListener listener);
 }
