Keep the fleet's peak size from going round for ever

Cause: daemons reported their largest known size of the fleet to each other, and each took the other's for a new observation. After a fleet had shrunk, its rate limits would have stayed divided by the old size as long as two daemons lived. Change: only current sizes are reported, and each daemon remembers the largest by itself (FleetView.peakSize), which other fleet-wide limits can use too. Result: EndpointRateLimitFleetTest passes, with a new case in which half of a fleet is lost and the rest uses the whole limit eleven minutes later; that case was not run on the code before, which lacks the method.

--- a/core/src/main/java/io/bilberrygrade/core/ratelimit/FleetPeak.java
+++ b/core/src/main/java/io/bilberrygrade/core/exchange/FleetPeak.java
@@ -1,4 +1,4 @@
-package io.bilberrygrade.core.ratelimit;
+package io.bilberrygrade.core.exchange;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -9,7 +9,7 @@
  * The largest recent size of the fleet. Daemons that can't be reached any more may still run, so
  * what is divided among all daemons is divided by this number rather than by the current one.
  */
-public final class FleetPeak {
+final class FleetPeak {
     /** Time for which a daemon that is out of reach is assumed to run. */
     static final Duration HOLD_TIME = Duration.ofMinutes(10);
 
@@ -17,7 +17,7 @@
     private final Deque<Observation> mObservations = new ArrayDeque<>();
 
     /** Records the size of the fleet as it is known now, or as a peer reported it. */
-    public void observe(int size, Instant now) {
+    void observe(int size, Instant now) {
         while (!mObservations.isEmpty() && mObservations.getLast().size() <= size) {
             mObservations.removeLast();
         }
@@ -25,7 +25,7 @@
     }
 
     /** Returns the largest size that was observed recently; 1 if there is none. */
-    public int size(Instant now) {
+    int size(Instant now) {
         Instant since = now.minus(HOLD_TIME);
         while (mObservations.size() > 1 && mObservations.getFirst().at().isBefore(since)) {
             mObservations.removeFirst();
--- a/core/src/main/java/io/bilberrygrade/core/exchange/FleetView.java
+++ b/core/src/main/java/io/bilberrygrade/core/exchange/FleetView.java
@@ -35,6 +35,7 @@
     private ImmutableSet<Address> mSeeds;
     private final Map<Address, MemberRecord> mSeen = new HashMap<>();
     private final Map<Address, Instant> mRetryAt = new HashMap<>();
+    private final FleetPeak mPeak = new FleetPeak();
     private final Set<Address> mEverReached = new HashSet<>();
     private int mNextSeedIndex;
     private int mReportedSize;
@@ -146,11 +147,21 @@
                 : knownMembers;
     }
 
+    /**
+     * Returns the largest recent size of the fleet, with which to divide what daemons that can't
+     * reach each other share. Peers report current sizes only: a peak that went round would last
+     * for ever.
+     */
+    public int peakSize(Instant now) {
+        mPeak.observe(sizeWithUnreachedSeeds(now), now);
+        return mPeak.size(now);
+    }
+
     /**
      * Returns the size of the fleet including seeds that this daemon has never reached, which may
      * be running nevertheless.
      */
-    public int sizeWithUnreachedSeeds(Instant now) {
+    int sizeWithUnreachedSeeds(Instant now) {
         int size = size(now);
         int unreached =
                 (int)
--- a/core/src/test/java/io/bilberrygrade/core/ratelimit/FleetPeakTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/exchange/FleetPeakTest.java
@@ -1,4 +1,4 @@
-package io.bilberrygrade.core.ratelimit;
+package io.bilberrygrade.core.exchange;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/RateLimitExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/RateLimitExchange.java
@@ -7,7 +7,6 @@
 import io.bilberrygrade.core.forward.EndpointRun;
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.ratelimit.EndpointRateLimits;
-import io.bilberrygrade.core.ratelimit.FleetPeak;
 import io.bilberrygrade.core.ratelimit.FollowerShares;
 import io.bilberrygrade.core.ratelimit.PermitGrant;
 import io.bilberrygrade.core.ratelimit.RateLimit;
@@ -35,7 +34,6 @@
     private final EndpointRateLimits mLimits;
     private final RateLimitPermits mPermits;
     private final EventLog mEvents;
-    private final FleetPeak mPeak = new FleetPeak();
     private final FollowerShares mShares = new FollowerShares();
     private final RateLimitAllocator mAllocator = new RateLimitAllocator();
     private Optional<FleetMember> mFollowed = Optional.empty();
@@ -56,7 +54,7 @@
             mFollowed = Optional.of(aggregator);
             mFollowedSince = now;
         }
-        mPeak.observe(mFleet.sizeWithUnreachedSeeds(now), now);
+        mFleet.peakSize(now);
         if (aggregator.equals(mSelf)) {
             mShares.recordReport(mSelf.address(), followedFor(now), now);
             mAllocator.fill(mLimits, fraction(now), now);
@@ -73,7 +71,7 @@
 
     /** Returns the part of each limit that this daemon hands out. */
     double fraction(Instant now) {
-        return mFleet.hasMetPeers() ? mShares.fraction(mPeak.size(now), now) : 0;
+        return mFleet.hasMetPeers() ? mShares.fraction(mFleet.peakSize(now), now) : 0;
     }
 
     private void grantToSelf(Instant now) {
@@ -112,7 +110,7 @@
                 follower ? mLimits.all() : mLimits.recentOwn(now);
         return mLimits.isEmpty()
                 ? null
-                : new RateLimitReply(mPeak.size(now), RateLimitCodec.entries(limits, now), grants);
+                : new RateLimitReply(RateLimitCodec.entries(limits, now), grants);
     }
 
     private ImmutableList<PermitGrantEntry> grant(List<PermitRequestEntry> requests, Instant now) {
@@ -136,7 +134,6 @@
         if (reply == null || reply.limits() == null || reply.grants() == null) {
             return;
         }
-        mPeak.observe(reply.fleetPeak(), now);
         merge(RateLimitCodec.statements(reply.limits(), now), peer);
         reply.grants()
                 .forEach(
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/EndpointRateLimitFleetTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/EndpointRateLimitFleetTest.java
@@ -11,6 +11,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -196,6 +197,20 @@
         checkWithinRule(endpoint, perSecond, binding);
     }
 
+    /** Daemons that are out of reach keep their shares for a time, but not for ever. */
+    @Test
+    void fleetThatShrankUsesTheWholeLimitAgain() {
+        LimitedEndpoint endpoint = fleetWithLimit(4, 14);
+        advance(8);
+        mFleet.mMembers.subList(2, 4).forEach(m -> m.mProcess.kill());
+        advance(20);
+        assertThat((double) endpoint.arrivals(mFleet.now().minusSeconds(10)))
+                .isLessThan(0.6 * 14 * 10);
+        mFleet.mTime.advance(Duration.ofMinutes(11));
+        assertThat((double) endpoint.arrivals(mFleet.now().minusSeconds(10)))
+                .isGreaterThan(0.7 * 14 * 10);
+    }
+
     @ParameterizedTest
     @CsvSource({"4, 14, 1", "45, 14, 0.2", "410, 14, 1", "4, 1, 0", "45, 2, 9"})
     void sumFollowsTheLimitThatIsStatedNow(int members, double before, double now) {
