Share the slack of retries among daemons that are out of reach

Cause: the slack of a service's retries was divided by twice the number of daemons known at the moment (13 at least). Daemons that can't reach each other know of few, so their parts add up to more than the whole. Ruled out: the ratio's part, which each daemon applies to its own requests. Why it works: each part is at most the slack over the number of all daemons.

--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -180,7 +180,10 @@
                         mTracker,
                         endpointStatus,
                         new AttemptPlanner(mTracker, mSettings.get().dataCentre(), mRandom),
-                        new RetryBudgets(mSettings.get(), () -> mFleet.size(mClocks.now())),
+                        new RetryBudgets(
+                                mSettings.get(),
+                                () -> mFleet.size(mClocks.now()),
+                                () -> mFleet.peakSize(mClocks.now())),
                         mClient,
                         memory(endpointStatus),
                         () -> mExchange.requestPermits(),
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/RetryBudgets.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/RetryBudgets.java
@@ -21,11 +21,20 @@
 
     private final ForwardSettings mSettings;
     private final IntSupplier mFleetSize;
+    private final IntSupplier mFleetPeak;
     private final Map<ServiceId, RetryBudget> mByService = new HashMap<>();
 
-    RetryBudgets(ForwardSettings settings, IntSupplier fleetSize) {
+    /**
+     * Creates the budgets.
+     *
+     * @param fleetSize supplies the number of daemons that are known now
+     * @param fleetPeak supplies the largest recent number of daemons, as some of them may run out
+     *     of reach and use their parts
+     */
+    RetryBudgets(ForwardSettings settings, IntSupplier fleetSize, IntSupplier fleetPeak) {
         mSettings = settings;
         mFleetSize = fleetSize;
+        mFleetPeak = fleetPeak;
     }
 
     /** Returns the budget of a service. */
@@ -40,7 +49,8 @@
     }
 
     private int slack() {
-        int daemons = ASSUMED_DAEMONS_PER_KNOWN * mFleetSize.getAsInt();
+        int known = ASSUMED_DAEMONS_PER_KNOWN * mFleetSize.getAsInt();
+        int daemons = Math.max(known, mFleetPeak.getAsInt());
         return mSettings.repeatSlack() / Math.max(MIN_ASSUMED_DAEMONS, daemons);
     }
 }
