Count daemons that are lost no longer as part of the fleet

What callers saw: nothing known; found by a test of rate limits. Cause: a daemon reported the larger of the number of members that it knows and the number that a peer had reported to it within 3 s. Two daemons confirmed each other's number for ever, so the fleet never shrank: after losses retries, rate limits and the interval of the exchange stayed those of the old size. Change: what is reported is the number of members known to the daemon itself; the aggregator knows all, since all report to it. Why it works: a number isn't passed on by those who only heard it.

--- a/core/src/main/java/io/bilberrygrade/core/exchange/FleetView.java
+++ b/core/src/main/java/io/bilberrygrade/core/exchange/FleetView.java
@@ -140,13 +140,21 @@
      * known here and the number that a peer reported within {@code LIFETIME}.
      */
     public int size(Instant now) {
-        removeExpired(now);
-        int knownMembers = (int) currentMembers(now).count() + 1;
+        int knownMembers = knownSize(now);
         return mSizeReportedAt.plus(LIFETIME).isAfter(now)
                 ? Math.max(knownMembers, mReportedSize)
                 : knownMembers;
     }
 
+    /**
+     * Returns the number of members known here, including this daemon, which is what it reports to
+     * peers: if sizes were passed on by hearsay, two daemons would confirm an old one for ever.
+     */
+    public int knownSize(Instant now) {
+        removeExpired(now);
+        return (int) currentMembers(now).count() + 1;
+    }
+
     /**
      * Returns the largest recent size of the fleet, with which to divide what daemons that can't
      * reach each other share. Peers report current sizes only: a peak that went round would last
@@ -168,7 +176,7 @@
                         mSeeds.stream()
                                 .filter(s -> !mEverReached.contains(s) && !mSeen.containsKey(s))
                                 .count();
-        return Math.max(size, (int) currentMembers(now).count() + 1 + unreached);
+        return Math.max(size, knownSize(now) + unreached);
     }
 
     /** Returns whether this daemon has reached a peer since its start, or is meant to be alone. */
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
@@ -289,7 +289,7 @@
                 update.whole(),
                 WorkCodec.entries(update.sums()),
                 WorkCodec.fleet(mFleet.contactedAggregators(now)),
-                mFleet.size(now),
+                mFleet.knownSize(now),
                 mConfirmations.ownConfirmation(),
                 WorkCodec.leaving(leaving),
                 mRelay.changesSince(new StorePosition(work.storeEra(), work.storeRevision())),
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/WorkExchangeFleetTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/WorkExchangeFleetTest.java
@@ -27,6 +27,12 @@
      */
     private static final Duration SETTLE_TIME = Duration.ofSeconds(6);
 
+    /**
+     * Time within which a lost member is no longer counted: it is named for 3 s after the last
+     * contact, counted for 3 s after it was last named, and an exchange takes less than 1 s.
+     */
+    private static final Duration FORGET_TIME = Duration.ofSeconds(7);
+
     private final ExchangeTestFleet mFleet = new ExchangeTestFleet(7);
 
     private int calls(Member member) {
@@ -106,6 +112,17 @@
         checkAllCountWorkOfAll();
     }
 
+    @ParameterizedTest
+    @CsvSource({"4, 1", "4, 2", "38, 1", "38, 20", "100, 50"})
+    void lostMembersAreNoLongerCounted(int members, int lost) {
+        fleet(members);
+        members().subList(members - lost, members).forEach(m -> m.mProcess.kill());
+        advance(FORGET_TIME);
+        members()
+                .subList(0, members - lost)
+                .forEach(m -> assertThat(m.mFleet.size(mFleet.now())).isEqualTo(members - lost));
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {0, 1, 20})
     void frozenMemberIsDroppedAndRejoins(int frozen) {
