--- a/serving/src/test/java/io/bilberrygrade/serving/forward/EndpointRateLimitFleetTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/EndpointRateLimitFleetTest.java
@@ -32,6 +32,9 @@
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
+    /** Limit of a daemon's control traffic. */
+    private static final long MAX_CONTROL_BYTES_PER_SECOND = 2_048;
+
     private final ExchangeTestFleet mFleet = new ExchangeTestFleet(11);
 
     private LimitedEndpoint fleetWithLimit(int members, double perSecond) {
@@ -197,6 +200,30 @@
         checkWithinRule(endpoint, perSecond, binding);
     }
 
+    /** Ten limited endpoints, each with demand from every member. */
+    @ParameterizedTest
+    @ValueSource(ints = {45, 410})
+    void rateLimitsLeaveRoomInTheControlTraffic(int members) {
+        mFleet.add(members);
+        mFleet.mTime.advance(SETTLE_TIME);
+        long idle = bytesPerMemberAndSecond(members);
+        for (int i = 0; i < 10; i++) {
+            LimitedEndpoint endpoint = new LimitedEndpoint(mFleet, "limited" + i, 1);
+            mFleet.mMembers.forEach(m -> endpoint.sendFrom(m, Duration.ofSeconds(1)));
+        }
+        advance(5);
+        long limited = bytesPerMemberAndSecond(members);
+        assertThat(limited - idle)
+                .as(idle + " B/s without and " + limited + " B/s with rate limits")
+                .isLessThan(MAX_CONTROL_BYTES_PER_SECOND);
+    }
+
+    private long bytesPerMemberAndSecond(int members) {
+        long before = mFleet.mNetwork.totalSentBytes();
+        advance(10);
+        return (mFleet.mNetwork.totalSentBytes() - before) / members / 10;
+    }
+
     /** Daemons that are out of reach keep their shares for a time, but not for ever. */
     @Test
     void fleetThatShrankUsesTheWholeLimitAgain() {
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/LimitedEndpoint.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/LimitedEndpoint.java
@@ -41,17 +41,24 @@
     private final ExchangeTestFleet mFleet;
     private final List<Arrival> mArrivals = new ArrayList<>();
     private final Map<ExchangeTestFleet.Member, Instant> mToldAt = new HashMap<>();
-    private RegisteredEndpoint mEndpoint = endpoint(1);
+    private final EndpointId mId;
+    private RegisteredEndpoint mEndpoint;
     private Optional<RateLimit> mStated;
 
     LimitedEndpoint(ExchangeTestFleet fleet, double perSecond) {
+        this(fleet, "limited", perSecond);
+    }
+
+    LimitedEndpoint(ExchangeTestFleet fleet, String id, double perSecond) {
         mFleet = fleet;
+        mId = new EndpointId(id);
+        mEndpoint = endpoint(1);
         mStated = Optional.of(new RateLimit(perSecond));
     }
 
-    private static RegisteredEndpoint endpoint(long startedAtMillis) {
+    private RegisteredEndpoint endpoint(long startedAtMillis) {
         return new RegisteredEndpoint(
-                new EndpointId("limited"),
+                mId,
                 startedAtMillis,
                 SERVICE,
                 new Address("10.9.0.1", 1),
