--- a/serving/src/test/java/io/bilberrygrade/serving/forward/RestoreTestDaemon.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/RestoreTestDaemon.java
@@ -25,7 +25,7 @@
 final class RestoreTestDaemon implements SimulatedPeer {
     static final Duration STALENESS = Duration.ofSeconds(5);
 
-    private final SimulatedProcess mProcess;
+    final SimulatedProcess mProcess;
     private final Address mAddress;
     private final PeerIdentity mIdentity;
     private final VirtualTime mTime;
