Take the store's changes from the standby as well

Cause: daemons other than the aggregator and the standby took changes of the endpoints from the aggregator only. One that is cut off from the store without a reset keeps answering "no changes" until a read of its own fails (up to 1.1 s and 0.9 s), and its peers wait another second before they watch the store themselves, while the standby has known all the time. Change: changes are taken from the standby too, which every daemon calls twice a second anyway. Why it works: changes apply to one position of one store only, so two sources can't undo each other, and a standby that is cut off as well is no worse than before.

--- a/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
@@ -44,6 +44,9 @@
     /** Age of the aggregator's sums from which those of the standby are used. */
     private static final Duration SUMS_STALE_AFTER = Duration.ofMillis(600);
 
+    /** Members that watch the store for all: the aggregator and the standby. */
+    private static final int STORE_WATCHERS = 2;
+
     private final PeerNetwork mNetwork;
     private final FleetView mFleet;
     private final FleetMember mSelf;
@@ -233,9 +236,11 @@
         if (aggregator.equals(source)) {
             mState.onPeersAsked();
         }
-        // The standby watches the store itself, since it may have to relay changes.
-        boolean standby = aggregators.size() > 1 && aggregators.get(1).equals(mSelf);
-        if (aggregator.equals(source) && !standby && h.store() != null) {
+        // The aggregator and the standby watch the store themselves; the others take the changes
+        // from both, since either may be cut off from the store without having noticed it.
+        ImmutableList<FleetMember> watching =
+                aggregators.subList(0, Math.min(STORE_WATCHERS, aggregators.size()));
+        if (watching.contains(source) && !watching.contains(mSelf) && h.store() != null) {
             mRelay.applyPeerChanges(h.store(), asked.store());
         }
     }
