Log the shared parts of prompts and how far a failed answer had come

Cause: the logs can't tell apart the three hypotheses on crashing engines: they don't say which requests share a part, nor which of those that a crash cut off had begun to be answered. Change: BG7001 has the ids of the shared parts, BG7003 the progress of the answer (CONNECTING, SENT, HEAD, WRITING). No decision reads them yet.

--- a/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
@@ -12,6 +12,7 @@
             String route,
             String team,
             long promptTokens,
+            String sharedParts,
             long timeLeftMillis,
             long configVersion)
             implements ForwardEvent {}
@@ -38,6 +39,7 @@
             int attempt,
             String endpoint,
             String delivery,
+            String progress,
             String error,
             long millis)
             implements ForwardEvent {}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/AcceptFilter.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AcceptFilter.java
@@ -1,5 +1,6 @@
 package io.bilberrygrade.serving.forward;
 
+import com.google.common.base.Joiner;
 import io.bilberrygrade.core.forward.ForwardingConfig;
 import io.bilberrygrade.core.forward.PromptShape;
 import io.bilberrygrade.core.identity.TeamId;
@@ -27,6 +28,7 @@
                         exchange.route().name(),
                         exchange.team().map(TeamId::value).orElse("none"),
                         exchange.head().prompt().map(PromptShape::promptTokens).orElse(0L),
+                        Joiner.on(',').join(exchange.head().sharedParts()),
                         Duration.between(exchange.arrival(), exchange.deadline()).toMillis(),
                         exchange.config().map(ForwardingConfig::version).orElse(0L)));
         return next.proceed(exchange);
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
@@ -100,6 +100,17 @@
         return mSent;
     }
 
+    /** Returns how far the endpoint's answer has come, as observed by this daemon. */
+    AnswerProgress progress() {
+        if (mFirstEventAt.isPresent()) {
+            return AnswerProgress.WRITING;
+        }
+        if (mHead.isPresent()) {
+            return AnswerProgress.HEAD;
+        }
+        return mSent ? AnswerProgress.SENT : AnswerProgress.CONNECTING;
+    }
+
     /** Cancels the attempt; the endpoint stops when it detects that the connection was closed. */
     void cancel() {
         if (!mFinished) {
@@ -281,6 +292,7 @@
                                 mAttemptNumber,
                                 mPlan.endpoint().id().value(),
                                 delivery.name(),
+                                progress().name(),
                                 detail,
                                 Duration.between(mStartedAt, now).toMillis()));
         mOwner.onFailed(delivery, detail);
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/RequestHead.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/RequestHead.java
@@ -1,5 +1,7 @@
 package io.bilberrygrade.serving.forward;
 
+import com.google.common.collect.ImmutableSet;
+import io.bilberrygrade.core.forward.PromptPart;
 import io.bilberrygrade.core.forward.PromptShape;
 import io.vertx.core.MultiMap;
 import io.vertx.core.http.HttpMethod;
@@ -11,6 +13,8 @@
  *
  * @param attemptId id of this attempt of the caller; answers of endpoints repeat it
  * @param timeLeft time for which the caller still waits
+ * @param sharedParts parts of the prompt that other requests may share, in order; the part that
+ *     belongs to the request alone is left out
  * @param resumeAfter last event of a broken stream that the caller has received
  * @param passedOn headers that are forwarded to the endpoint unchanged
  */
@@ -22,5 +26,6 @@
         Optional<String> key,
         Optional<Duration> timeLeft,
         Optional<PromptShape> prompt,
+        ImmutableSet<PromptPart> sharedParts,
         Optional<Long> resumeAfter,
         MultiMap passedOn) {}
