Suspect requests that only waited once all daemons have reported

Change: requests that had only been received are suspected once the daemon has had the time of two rounds with the aggregator since the crash, and not while most of the fleet is out of reach; what was answered in the ten seconds before a crash is cleared too; 16 records instead of 64, each set of them sent to a peer once in 5 s. Crashes of leaving endpoints aren't evidence.

--- a/core/src/main/java/io/bilberrygrade/core/quarantine/CrashEvidence.java
+++ b/core/src/main/java/io/bilberrygrade/core/quarantine/CrashEvidence.java
@@ -21,7 +21,7 @@
  */
 public final class CrashEvidence {
     /** Maximum number of records kept; a request is suspected after a few crashes. */
-    static final int MAX_RECORDS = 64;
+    static final int MAX_RECORDS = 16;
 
     /** Time for which a record is kept. */
     static final Duration LIFETIME = Duration.ofHours(12);
@@ -35,7 +35,7 @@
     /** Earliest first. */
     private ImmutableList<CrashRecord> mRecords = ImmutableList.of();
 
-    private ImmutableSet<PromptPart> mUncleared = ImmutableSet.of();
+    private ImmutableSet<PromptPart> mSuspects = ImmutableSet.of();
     private long mDigest;
 
     /** Returns whether no crash is known. */
@@ -75,7 +75,7 @@
 
     /** Clears parts with which a request was answered; returns whether one was suspected. */
     public boolean clear(ImmutableSet<PromptPart> parts) {
-        if (Collections.disjoint(parts, mUncleared)) {
+        if (Collections.disjoint(parts, mSuspects)) {
             return false;
         }
         replace(mRecords.stream().map(r -> r.clear(parts)).toList());
@@ -125,9 +125,9 @@
                 records.stream()
                         .sorted(Comparator.comparing(CrashRecord::at))
                         .collect(ImmutableList.toImmutableList());
-        mUncleared =
+        mSuspects =
                 mRecords.stream()
-                        .flatMap(r -> r.uncleared().stream())
+                        .flatMap(r -> r.suspects().stream())
                         .collect(ImmutableSet.toImmutableSet());
         mDigest = mRecords.stream().mapToLong(CrashEvidence::digest).sum();
     }
--- a/core/src/main/java/io/bilberrygrade/core/quarantine/CrashRecord.java
+++ b/core/src/main/java/io/bilberrygrade/core/quarantine/CrashRecord.java
@@ -48,11 +48,6 @@
         return first.isEmpty() ? Sets.difference(waiting, cleared).immutableCopy() : first;
     }
 
-    /** Returns all parts with which no request has been answered since. */
-    ImmutableSet<PromptPart> uncleared() {
-        return Sets.difference(union(begun, waiting), cleared).immutableCopy();
-    }
-
     /** Returns whether an answer had just begun with one of the suspects. */
     boolean isStrong() {
         return !Sets.difference(begun, cleared).isEmpty();
@@ -70,13 +65,8 @@
 
     /** Returns this record without suspicion of some parts. */
     CrashRecord clear(ImmutableSet<PromptPart> parts) {
-        ImmutableSet<PromptPart> known = union(begun, waiting);
-        return new CrashRecord(
-                run,
-                at,
-                begun,
-                waiting,
-                union(cleared, Sets.intersection(parts, known).immutableCopy()));
+        ImmutableSet<PromptPart> suspected = Sets.intersection(parts, suspects()).immutableCopy();
+        return new CrashRecord(run, at, begun, waiting, union(cleared, suspected));
     }
 
     private static ImmutableSet<PromptPart> union(
--- a/core/src/main/java/io/bilberrygrade/core/quarantine/QuarantinePolicy.java
+++ b/core/src/main/java/io/bilberrygrade/core/quarantine/QuarantinePolicy.java
@@ -46,14 +46,24 @@
      * Returns whether a request with the given parts must not be sent, and why.
      *
      * @param records known crashes, earliest first
+     * @param completeUntil time of the last crashes of which all daemons have had time to report
+     *     what they had at the endpoint; of later ones, requests that had only been received aren't
+     *     suspected, since another daemon may have had one that had begun
      */
     public static Optional<Quarantine> of(
-            ImmutableSet<PromptPart> parts, ImmutableList<CrashRecord> records) {
-        return records.isEmpty()
-                ? Optional.empty()
-                : parts.stream()
-                        .flatMap(p -> of(p, parts, records).stream())
-                        .max(Comparator.comparing(Quarantine::trialAt));
+            ImmutableSet<PromptPart> parts,
+            ImmutableList<CrashRecord> records,
+            Instant completeUntil) {
+        if (records.isEmpty() || parts.isEmpty()) {
+            return Optional.empty();
+        }
+        ImmutableList<CrashRecord> counted =
+                records.stream()
+                        .filter(r -> r.isStrong() || !r.at().isAfter(completeUntil))
+                        .collect(ImmutableList.toImmutableList());
+        return parts.stream()
+                .flatMap(p -> of(p, parts, counted).stream())
+                .max(Comparator.comparing(Quarantine::trialAt));
     }
 
     private static Optional<Quarantine> of(
--- a/core/src/test/java/io/bilberrygrade/core/quarantine/QuarantinePolicyTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/quarantine/QuarantinePolicyTest.java
@@ -39,7 +39,20 @@
     }
 
     private Optional<Quarantine> of(String request) {
-        return QuarantinePolicy.of(parts(request), mEvidence.records());
+        return of(request, Instant.MAX);
+    }
+
+    private Optional<Quarantine> of(String request, Instant completeUntil) {
+        return QuarantinePolicy.of(parts(request), mEvidence.records(), completeUntil);
+    }
+
+    @Test
+    void reportsOfOtherDaemonsAreAwaitedBeforeWaitingRequestsAreSuspected() {
+        for (int i = 0; i < 3; i++) {
+            crash(300L * i, "", "sound");
+        }
+        assertThat(of("sound", START.plusMillis(599))).isEmpty();
+        assertThat(of("sound", START.plusMillis(600))).isPresent();
     }
 
     @Test
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/CrashDetector.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/CrashDetector.java
@@ -10,6 +10,7 @@
 import io.bilberrygrade.serving.time.Timers;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Function;
@@ -81,8 +82,8 @@
 
     private void record(
             EndpointRun run, ImmutableSet<PromptPart> begun, ImmutableSet<PromptPart> waiting) {
-        mQuarantine.recordCrash(
-                new CrashRecord(run, mClocks.now(), begun, waiting, ImmutableSet.of()));
+        Instant now = mClocks.now();
+        mQuarantine.recordCrash(new CrashRecord(run, now, begun, waiting, ImmutableSet.of()), now);
     }
 
     private static final class Probe {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/CrashExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/CrashExchange.java
@@ -8,6 +8,7 @@
 import io.bilberrygrade.core.quarantine.QuarantineTrials;
 import io.bilberrygrade.serving.peer.CrashEntry;
 import io.bilberrygrade.serving.peer.CrashReport;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.List;
@@ -19,12 +20,16 @@
  * bytes while nothing changes.
  */
 final class CrashExchange {
-    /** Maximum number of peers whose digests are kept: the aggregators and the seeds. */
-    private static final int MAX_PEERS = 16;
+    /** Maximum number of peers whose state is kept. */
+    private static final int MAX_PEERS = 2_048;
+
+    /** Time after which records are sent again to a peer that doesn't come to have the same. */
+    private static final Duration RESEND_AFTER = Duration.ofSeconds(5);
 
     private final FleetView mFleet;
     private final QuarantineController mQuarantine;
     private final Map<Address, Long> mPeerDigests = new HashMap<>();
+    private final Map<Address, Sent> mSent = new HashMap<>();
 
     CrashExchange(FleetView fleet, QuarantineController quarantine) {
         mFleet = fleet;
@@ -35,9 +40,10 @@
         return mQuarantine.evidence();
     }
 
-    /** Serves this daemon's own requests for trials if it is the aggregator. */
+    /** Serves this daemon itself if it is the aggregator. */
     void update(Instant now) {
         if (mFleet.isAggregator(now) && !evidence().isEmpty()) {
+            mQuarantine.recordExchanged(now);
             QuarantineTrials trials = mQuarantine.trials();
             trials.takeWanted().stream()
                     .filter(p -> trials.grant(p, now))
@@ -54,7 +60,7 @@
                 mFleet.aggregator(now).address().equals(peer) && !mFleet.isAggregator(now);
         return new CrashReport(
                 evidence().digest(),
-                entriesUnlessKnown(mPeerDigests.getOrDefault(peer, 0L), now),
+                entriesUnlessKnown(peer, mPeerDigests.getOrDefault(peer, 0L), now),
                 follows ? CrashCodec.ids(mQuarantine.trials().takeWanted()) : ImmutableList.of());
     }
 
@@ -70,7 +76,7 @@
         return evidence().isEmpty()
                 ? null
                 : new CrashReport(
-                        evidence().digest(), entriesUnlessKnown(peerDigest, now), granted);
+                        evidence().digest(), entriesUnlessKnown(peer, peerDigest, now), granted);
     }
 
     private ImmutableList<String> grant(CrashReport report, Instant now) {
@@ -87,6 +93,9 @@
         if (mPeerDigests.size() >= MAX_PEERS) {
             mPeerDigests.clear();
         }
+        if (mFleet.aggregator(now).address().equals(peer)) {
+            mQuarantine.recordExchanged(now);
+        }
         if (reply == null) {
             mPeerDigests.remove(peer);
             return;
@@ -98,10 +107,20 @@
         }
     }
 
-    private List<CrashEntry> entriesUnlessKnown(long peerDigest, Instant now) {
-        return peerDigest == evidence().digest()
-                ? null
-                : CrashCodec.entries(evidence().records(), now);
+    /** Returns the records for a peer, or null if it has them or was sent them just now. */
+    private List<CrashEntry> entriesUnlessKnown(Address peer, long peerDigest, Instant now) {
+        long own = evidence().digest();
+        Sent last = mSent.get(peer);
+        boolean sentBefore =
+                last != null && last.digest() == own && last.at().plus(RESEND_AFTER).isAfter(now);
+        if (peerDigest == own || (sentBefore && peerDigest != 0)) {
+            return null;
+        }
+        if (mSent.size() >= MAX_PEERS) {
+            mSent.clear();
+        }
+        mSent.put(peer, new Sent(own, now));
+        return CrashCodec.entries(evidence().records(), now);
     }
 
     private void merge(CrashReport report, Address peer, Instant now) {
@@ -109,4 +128,6 @@
             mQuarantine.merge(CrashCodec.records(report.crashes(), now), peer.toString(), now);
         }
     }
+
+    private record Sent(long digest, Instant at) {}
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
@@ -225,8 +225,9 @@
 
     /** Clears the prompt's parts of suspicion once its answer is well under way. */
     private void clearPartsOnceSettled() {
-        if (mProgress.hasSettled(mContext.clocks().now())) {
-            mContext.quarantine().recordAnswered(sharedParts());
+        Instant now = mContext.clocks().now();
+        if (mProgress.hasSettled(now)) {
+            mContext.quarantine().recordAnswered(sharedParts(), now);
         }
     }
 
@@ -246,7 +247,7 @@
             return;
         }
         mContext.tracker().recordSuccess(mPlan.endpoint().id());
-        mContext.quarantine().recordAnswered(sharedParts());
+        mContext.quarantine().recordAnswered(sharedParts(), mContext.clocks().now());
         if (isStreaming()) {
             mRelay.end(head);
         } else {
@@ -262,6 +263,7 @@
                 delivery == Delivery.MAY_HAVE_RUN
                         && !mFinished
                         && !sharedParts().isEmpty()
+                        && !mContext.state().endpoints().leaving().contains(mPlan.endpoint().run())
                         && !mProgress.hasSettled(mContext.clocks().now());
         if (closedEarly) {
             onClosedEarly(detail);
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -174,7 +174,7 @@
 
     private FilterChain<ForwardExchange> chain() {
         mTracker = new EndpointTracker(mState.endpoints(), mWork);
-        mQuarantine = new QuarantineController(mEvents);
+        mQuarantine = new QuarantineController(mFleet, mEvents);
         mQuarantine.onNews(() -> mExchange.reportNow());
         EndpointStatusUpdater endpointStatus =
                 new EndpointStatusUpdater(mState, mTracker, mRandom, mEvents);
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOperation.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOperation.java
@@ -183,7 +183,7 @@
                 !mEnded
                         && remaining.compareTo(MIN_ATTEMPT_TIME) >= 0
                         && keyRejection().isEmpty()
-                        && mQuarantine.mayStillSend()
+                        && mQuarantine.mayStillSend(now)
                         && mContext.tracker().isEligible(attemptPlan, now);
         if (memory.isPresent() && stillUseful) {
             send(attemptPlan, memory.get(), remaining, now);
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/QuarantineCheck.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/QuarantineCheck.java
@@ -30,7 +30,7 @@
      * @param mayHaveRun whether an earlier attempt may have run
      */
     Optional<Outcome> check(boolean mayHaveRun, Instant now) {
-        Optional<Quarantine> quarantine = mController.of(mParts);
+        Optional<Quarantine> quarantine = mController.of(mParts, now);
         mTrial = quarantine.filter(q -> mController.trials().tryUse(q, now)).isPresent();
         return mTrial ? Optional.empty() : quarantine.map(q -> outcome(q, mayHaveRun, now));
     }
@@ -64,7 +64,7 @@
     }
 
     /** Returns whether an attempt that has waited since the check may be sent. */
-    boolean mayStillSend() {
-        return mTrial || mController.of(mParts).isEmpty();
+    boolean mayStillSend(Instant now) {
+        return mTrial || mController.of(mParts, now).isEmpty();
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/QuarantineController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/QuarantineController.java
@@ -3,6 +3,8 @@
 import com.google.common.base.Joiner;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import io.bilberrygrade.core.exchange.ExchangeInterval;
+import io.bilberrygrade.core.exchange.FleetView;
 import io.bilberrygrade.core.forward.EndpointRun;
 import io.bilberrygrade.core.forward.PromptPart;
 import io.bilberrygrade.core.quarantine.CrashEvidence;
@@ -12,8 +14,11 @@
 import io.bilberrygrade.core.quarantine.QuarantineTrials;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.event.ForwardEvent;
+import java.time.Duration;
 import java.time.Instant;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -24,14 +29,35 @@
  * cancelled, before they crash it.
  */
 final class QuarantineController {
+    /** Maximum time within which daemons report what they had at a crashed endpoint. */
+    private static final Duration MAX_REPORT_TIME = Duration.ofMillis(1_500);
+
+    /** Time for which an answer speaks for its parts. */
+    private static final Duration ANSWER_LIFETIME = Duration.ofSeconds(10);
+
+    /** Maximum number of answered parts that are remembered while crashes are known. */
+    private static final int MAX_ANSWERED_PARTS = 256;
+
     private final CrashEvidence mEvidence = new CrashEvidence();
     private final QuarantineTrials mTrials = new QuarantineTrials();
     private final Set<Quarantinable> mInFlight = new LinkedHashSet<>();
+    private final Map<PromptPart, Instant> mAnsweredAt =
+            new LinkedHashMap<>() {
+                private static final long serialVersionUID = 1;
+
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<PromptPart, Instant> eldest) {
+                    return size() > MAX_ANSWERED_PARTS;
+                }
+            };
+    private final FleetView mFleet;
     private final EventLog mEvents;
     private Consumer<EndpointRun> mOnCrash = run -> {};
     private Runnable mOnNews = () -> {};
+    private Instant mExchangedAt = Instant.MIN;
 
-    QuarantineController(EventLog events) {
+    QuarantineController(FleetView fleet, EventLog events) {
+        mFleet = fleet;
         mEvents = events;
     }
 
@@ -54,8 +80,33 @@
     }
 
     /** Returns why a request with the given shared parts must not be sent, if that is so. */
-    Optional<Quarantine> of(ImmutableSet<PromptPart> parts) {
-        return QuarantinePolicy.of(parts, mEvidence.records());
+    Optional<Quarantine> of(ImmutableSet<PromptPart> parts, Instant now) {
+        return mEvidence.isEmpty()
+                ? Optional.empty()
+                : QuarantinePolicy.of(parts, mEvidence.records(), completeUntil(now));
+    }
+
+    /** Records that this daemon has what the aggregator knows. */
+    void recordExchanged(Instant now) {
+        mExchangedAt = now;
+    }
+
+    /**
+     * Returns the time of the last crashes of which this daemon knows what all others had at the
+     * endpoint; none while most of them are out of reach.
+     */
+    private Instant completeUntil(Instant now) {
+        int peak = mFleet.peakSize(now);
+        int size = mFleet.size(now);
+        if (peak == 1) {
+            return now;
+        }
+        if (2 * size < peak) {
+            return Instant.MIN;
+        }
+        Duration rounds = ExchangeInterval.nextInterval(size, true).multipliedBy(2);
+        Duration reportTime = rounds.compareTo(MAX_REPORT_TIME) < 0 ? rounds : MAX_REPORT_TIME;
+        return mExchangedAt.equals(Instant.MIN) ? Instant.MIN : mExchangedAt.minus(reportTime);
     }
 
     /** Starts watching an attempt, which is cancelled if it becomes quarantined. */
@@ -69,16 +120,26 @@
     }
 
     /** Records a crash that this daemon has observed. */
-    void recordCrash(CrashRecord record) {
+    void recordCrash(CrashRecord record, Instant now) {
         if (add(record, "self")) {
-            cancelQuarantined();
+            clearRecentlyAnswered(now);
+            cancelQuarantined(now);
             mOnNews.run();
         }
     }
 
     /** Records that requests with the given parts are answered. */
-    void recordAnswered(ImmutableSet<PromptPart> parts) {
-        mEvidence.clear(parts);
+    void recordAnswered(ImmutableSet<PromptPart> parts, Instant now) {
+        if (!mEvidence.isEmpty()) {
+            parts.forEach(p -> mAnsweredAt.put(p, now));
+            mEvidence.clear(parts);
+        }
+    }
+
+    /** Clears what was answered shortly before the crash too, wherever it was. */
+    private void clearRecentlyAnswered(Instant now) {
+        mAnsweredAt.values().removeIf(at -> at.plus(ANSWER_LIFETIME).isBefore(now));
+        mEvidence.clear(ImmutableSet.copyOf(mAnsweredAt.keySet()));
     }
 
     /** Adds what a peer knows. */
@@ -89,7 +150,8 @@
             changed |= add(record, source);
         }
         if (changed) {
-            cancelQuarantined();
+            clearRecentlyAnswered(now);
+            cancelQuarantined(now);
         }
     }
 
@@ -108,9 +170,9 @@
         return changed;
     }
 
-    private void cancelQuarantined() {
+    private void cancelQuarantined(Instant now) {
         ImmutableList.copyOf(mInFlight).stream()
-                .filter(a -> a.mayCrashEndpoint() && of(a.sharedParts()).isPresent())
+                .filter(a -> a.mayCrashEndpoint() && of(a.sharedParts(), now).isPresent())
                 .forEach(Quarantinable::cancelQuarantined);
     }
 
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/ExchangeTestFleet.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/ExchangeTestFleet.java
@@ -94,7 +94,7 @@
         final FleetView mFleet;
         final StateController mState;
         final EndpointTracker mTracker;
-        final QuarantineController mQuarantine = new QuarantineController(e -> {});
+        final QuarantineController mQuarantine;
         final WorkExchange mExchange;
         long mHandled;
         private final PeerIdentity mIdentity;
@@ -107,10 +107,12 @@
                             new Incarnation(mTime.now().toEpochMilli()));
             FleetMember self = new FleetMember(address(), mIdentity.incarnation().value());
             mFleet = new FleetView(self, seeds());
+            mQuarantine = new QuarantineController(mFleet, e -> {});
             Clocks clocks = new Clocks(mProcess, mProcess);
             mState = new StateController(STALENESS, clocks, mProcess, e -> {});
             mTracker = new EndpointTracker(mState.endpoints(), mLedger);
             mExchange = exchange(self, clocks);
+            mQuarantine.onNews(mExchange::reportNow);
         }
 
         private WorkExchange exchange(FleetMember self, Clocks clocks) {
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/RestoreTestDaemon.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/RestoreTestDaemon.java
@@ -75,7 +75,7 @@
                         mState,
                         new StoreRelay(mState, mReader, clocks),
                         new RateLimitExchange(fleet, self, tracker, e -> {}),
-                        new CrashExchange(fleet, new QuarantineController(e -> {})),
+                        new CrashExchange(fleet, new QuarantineController(fleet, e -> {})),
                         clocks,
                         process);
         mCalls = new PeerCallDispatcher(mExchange, configExchange);
