Count a crash once, and not against the endpoint's next run

What callers saw: less room after crashes than there was. Cause: each request that a crash cut off counted as a failure of the endpoint's id, so that five of them ejected it for 16 s, and the process that started again under the same id inherited that. Found while looking at what crashes caused by prompts do to ejection. Change: health belongs to a run of an endpoint, and failures while the run is already ejected count as one with the first. Result: EndpointTrackerTest#requestsCutOffByOneCrashCountAsOneFailure and #nextRunUnderTheSameIdIsNotEjectedForTheFailuresOfTheLast pass.

--- a/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointTracker.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointTracker.java
@@ -31,7 +31,7 @@
 final class EndpointTracker {
     private final EndpointDirectory mDirectory;
     private final WorkLedger mWork;
-    private final Map<EndpointId, EndpointHealth> mHealth = new HashMap<>();
+    private final Map<EndpointRun, EndpointHealth> mHealth = new HashMap<>();
     private final Map<EndpointId, EndpointActivity> mActivity = new HashMap<>();
     private final EndpointBackoffs mBackoffs = new EndpointBackoffs();
     private final EndpointRateLimits mRateLimits = new EndpointRateLimits();
@@ -153,7 +153,7 @@
         ImmutableMap.Builder<EndpointId, EndpointHealth> failing = ImmutableMap.builder();
         usable.forEach(
                 e -> {
-                    EndpointHealth health = mHealth.get(e.id());
+                    EndpointHealth health = mHealth.get(e.run());
                     if (health != null && !health.available(now)) {
                         failing.put(e.id(), health);
                     }
@@ -211,8 +211,11 @@
      * permit if the endpoint is rate-limited.
      */
     void recordSent(EndpointId id, Instant now) {
-        mDirectory.find(id).ifPresent(e -> mPermits.use(e.run(), now));
-        mHealth.computeIfPresent(id, (k, h) -> h.sent(now));
+        run(id).ifPresent(
+                        run -> {
+                            mPermits.use(run, now);
+                            mHealth.computeIfPresent(run, (k, h) -> h.sent(now));
+                        });
     }
 
     /**
@@ -243,25 +246,43 @@
     /** Removes the state of endpoints that are no longer registered, and backoffs that are over. */
     void removeUnknown(Instant now) {
         mBackoffs.removeExpired(now);
-        mRateLimits.removeOld(
-                run -> mDirectory.find(run.id()).filter(e -> e.run().equals(run)).isPresent(), now);
+        mRateLimits.removeOld(this::isRegistered, now);
         mPermits.retain(mRateLimits);
         mActivity.keySet().removeIf(id -> mDirectory.find(id).isEmpty());
-        mHealth.keySet().removeIf(id -> mDirectory.find(id).isEmpty());
+        mHealth.keySet().removeIf(run -> !isRegistered(run));
+    }
+
+    private boolean isRegistered(EndpointRun run) {
+        return run(run.id()).filter(run::equals).isPresent();
+    }
+
+    private Optional<EndpointRun> run(EndpointId id) {
+        return mDirectory.find(id).map(RegisteredEndpoint::run);
     }
 
     /** Records a success, which ends the failing state. */
     void recordSuccess(EndpointId id) {
-        mHealth.remove(id);
+        run(id).ifPresent(mHealth::remove);
     }
 
-    /** Records a failure. */
-    void recordFailure(EndpointId id, Instant now) {
-        mHealth.merge(id, EndpointHealth.GOOD.failed(now), (old, f) -> old.failed(now));
+    /**
+     * Records a failure. Further ones while the run is ejected are of requests that were sent
+     * before, such as those that the same crash cut off, and count as one with the first.
+     */
+    void recordFailure(EndpointRun run, Instant now) {
+        mHealth.merge(
+                run,
+                EndpointHealth.GOOD.failed(now),
+                (old, f) -> now.isBefore(old.ejectedUntil()) ? old : old.failed(now));
     }
 
     /** Records a refusal for lack of capacity. */
     void recordRefusal(EndpointId id, Instant now) {
-        mHealth.merge(id, EndpointHealth.GOOD.refused(now), (old, f) -> old.refused(now));
+        run(id).ifPresent(
+                        run ->
+                                mHealth.merge(
+                                        run,
+                                        EndpointHealth.GOOD.refused(now),
+                                        (old, f) -> old.refused(now)));
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
@@ -324,7 +324,7 @@
         mCall.cancel();
         Instant now = mContext.clocks().now();
         if (endpointAtFault) {
-            mContext.tracker().recordFailure(mPlan.endpoint().id(), now);
+            mContext.tracker().recordFailure(mPlan.endpoint().run(), now);
         }
         mContext.events()
                 .record(
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/EndpointTrackerTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/EndpointTrackerTest.java
@@ -26,15 +26,20 @@
     private static final ServiceId SERVICE = new ServiceId("s");
     private static final RegisteredEndpoint LIMITED = endpoint("limited");
     private static final RegisteredEndpoint OTHER = endpoint("other");
+    private static final RegisteredEndpoint HEALTHY = endpoint("healthy");
     private static final ImmutableSet<EndpointId> NONE_TRIED = ImmutableSet.of();
 
     private final EndpointDirectory mDirectory = new EndpointDirectory();
     private final EndpointTracker mTracker = new EndpointTracker(mDirectory, new WorkLedger());
 
     private static RegisteredEndpoint endpoint(String id) {
+        return endpoint(id, 1);
+    }
+
+    private static RegisteredEndpoint endpoint(String id, long startedAtMillis) {
         return new RegisteredEndpoint(
                 new EndpointId(id),
-                1,
+                startedAtMillis,
                 SERVICE,
                 new Address("10.0.0.1", 1),
                 new DataCentreId("z"),
@@ -89,10 +94,38 @@
     @Test
     void failingEndpointAtItsLimitIsNoLastResort() {
         mDirectory.put(OTHER, NOW);
-        mTracker.recordFailure(OTHER.id(), NOW);
+        mTracker.recordFailure(OTHER.run(), NOW);
         assertThat(candidates()).extracting(Candidate::endpoint).containsExactly(OTHER);
     }
 
+    private ImmutableList<RegisteredEndpoint> eligible(Instant now) {
+        return mTracker.candidates(SERVICE, NONE_TRIED, now).stream()
+                .map(Candidate::endpoint)
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    /** An endpoint that crashed with five requests hasn't failed five times. */
+    @Test
+    void requestsCutOffByOneCrashCountAsOneFailure() {
+        mDirectory.put(OTHER, NOW);
+        mDirectory.put(HEALTHY, NOW);
+        for (int i = 0; i < 5; i++) {
+            mTracker.recordFailure(OTHER.run(), NOW.plusMillis(i));
+        }
+        assertThat(eligible(NOW.plusMillis(999))).containsExactly(HEALTHY);
+        assertThat(eligible(NOW.plusMillis(1_000))).containsExactly(OTHER, HEALTHY);
+    }
+
+    @Test
+    void nextRunUnderTheSameIdIsNotEjectedForTheFailuresOfTheLast() {
+        mDirectory.put(OTHER, NOW);
+        mDirectory.put(HEALTHY, NOW);
+        mTracker.recordFailure(OTHER.run(), NOW);
+        assertThat(eligible(NOW)).containsExactly(HEALTHY);
+        mDirectory.put(endpoint("other", 2), NOW);
+        assertThat(eligible(NOW)).containsExactlyInAnyOrder(endpoint("other", 2), HEALTHY);
+    }
+
     @Test
     void requestWaitsOnlyIfTheFleetMayHaveRoom() {
         assertThat(mTracker.mayHaveRoom(SERVICE, NONE_TRIED, NOW)).isTrue();
