Remove a hook for crashes that nothing uses

Cause: the controller could tell somebody of each crash, and nobody asks: the ejection of crashed endpoints comes from their failures. Result: no behaviour changes.

--- a/serving/src/main/java/io/bilberrygrade/serving/forward/QuarantineController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/QuarantineController.java
@@ -5,7 +5,6 @@
 import com.google.common.collect.ImmutableSet;
 import io.bilberrygrade.core.exchange.ExchangeInterval;
 import io.bilberrygrade.core.exchange.FleetView;
-import io.bilberrygrade.core.forward.EndpointRun;
 import io.bilberrygrade.core.forward.PromptPart;
 import io.bilberrygrade.core.quarantine.CrashEvidence;
 import io.bilberrygrade.core.quarantine.CrashRecord;
@@ -21,7 +20,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Consumer;
 
 /**
  * Keeps the crashes of endpoints that prompts may have caused, and decides by them which requests
@@ -52,7 +50,6 @@
             };
     private final FleetView mFleet;
     private final EventLog mEvents;
-    private Consumer<EndpointRun> mOnCrash = run -> {};
     private Runnable mOnNews = () -> {};
     private Instant mExchangedAt = Instant.MIN;
 
@@ -61,11 +58,6 @@
         mEvents = events;
     }
 
-    /** Registers an action to run for each endpoint run that is found to have crashed. */
-    void onCrash(Consumer<EndpointRun> action) {
-        mOnCrash = action;
-    }
-
     /** Registers an action to run when this daemon has learnt something that peers don't know. */
     void onNews(Runnable action) {
         mOnNews = action;
@@ -136,7 +128,7 @@
         }
     }
 
-    /** Clears what was answered shortly before the crash too, wherever it was. */
+    /** Clears the parts of answers that this daemon relayed shortly before a crash. */
     private void clearRecentlyAnswered(Instant now) {
         mAnsweredAt.values().removeIf(at -> at.plus(ANSWER_LIFETIME).isBefore(now));
         mEvidence.clear(ImmutableSet.copyOf(mAnsweredAt.keySet()));
@@ -165,7 +157,6 @@
                             Joiner.on(',').join(record.begun()),
                             Joiner.on(',').join(record.waiting()),
                             source));
-            mOnCrash.accept(record.run());
         }
         return changed;
     }
