Log and count answers that are cut off, by cause

Cause: a stream whose connection this daemon closed was logged like a refusal (BG7005), so that logs and metrics couldn't tell requests that ended without an answer from those that were told why.

Change: BG7022 answer-cut with the request's id, reason, age, attempts, relayed events and the versions of the configuration at arrival and now; answers_cut_total by reason. The end of an answer is a class of its own, AnswerEnd. An error that can't be relayed since a stream has begun counts as cut, not as answered.

--- a/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
@@ -56,6 +56,22 @@
             String request, String promise, String step, String reason, String detail, long millis)
             implements ForwardEvent {}
 
+    /**
+     * The caller's connection was closed in the middle of its answer, so that the part that it has
+     * isn't taken for the whole.
+     */
+    @EventInfo(number = 7022, level = EventLevel.WARN)
+    record AnswerCut(
+            String request,
+            String reason,
+            String detail,
+            int attempts,
+            long events,
+            long millis,
+            long versionAtArrival,
+            long configVersion)
+            implements ForwardEvent {}
+
     /** The caller disconnected before its answer was complete; its work was cancelled. */
     @EventInfo(number = 7006, level = EventLevel.INFO)
     record CallerGone(String request, int attempts, long millis) implements ForwardEvent {}
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AnswerEnd.java
@@ -0,0 +1,73 @@
+package io.bilberrygrade.serving.forward;
+
+import io.bilberrygrade.core.forward.ForwardingConfig;
+import io.bilberrygrade.core.request.Outcome;
+import io.bilberrygrade.core.request.Reason;
+import io.bilberrygrade.serving.event.ForwardEvent;
+import io.vertx.core.buffer.Buffer;
+import java.time.Instant;
+
+/** Ends the answer to one request, and logs how it ended. */
+final class AnswerEnd {
+    private final ForwardContext mContext;
+    private final ForwardExchange mExchange;
+    private final AnswerRelay mRelay;
+
+    AnswerEnd(ForwardContext context, ForwardExchange exchange, AnswerRelay relay) {
+        mContext = context;
+        mExchange = exchange;
+        mRelay = relay;
+    }
+
+    /** Logs that the caller has an endpoint's whole answer. */
+    void recordAnswered(int status, int attempts, Instant firstEventAt) {
+        mContext.events()
+                .record(
+                        new ForwardEvent.Answered(
+                                mExchange.id().value(),
+                                status,
+                                attempts,
+                                mRelay.eventCount(),
+                                mExchange.millisSinceArrival(firstEventAt),
+                                mExchange.millisSinceArrival(mContext.clocks().now())));
+    }
+
+    /** Relays an endpoint's error, unless the caller already has a part of another answer. */
+    void relayError(AnswerHead head, Buffer body, int attempts) {
+        if (mRelay.hasBegun()) {
+            cut(Reason.ENDPOINT_FAILED, "the endpoint answered " + head.status(), attempts);
+        } else {
+            recordAnswered(head.status(), attempts, mContext.clocks().now());
+            mExchange.answer().writeWhole(head, body);
+        }
+    }
+
+    /**
+     * Closes the caller's connection if it has a part of the answer; the caller gets the outcome
+     * otherwise.
+     */
+    void cutIfBegun(Outcome outcome, int attempts) {
+        if (mRelay.hasBegun()) {
+            switch (outcome) {
+                case Outcome.NotRun n -> cut(n.reason(), n.detail(), attempts);
+                case Outcome.Unknown u -> cut(u.reason(), u.detail(), attempts);
+                case Outcome.Done d -> {}
+            }
+        }
+    }
+
+    private void cut(Reason reason, String detail, int attempts) {
+        mContext.events()
+                .record(
+                        new ForwardEvent.AnswerCut(
+                                mExchange.id().value(),
+                                reason.name(),
+                                detail,
+                                attempts,
+                                mRelay.eventCount(),
+                                mExchange.millisSinceArrival(mContext.clocks().now()),
+                                mExchange.config().map(ForwardingConfig::version).orElse(0L),
+                                mContext.state().version()));
+        mExchange.answer().abort();
+    }
+}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardExchange.java
@@ -5,6 +5,7 @@
 import io.bilberrygrade.core.identity.RequestId;
 import io.bilberrygrade.core.identity.TeamId;
 import io.vertx.core.buffer.Buffer;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
 
@@ -85,6 +86,11 @@
         mTeam = Optional.of(team);
     }
 
+    /** Returns the time since the request's arrival in milliseconds. */
+    long millisSinceArrival(Instant at) {
+        return Duration.between(mArrival, at).toMillis();
+    }
+
     /** Returns the earlier of the caller's deadline and the route's. */
     Instant deadline() {
         Instant byRoute = mArrival.plus(route().timeout());
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardMetrics.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardMetrics.java
@@ -40,6 +40,8 @@
                 String kind = n.promise().equals("not-run") ? "refusals." : "unknowns.";
                 mRegistry.counter(kind + metricName(n.reason())).inc();
             }
+            case ForwardEvent.AnswerCut c ->
+                    mRegistry.counter("answers_cut." + metricName(c.reason())).inc();
             case ForwardEvent.CallerGone g -> mRegistry.counter("daemon.callers_gone_total").inc();
             case ForwardEvent.StoreLost l -> mRegistry.counter("daemon.store_lost_total").inc();
             default -> {}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOperation.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOperation.java
@@ -43,6 +43,7 @@
     private final Route mRoute;
     private final ServiceId mService;
     private final AnswerRelay mRelay;
+    private final AnswerEnd mAnswerEnd;
     private final QuarantineCheck mQuarantine;
     private final Set<EndpointId> mTriedEndpoints = new HashSet<>();
     private Optional<ForwardAttempt> mAttempt = Optional.empty();
@@ -63,6 +64,7 @@
         mRoute = exchange.route();
         mService = mRoute.service(context.random().nextDouble());
         mRelay = new AnswerRelay(exchange.answer(), exchange.head().resumeAfter());
+        mAnswerEnd = new AnswerEnd(context, exchange, mRelay);
         mQuarantine = new QuarantineCheck(context.quarantine(), exchange.head().sharedParts());
     }
 
@@ -296,24 +298,11 @@
     @Override
     public void onAnswered(long eventCount, Instant firstEventAt) {
         if (!mEnded) {
-            Instant now = mContext.clocks().now();
-            mContext.events()
-                    .record(
-                            new ForwardEvent.Answered(
-                                    mExchange.id().value(),
-                                    200,
-                                    mAttemptCount,
-                                    eventCount,
-                                    millisSinceArrival(firstEventAt),
-                                    millisSinceArrival(now)));
+            mAnswerEnd.recordAnswered(200, mAttemptCount, firstEventAt);
             finish(new Outcome.Done((int) eventCount));
         }
     }
 
-    private long millisSinceArrival(Instant at) {
-        return Duration.between(mExchange.arrival(), at).toMillis();
-    }
-
     private void relayLastFailure() {
         ServerFailure failure = mLastFailure.orElseThrow();
         if (failure.head().impliesNotRun()) {
@@ -326,20 +315,7 @@
                                     + " and may have run"));
             return;
         }
-        mContext.events()
-                .record(
-                        new ForwardEvent.Answered(
-                                mExchange.id().value(),
-                                failure.head().status(),
-                                mAttemptCount,
-                                0,
-                                millisSinceArrival(mContext.clocks().now()),
-                                millisSinceArrival(mContext.clocks().now())));
-        if (mRelay.hasBegun()) {
-            mExchange.answer().abort();
-        } else {
-            mExchange.answer().writeWhole(failure.head(), failure.body());
-        }
+        mAnswerEnd.relayError(failure.head(), failure.body(), mAttemptCount);
         finish(new Outcome.Done(0));
     }
 
@@ -374,7 +350,7 @@
                             new ForwardEvent.CallerGone(
                                     mExchange.id().value(),
                                     mAttemptCount,
-                                    millisSinceArrival(mContext.clocks().now())));
+                                    mExchange.millisSinceArrival(mContext.clocks().now())));
             finish(
                     Outcome.unknown(
                             Step.RELAY, Reason.CALLER_GONE, "the caller has gone", "caller"));
@@ -382,9 +358,7 @@
     }
 
     private void endWithoutAnswer(Outcome outcome) {
-        if (mRelay.hasBegun()) {
-            mExchange.answer().abort();
-        }
+        mAnswerEnd.cutIfBegun(outcome, mAttemptCount);
         finish(outcome);
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/metrics/PrometheusPage.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/metrics/PrometheusPage.java
@@ -31,6 +31,10 @@
                             "outcomes_total",
                             ImmutableMap.of("class", "${0}", "outcome", "${1}")),
                     mapping("refusals.*", "refusals_total", ImmutableMap.of("reason", "${0}")),
+                    mapping(
+                            "answers_cut.*",
+                            "answers_cut_total",
+                            ImmutableMap.of("reason", "${0}")),
                     mapping("unknowns.*", "unknowns_total", ImmutableMap.of("reason", "${0}")),
                     mapping(
                             "attempts.*",
