Keep a silent endpoint's attempt until its replacement answers

Callers saw connections closed in the middle of a stream, or 502, while an endpoint was at work: beside a change of the configuration (their key was revoked), when the route's attempts or the service's retries were used up, or when the other endpoints refused.

Cause: a silence ended the attempt before it was known that another endpoint could take over. The class of fault is giving up what works before its replacement is known to.

Change: after a silence the request is sent to another endpoint as well, if key, quarantine, attempts, retries and endpoints allow it; the first of both whose content arrives is relayed, the other one is cancelled. Otherwise the daemon goes on waiting. Prompts over one engine's memory aren't moved, since their new reservations may fail. Attempts in flight, their history, the work that they add and the watch for silences are classes of their own; a silence is logged as BG7023.

--- a/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
@@ -72,6 +72,20 @@
             long configVersion)
             implements ForwardEvent {}
 
+    /**
+     * An endpoint has sent nothing of an answer for a time; {@code sentElsewhere} is whether the
+     * request was sent to another endpoint as well.
+     */
+    @EventInfo(number = 7023, level = EventLevel.INFO)
+    record EndpointSilent(
+            String request,
+            int attempt,
+            String endpoint,
+            String progress,
+            long silentMillis,
+            boolean sentElsewhere)
+            implements ForwardEvent {}
+
     /** The caller disconnected before its answer was complete; its work was cancelled. */
     @EventInfo(number = 7006, level = EventLevel.INFO)
     record CallerGone(String request, int attempts, long millis) implements ForwardEvent {}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptLog.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptLog.java
@@ -2,6 +2,7 @@
 
 import io.bilberrygrade.core.forward.ForwardingConfig;
 import io.bilberrygrade.core.identity.RequestId;
+import io.bilberrygrade.serving.error.Delivery;
 import io.bilberrygrade.serving.event.ForwardEvent;
 import java.time.Duration;
 
@@ -37,4 +38,46 @@
                                         .map(Duration::toMillis)
                                         .orElse(-1L)));
     }
+
+    /** Logs that an endpoint has sent nothing for the given time. */
+    static void recordSilent(
+            ForwardContext context,
+            RequestId request,
+            int attemptNumber,
+            AttemptPlan attemptPlan,
+            AttemptProgress progress,
+            Duration span,
+            boolean sentElsewhere) {
+        context.events()
+                .record(
+                        new ForwardEvent.EndpointSilent(
+                                request.value(),
+                                attemptNumber,
+                                attemptPlan.endpoint().id().value(),
+                                progress.stage().name(),
+                                span.toMillis(),
+                                sentElsewhere));
+    }
+
+    /** Logs that an attempt ended without a usable answer. */
+    static void recordFailed(
+            ForwardContext context,
+            RequestId request,
+            int attemptNumber,
+            AttemptPlan attemptPlan,
+            AttemptProgress progress,
+            Delivery delivery,
+            String detail,
+            Duration age) {
+        context.events()
+                .record(
+                        new ForwardEvent.AttemptFailed(
+                                request.value(),
+                                attemptNumber,
+                                attemptPlan.endpoint().id().value(),
+                                delivery.name(),
+                                progress.stage().name(),
+                                detail,
+                                age.toMillis()));
+    }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
@@ -1,19 +1,12 @@
 package io.bilberrygrade.serving.forward;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
-import io.bilberrygrade.core.forward.AttemptWork;
-import io.bilberrygrade.core.forward.EndpointWork;
 import io.bilberrygrade.core.forward.LostRequestDetector;
-import io.bilberrygrade.core.forward.LostRequestDetector.EndpointActivity;
 import io.bilberrygrade.core.forward.PromptPart;
 import io.bilberrygrade.core.forward.RouteKind;
-import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.serving.error.Delivery;
-import io.bilberrygrade.serving.event.ForwardEvent;
 import io.smallrye.mutiny.Uni;
-import io.smallrye.mutiny.subscription.Cancellable;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
 import java.time.Instant;
@@ -37,12 +30,11 @@
     private final Owner mOwner;
     private final EventStreamParser mParser = new EventStreamParser();
     private final AttemptProgress mProgress = new AttemptProgress();
+    private final SilenceWatch mSilence;
+    private final RecordedWork mWork;
     private final Instant mStartedAt;
     private Buffer mBufferedBody = Buffer.buffer();
     private Optional<AnswerHead> mHead = Optional.empty();
-    private Optional<Cancellable> mStallTimer = Optional.empty();
-    private Optional<Cancellable> mReadTimer = Optional.empty();
-    private ImmutableMap<EndpointId, EndpointWork> mRecordedWork = ImmutableMap.of();
     private EndpointCall mCall;
     private boolean mFinished;
 
@@ -63,18 +55,14 @@
         mTrial = trial;
         mRelay = relay;
         mOwner = owner;
+        mSilence = new SilenceWatch(context.timers(), this::onSilence);
+        mWork = new RecordedWork(context, attemptPlan);
         mStartedAt = context.clocks().now();
     }
 
     /** Starts the attempt; the endpoint has the given time. */
     void start(Duration remaining) {
-        recordWork(mPlan.work().reading());
-        if (mPlan.prefillEndMillis() > 0) {
-            mReadTimer =
-                    schedule(
-                            Duration.ofMillis(mPlan.prefillEndMillis()).plus(AttemptWork.PASS),
-                            this::onPromptReadTime);
-        }
+        mWork.start();
         AttemptRequest attemptRequest =
                 new AttemptRequest(
                         mPlan.endpoint(),
@@ -124,28 +112,42 @@
     public void onConnected() {
         mProgress.recordSent();
         if (mExchange.route().repeatable()) {
-            startFirstByteTimer();
+            mSilence.start(ResponseTimeouts.firstByte(mExchange.route()));
         }
     }
 
-    /**
-     * Starts the timer for the first byte. It is restarted while the endpoint is only busy, or
-     * while the request can't be retried elsewhere.
-     */
-    private void startFirstByteTimer() {
-        Duration timeout = ResponseTimeouts.firstByte(mExchange.route());
-        mStallTimer = schedule(timeout, () -> checkForStall(timeout));
+    /** Watches for a silence again, unless the attempt has ended. */
+    void watchForSilence() {
+        if (!mFinished) {
+            mSilence.restart();
+        }
     }
 
-    private void checkForStall(Duration timeout) {
+    /**
+     * Sends the request to another endpoint as well if this one may have lost it. The attempt goes
+     * on, since a silent endpoint may still be at work. Returns whether the request was sent.
+     *
+     * <p>A silence between events doesn't eject the engine: it may just be in a long pass, and
+     * ejecting it would move its load to the others when all are busy.
+     */
+    private boolean onSilence(Duration span) {
         Instant now = mContext.clocks().now();
-        EndpointActivity activity = mContext.tracker().activityOf(mPlan.endpoint().id());
-        if (mOwner.canRetryElsewhere(now)
-                && LostRequestDetector.isLost(mStartedAt, timeout, activity, now)) {
-            failStalled(timeout, true);
-        } else {
-            startFirstByteTimer();
+        boolean beforeContent = !mProgress.isWriting();
+        if (beforeContent && !isLost(span, now)) {
+            return false;
         }
+        boolean sentElsewhere = mOwner.trySendElsewhere(now);
+        if (sentElsewhere && beforeContent) {
+            mContext.tracker().recordFailure(mPlan.endpoint().run(), now);
+        }
+        AttemptLog.recordSilent(
+                mContext, mExchange.id(), mAttemptNumber, mPlan, mProgress, span, sentElsewhere);
+        return sentElsewhere;
+    }
+
+    private boolean isLost(Duration span, Instant now) {
+        return LostRequestDetector.isLost(
+                mStartedAt, span, mContext.tracker().activityOf(mPlan.endpoint().id()), now);
     }
 
     @Override
@@ -203,23 +205,38 @@
                 clearPartsOnceSettled();
             }
             for (StreamEvent event : events) {
-                if (!mRelay.relay(mHead.orElseThrow(), event, mContext.clocks().now())) {
-                    mCall.pause();
-                    mRelay.answer().onWritable(mCall::resume);
+                if (mayRelay(event)) {
+                    relay(event);
                 }
             }
             if (progress && mExchange.route().repeatable()) {
-                restartEventTimer(ResponseTimeouts.betweenEvents(mExchange.route()));
+                mSilence.start(ResponseTimeouts.betweenEvents(mExchange.route()));
             }
         } catch (MalformedStreamException e) {
             fail(Delivery.MAY_HAVE_RUN, e.getMessage());
         }
     }
 
+    /** Comments don't decide which of two attempts is relayed. */
+    private boolean mayRelay(StreamEvent event) {
+        return event.progress() || mProgress.isWriting() || mOwner.isOnlyAttempt();
+    }
+
+    private void relay(StreamEvent event) throws MalformedStreamException {
+        boolean writable = mRelay.relay(mHead.orElseThrow(), event, mContext.clocks().now());
+        if (event.progress()) {
+            mOwner.onRelayed(this);
+        }
+        if (!writable) {
+            mCall.pause();
+            mRelay.answer().onWritable(mCall::resume);
+        }
+    }
+
     private void onFirstEvent() {
         if (mProgress.recordEvent(mContext.clocks().now())) {
             mContext.tracker().recordSuccess(mPlan.endpoint().id());
-            recordWork(mPlan.work().writing());
+            mWork.recordWriting();
         }
     }
 
@@ -243,7 +260,7 @@
         }
         finish();
         if (!head.success()) {
-            mOwner.onErrorAnswer(head, mBufferedBody);
+            mOwner.onErrorAnswer(this, head, mBufferedBody);
             return;
         }
         mContext.tracker().recordSuccess(mPlan.endpoint().id());
@@ -287,9 +304,9 @@
                     .with(
                             c -> {
                                 if (c) {
-                                    mOwner.onCrashedEndpoint(detail);
+                                    mOwner.onCrashedEndpoint(this, detail);
                                 } else {
-                                    mOwner.onFailed(Delivery.MAY_HAVE_RUN, detail);
+                                    mOwner.onFailed(this, Delivery.MAY_HAVE_RUN, detail);
                                 }
                             });
         } else {
@@ -298,11 +315,6 @@
         }
     }
 
-    /** Fails the attempt after a silence, so that the request can be retried elsewhere. */
-    private void failStalled(Duration span, boolean endpointAtFault) {
-        fail(Delivery.MAY_HAVE_RUN, "silent for " + span.toMillis() + " ms", endpointAtFault);
-    }
-
     private void fail(Delivery delivery, String detail) {
         fail(delivery, detail, delivery != Delivery.REFUSED);
     }
@@ -316,7 +328,7 @@
             return;
         }
         end(delivery, detail, endpointAtFault);
-        mOwner.onFailed(delivery, detail);
+        mOwner.onFailed(this, delivery, detail);
     }
 
     private void end(Delivery delivery, String detail, boolean endpointAtFault) {
@@ -326,67 +338,44 @@
         if (endpointAtFault) {
             mContext.tracker().recordFailure(mPlan.endpoint().run(), now);
         }
-        mContext.events()
-                .record(
-                        new ForwardEvent.AttemptFailed(
-                                mExchange.id().value(),
-                                mAttemptNumber,
-                                mPlan.endpoint().id().value(),
-                                delivery.name(),
-                                mProgress.stage().name(),
-                                detail,
-                                Duration.between(mStartedAt, now).toMillis()));
-    }
-
-    /**
-     * Restarts the timer for the next event. Its expiry doesn't eject the engine: a pausing engine
-     * may just be in a long pass, and ejecting it would move its load to the others when all are
-     * busy. A dead engine accepts no connection, which ejects it.
-     */
-    private void restartEventTimer(Duration span) {
-        mStallTimer.ifPresent(Cancellable::cancel);
-        mStallTimer = schedule(span, () -> failStalled(span, false));
+        AttemptLog.recordFailed(
+                mContext,
+                mExchange.id(),
+                mAttemptNumber,
+                mPlan,
+                mProgress,
+                delivery,
+                detail,
+                Duration.between(mStartedAt, now));
     }
 
     private void finish() {
         mFinished = true;
         mContext.quarantine().unwatch(this);
-        mStallTimer.ifPresent(Cancellable::cancel);
-        mReadTimer.ifPresent(Cancellable::cancel);
+        mSilence.stop();
         mMemory.forEach(MemoryReservation::release);
-        recordWork(ImmutableMap.of());
-    }
-
-    /** Stops counting the prompt as unread once the predicted reading time has passed. */
-    private void onPromptReadTime() {
-        if (!mFinished && !mProgress.isWriting()) {
-            recordWork(mPlan.work().read());
-        }
-    }
-
-    /** Replaces the work that this attempt adds to each engine. */
-    private void recordWork(ImmutableMap<EndpointId, EndpointWork> work) {
-        mContext.tracker().work().replace(mRecordedWork, work);
-        mRecordedWork = work;
-    }
-
-    private Optional<Cancellable> schedule(Duration span, Runnable action) {
-        return Optional.of(mContext.timers().after(span).subscribe().with(v -> action.run()));
+        mWork.end();
     }
 
     /** Receives the result of an attempt. */
     interface Owner {
         /** The attempt ended without a usable answer. */
-        void onFailed(Delivery delivery, String detail);
+        void onFailed(ForwardAttempt attempt, Delivery delivery, String detail);
 
         /** The endpoint crashed just as it began to answer. */
-        void onCrashedEndpoint(String detail);
+        void onCrashedEndpoint(ForwardAttempt attempt, String detail);
+
+        /** Sends the request to another endpoint as well; returns whether that is possible. */
+        boolean trySendElsewhere(Instant now);
+
+        /** Returns whether no other attempt of the request is in flight. */
+        boolean isOnlyAttempt();
 
-        /** Returns whether the request may be retried at another endpoint now. */
-        boolean canRetryElsewhere(Instant now);
+        /** Content that the endpoint sent was relayed. */
+        void onRelayed(ForwardAttempt attempt);
 
         /** The endpoint ran the request and answered with an error status. */
-        void onErrorAnswer(AnswerHead head, Buffer body);
+        void onErrorAnswer(ForwardAttempt attempt, AnswerHead head, Buffer body);
 
         /** The complete answer was relayed to the caller. */
         void onAnswered(long eventCount, Instant firstEventAt);
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOperation.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOperation.java
@@ -1,11 +1,9 @@
 package io.bilberrygrade.serving.forward;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableSet;
 import io.bilberrygrade.core.forward.ForwardService;
 import io.bilberrygrade.core.forward.ForwardingConfig;
 import io.bilberrygrade.core.forward.Route;
-import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.core.identity.ServiceId;
 import io.bilberrygrade.core.request.Outcome;
 import io.bilberrygrade.core.request.Reason;
@@ -16,9 +14,7 @@
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 
 /**
@@ -26,9 +22,6 @@
  * a final answer by the deadline.
  */
 final class ForwardOperation implements ForwardAttempt.Owner {
-    /** Limit of failed connects, none of which reached an endpoint. */
-    private static final int MAX_FAILED_CONNECTS = 3;
-
     /** Limit of attempts to reserve memory, each on other engines if the first have no capacity. */
     private static final int MAX_RESERVATION_ATTEMPTS = 8;
 
@@ -45,13 +38,11 @@
     private final AnswerRelay mRelay;
     private final AnswerEnd mAnswerEnd;
     private final QuarantineCheck mQuarantine;
-    private final Set<EndpointId> mTriedEndpoints = new HashSet<>();
-    private Optional<ForwardAttempt> mAttempt = Optional.empty();
+    private final AttemptHistory mHistory;
+    private final AttemptsInFlight mInFlight = new AttemptsInFlight();
     private Optional<Cancellable> mDeadlineTimer = Optional.empty();
     private Optional<ServerFailure> mLastFailure = Optional.empty();
-    private int mAttemptCount;
     private int mReservationAttempts;
-    private int mFailedConnects;
     private boolean mMayHaveRun;
     private boolean mAwaitedPermit;
     private boolean mEnded;
@@ -64,6 +55,7 @@
         mRoute = exchange.route();
         mService = mRoute.service(context.random().nextDouble());
         mRelay = new AnswerRelay(exchange.answer(), exchange.head().resumeAfter());
+        mHistory = new AttemptHistory(mRoute.maxAttempts());
         mAnswerEnd = new AnswerEnd(context, exchange, mRelay);
         mQuarantine = new QuarantineCheck(context.quarantine(), exchange.head().sharedParts());
     }
@@ -112,7 +104,7 @@
             onNoEndpoint(now);
             return;
         }
-        if (mAttemptCount > 0 && !mContext.budgets().of(mService).tryRetry(now)) {
+        if (mHistory.count() > 0 && !mContext.budgets().of(mService).tryRetry(now)) {
             giveUp(Reason.REPEATS_EXHAUSTED, "the service's repeats are used up");
             return;
         }
@@ -125,7 +117,7 @@
         mAwaitedPermit = true;
         Duration minRetryAfter = RetryDelay.of(Reason.NO_ENDPOINT, mContext.random().nextDouble());
         switch (NoEndpointDecision.decide(
-                mContext.tracker(), mService, tried(), mayWait, minRetryAfter, now)) {
+                mContext.tracker(), mService, mHistory.tried(), mayWait, minRetryAfter, now)) {
             case NoEndpointDecision.AwaitPermit w ->
                     mContext.permits().request().subscribe().with(v -> continueUnlessEnded());
             case NoEndpointDecision.RefuseUntil r when mLastFailure.isEmpty() && !mMayHaveRun ->
@@ -151,11 +143,12 @@
                 .flatMap(
                         s ->
                                 mContext.planner()
-                                        .plan(mRoute, s, mExchange.head().prompt(), tried(), now));
-    }
-
-    private ImmutableSet<EndpointId> tried() {
-        return ImmutableSet.copyOf(mTriedEndpoints);
+                                        .plan(
+                                                mRoute,
+                                                s,
+                                                mExchange.head().prompt(),
+                                                mHistory.tried(),
+                                                now));
     }
 
     private Optional<ForwardService> service() {
@@ -213,41 +206,39 @@
             ImmutableList<MemoryReservation> memory,
             Duration remaining,
             Instant now) {
-        mAttemptCount++;
-        mTriedEndpoints.add(attemptPlan.endpoint().id());
+        mHistory.recordSent(attemptPlan.endpoint().id());
         mContext.tracker().recordSent(attemptPlan.endpoint().id(), now);
         mContext.tracker().recordHelpers(attemptPlan.helpers(), now);
-        AttemptLog.recordSent(mContext, mExchange.id(), mAttemptCount, attemptPlan, remaining);
+        AttemptLog.recordSent(mContext, mExchange.id(), mHistory.count(), attemptPlan, remaining);
         ForwardAttempt attempt =
                 new ForwardAttempt(
                         mContext,
                         mExchange,
                         attemptPlan,
                         memory,
-                        mAttemptCount,
+                        mHistory.count(),
                         mQuarantine.isTrial(),
                         mRelay,
                         this);
-        mAttempt = Optional.of(attempt);
+        mInFlight.add(attempt);
         attempt.start(remaining);
     }
 
     @Override
-    public void onFailed(Delivery delivery, String detail) {
+    public void onFailed(ForwardAttempt attempt, Delivery delivery, String detail) {
         if (mEnded) {
             return;
         }
-        mAttempt = Optional.empty();
         switch (delivery) {
-            case NOT_DELIVERED -> {
-                mAttemptCount--;
-                mFailedConnects++;
-            }
+            case NOT_DELIVERED -> mHistory.recordNotDelivered();
             case REFUSED -> {}
             case MAY_HAVE_RUN -> mMayHaveRun = true;
         }
+        if (mInFlight.endOne(attempt)) {
+            return;
+        }
         boolean mayRepeat = mRoute.repeatable() || delivery != Delivery.MAY_HAVE_RUN;
-        if (mayRepeat && !mustNotRepeat() && hasAttemptsLeft()) {
+        if (mayRepeat && !mustNotRepeat() && mHistory.hasAttemptsLeft()) {
             sendNext();
         } else {
             giveUp(
@@ -259,10 +250,12 @@
     }
 
     @Override
-    public void onCrashedEndpoint(String detail) {
-        if (!mEnded) {
-            mAttempt = Optional.empty();
-            mMayHaveRun = true;
+    public void onCrashedEndpoint(ForwardAttempt attempt, String detail) {
+        if (mEnded) {
+            return;
+        }
+        mMayHaveRun = true;
+        if (!mInFlight.endOne(attempt)) {
             giveUp(Reason.ENDPOINT_FAILED, "the endpoint crashed as it began to answer: " + detail);
         }
     }
@@ -272,23 +265,46 @@
     }
 
     @Override
-    public boolean canRetryElsewhere(Instant now) {
-        return hasAttemptsLeft() && mContext.budgets().of(mService).mayRetry(now);
+    public boolean trySendElsewhere(Instant now) {
+        Duration remaining = Duration.between(now, mExchange.deadline());
+        boolean allowed =
+                mInFlight.hasRoom()
+                        && mHistory.hasAttemptsLeft()
+                        && remaining.compareTo(MIN_ATTEMPT_TIME) >= 0
+                        && keyRejection().isEmpty()
+                        && mQuarantine.mayStillSend(now)
+                        && !mQuarantine.isTrial();
+        Optional<AttemptPlan> attemptPlan =
+                allowed ? plan(now).filter(p -> p.reservations().isEmpty()) : Optional.empty();
+        if (attemptPlan.isEmpty() || !mContext.budgets().of(mService).tryRetry(now)) {
+            return false;
+        }
+        mMayHaveRun = true;
+        send(attemptPlan.get(), ImmutableList.of(), remaining, now);
+        return true;
     }
 
-    private boolean hasAttemptsLeft() {
-        return mAttemptCount < mRoute.maxAttempts() && mFailedConnects < MAX_FAILED_CONNECTS;
+    @Override
+    public boolean isOnlyAttempt() {
+        return mInFlight.hasRoom();
     }
 
     @Override
-    public void onErrorAnswer(AnswerHead head, Buffer body) {
+    public void onRelayed(ForwardAttempt attempt) {
+        mInFlight.keepOnly(attempt);
+    }
+
+    @Override
+    public void onErrorAnswer(ForwardAttempt attempt, AnswerHead head, Buffer body) {
         if (mEnded) {
             return;
         }
         mMayHaveRun = true;
         mLastFailure = Optional.of(new ServerFailure(head, body));
-        mAttempt = Optional.empty();
-        if (head.status() >= 500 && mRoute.repeatable() && hasAttemptsLeft()) {
+        if (mInFlight.endOne(attempt)) {
+            return;
+        }
+        if (head.status() >= 500 && mRoute.repeatable() && mHistory.hasAttemptsLeft()) {
             sendNext();
         } else {
             relayLastFailure();
@@ -298,7 +314,7 @@
     @Override
     public void onAnswered(long eventCount, Instant firstEventAt) {
         if (!mEnded) {
-            mAnswerEnd.recordAnswered(200, mAttemptCount, firstEventAt);
+            mAnswerEnd.recordAnswered(200, mHistory.count(), firstEventAt);
             finish(new Outcome.Done((int) eventCount));
         }
     }
@@ -315,7 +331,7 @@
                                     + " and may have run"));
             return;
         }
-        mAnswerEnd.relayError(failure.head(), failure.body(), mAttemptCount);
+        mAnswerEnd.relayError(failure.head(), failure.body(), mHistory.count());
         finish(new Outcome.Done(0));
     }
 
@@ -324,7 +340,7 @@
             relayLastFailure();
         } else {
             endWithoutAnswer(
-                    failure(mAttemptCount > 0 ? Step.DISPATCH : Step.ROUTE, reason, detail));
+                    failure(mHistory.count() > 0 ? Step.DISPATCH : Step.ROUTE, reason, detail));
         }
     }
 
@@ -336,7 +352,7 @@
 
     private void onDeadline() {
         if (!mEnded) {
-            if (mAttempt.filter(ForwardAttempt::mayHaveRun).isPresent()) {
+            if (mInFlight.mayHaveRun()) {
                 mMayHaveRun = true;
             }
             giveUp(Reason.DEADLINE_PAST, "the request's time is up");
@@ -349,7 +365,7 @@
                     .record(
                             new ForwardEvent.CallerGone(
                                     mExchange.id().value(),
-                                    mAttemptCount,
+                                    mHistory.count(),
                                     mExchange.millisSinceArrival(mContext.clocks().now())));
             finish(
                     Outcome.unknown(
@@ -358,14 +374,13 @@
     }
 
     private void endWithoutAnswer(Outcome outcome) {
-        mAnswerEnd.cutIfBegun(outcome, mAttemptCount);
+        mAnswerEnd.cutIfBegun(outcome, mHistory.count());
         finish(outcome);
     }
 
     private void finish(Outcome outcome) {
         mEnded = true;
-        mAttempt.ifPresent(ForwardAttempt::cancel);
-        mAttempt = Optional.empty();
+        mInFlight.cancelAll();
         mDeadlineTimer.ifPresent(Cancellable::cancel);
         mOnOutcome.accept(outcome);
     }
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/SilenceWatch.java
@@ -0,0 +1,48 @@
+package io.bilberrygrade.serving.forward;
+
+import io.bilberrygrade.serving.time.Timers;
+import io.smallrye.mutiny.subscription.Cancellable;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+/** Notices when an endpoint has sent nothing of an answer for too long. */
+final class SilenceWatch {
+    private final Timers mTimers;
+    private final Predicate<Duration> mOnSilence;
+    private Optional<Duration> mLimit = Optional.empty();
+    private Optional<Cancellable> mTimer = Optional.empty();
+
+    /**
+     * Creates a watch that isn't started.
+     *
+     * @param onSilence gets the limit that has passed; returns whether the watch ends
+     */
+    SilenceWatch(Timers timers, Predicate<Duration> onSilence) {
+        mTimers = timers;
+        mOnSilence = onSilence;
+    }
+
+    /** Starts to wait for the endpoint for at most the given time, instead of the time before. */
+    void start(Duration limit) {
+        stop();
+        mLimit = Optional.of(limit);
+        mTimer = Optional.of(mTimers.after(limit).subscribe().with(v -> onLimit(limit)));
+    }
+
+    /** Starts again with the last limit, if the watch was started before. */
+    void restart() {
+        mLimit.ifPresent(this::start);
+    }
+
+    void stop() {
+        mTimer.ifPresent(Cancellable::cancel);
+        mTimer = Optional.empty();
+    }
+
+    private void onLimit(Duration limit) {
+        if (!mOnSilence.test(limit)) {
+            start(limit);
+        }
+    }
+}
