Let the quarantine suspect more than parts of prompts

Cause: crashes could only be attributed to shared parts of prompts, by type.

Change: the quarantine's unit is a Suspect; parts of prompts are made into suspects where a request meets the quarantine, and only if crashes are known. No behaviour is changed; PromptPart stays what a request's head holds.

Measured: CrashEvidenceTest, QuarantinePolicyTest and QuarantineTrialsTest green with the type renamed.

--- a/core/src/main/java/io/bilberrygrade/core/quarantine/CrashEvidence.java
+++ b/core/src/main/java/io/bilberrygrade/core/quarantine/CrashEvidence.java
@@ -5,7 +5,6 @@
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
 import io.bilberrygrade.core.forward.EndpointRun;
-import io.bilberrygrade.core.forward.PromptPart;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
@@ -35,7 +34,7 @@
     /** Earliest first. */
     private ImmutableList<CrashRecord> mRecords = ImmutableList.of();
 
-    private ImmutableSet<PromptPart> mSuspects = ImmutableSet.of();
+    private ImmutableSet<Suspect> mSuspects = ImmutableSet.of();
     private long mDigest;
 
     /** Returns whether no crash is known. */
@@ -73,12 +72,12 @@
         return records.contains(merged);
     }
 
-    /** Clears parts with which a request was answered; returns whether one was suspected. */
-    public boolean clear(ImmutableSet<PromptPart> parts) {
-        if (Collections.disjoint(parts, mSuspects)) {
+    /** Clears what a request that was answered holds; returns whether any of it was suspected. */
+    public boolean clear(ImmutableSet<Suspect> suspects) {
+        if (Collections.disjoint(suspects, mSuspects)) {
             return false;
         }
-        replace(mRecords.stream().map(r -> r.clear(parts)).toList());
+        replace(mRecords.stream().map(r -> r.clear(suspects)).toList());
         return true;
     }
 
@@ -98,15 +97,15 @@
         Hasher hasher = Hashing.farmHashFingerprint64().newHasher();
         hasher.putString(record.run().id().value(), StandardCharsets.UTF_8);
         hasher.putLong(record.run().startedAtMillis());
-        putParts(hasher, record.begun());
-        putParts(hasher, record.waiting());
-        putParts(hasher, record.cleared());
+        putSuspects(hasher, record.begun());
+        putSuspects(hasher, record.waiting());
+        putSuspects(hasher, record.cleared());
         return hasher.hash().asLong();
     }
 
-    private static void putParts(Hasher hasher, ImmutableSet<PromptPart> parts) {
-        hasher.putInt(parts.size());
-        parts.stream()
+    private static void putSuspects(Hasher hasher, ImmutableSet<Suspect> suspects) {
+        hasher.putInt(suspects.size());
+        suspects.stream()
                 .sorted()
                 .forEach(p -> hasher.putString(p.id(), StandardCharsets.UTF_8).putChar(','));
     }
--- a/core/src/main/java/io/bilberrygrade/core/quarantine/QuarantinePolicy.java
+++ b/core/src/main/java/io/bilberrygrade/core/quarantine/QuarantinePolicy.java
@@ -3,7 +3,6 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
-import io.bilberrygrade.core.forward.PromptPart;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Comparator;
@@ -12,15 +11,15 @@
 /**
  * Decides which requests would crash the endpoint that starts to answer them.
  *
- * <p>A part is suspected by the crashes that it may have caused. Parts that were at all of its
- * crashes explain them as well as the part itself, so only requests that hold all of these parts
- * are quarantined. Sound requests share some of them; their answers clear what they hold.
+ * <p>Each crash counts against all suspects that may have caused it. Others that were at all of a
+ * suspect's crashes explain them as well as it does, so only requests that hold all of them are
+ * quarantined. Sound requests share some of them; their answers clear what they hold.
  */
 public final class QuarantinePolicy {
-    /** Weight of a crash for a part with which an answer had just begun. */
+    /** Weight of a crash for a suspect with which an answer had just begun. */
     private static final int BEGUN_WEIGHT = 3;
 
-    /** Weight of a crash for a part with which requests had only been received. */
+    /** Weight of a crash for a suspect with which requests had only been received. */
     private static final int WAITING_WEIGHT = 2;
 
     /** Weight from which a request is quarantined: two crashes as it began to be answered. */
@@ -43,7 +42,7 @@
     private QuarantinePolicy() {}
 
     /**
-     * Returns whether a request with the given parts must not be sent, and why.
+     * Returns whether a request with the given suspects must not be sent, and why.
      *
      * @param records known crashes, earliest first
      * @param completeUntil time of the last crashes of which all daemons have had time to report
@@ -51,36 +50,36 @@
      *     suspected, since another daemon may have had one that had begun
      */
     public static Optional<Quarantine> of(
-            ImmutableSet<PromptPart> parts,
+            ImmutableSet<Suspect> suspects,
             ImmutableList<CrashRecord> records,
             Instant completeUntil) {
-        if (records.isEmpty() || parts.isEmpty()) {
+        if (records.isEmpty() || suspects.isEmpty()) {
             return Optional.empty();
         }
         ImmutableList<CrashRecord> counted =
                 records.stream()
                         .filter(r -> r.isStrong() || !r.at().isAfter(completeUntil))
                         .collect(ImmutableList.toImmutableList());
-        return parts.stream()
-                .flatMap(p -> of(p, parts, counted).stream())
+        return suspects.stream()
+                .flatMap(p -> of(p, suspects, counted).stream())
                 .max(Comparator.comparing(Quarantine::trialAt));
     }
 
     private static Optional<Quarantine> of(
-            PromptPart part, ImmutableSet<PromptPart> parts, ImmutableList<CrashRecord> records) {
+            Suspect suspect, ImmutableSet<Suspect> suspects, ImmutableList<CrashRecord> records) {
         ImmutableList<CrashRecord> crashes =
                 records.stream()
-                        .filter(r -> r.suspects().contains(part))
+                        .filter(r -> r.suspects().contains(suspect))
                         .collect(ImmutableList.toImmutableList());
         if (crashes.isEmpty()) {
             return Optional.empty();
         }
-        ImmutableSet<PromptPart> always = crashes.getFirst().suspects();
+        ImmutableSet<Suspect> always = crashes.getFirst().suspects();
         for (CrashRecord crash : crashes) {
             always = Sets.intersection(always, crash.suspects()).immutableCopy();
         }
         Tally tally = tally(crashes);
-        return tally.weight() >= MIN_WEIGHT && parts.containsAll(always)
+        return tally.weight() >= MIN_WEIGHT && suspects.containsAll(always)
                 ? Optional.of(new Quarantine(always, tally.groups(), trialAt(crashes)))
                 : Optional.empty();
     }
--- a/core/src/main/java/io/bilberrygrade/core/quarantine/package-info.java
+++ b/core/src/main/java/io/bilberrygrade/core/quarantine/package-info.java
@@ -1,2 +1,2 @@
-/** Parts of prompts that crash the endpoints that start to answer them. */
+/** Requests that crash the endpoints that start to answer them. */
 package io.bilberrygrade.core.quarantine;
--- a/core/src/test/java/io/bilberrygrade/core/quarantine/CrashEvidenceTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/quarantine/CrashEvidenceTest.java
@@ -6,7 +6,6 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import io.bilberrygrade.core.forward.EndpointRun;
-import io.bilberrygrade.core.forward.PromptPart;
 import io.bilberrygrade.core.identity.EndpointId;
 import java.time.Duration;
 import java.time.Instant;
@@ -83,7 +82,8 @@
             mEvidence.merge(record("e" + i, 1_000L * i, many, ""));
         }
         assertThat(mEvidence.records()).hasSize(CrashEvidence.MAX_RECORDS);
-        assertThat(mEvidence.records()).allMatch(r -> r.suspects().size() <= CrashRecord.MAX_PARTS);
+        assertThat(mEvidence.records())
+                .allMatch(r -> r.suspects().size() <= CrashRecord.MAX_SUSPECTS);
     }
 
     /** Crashes of other causes, whose parts were answered since, go first. */
@@ -110,7 +110,7 @@
     @Test
     void answerWithUnknownPartsChangesNothing() {
         mEvidence.merge(record("e", 0, "a", ""));
-        assertThat(mEvidence.clear(ImmutableSet.of(new PromptPart("z")))).isFalse();
+        assertThat(mEvidence.clear(ImmutableSet.of(new Suspect("z")))).isFalse();
         assertThat(mEvidence.clear(parts("a z"))).isTrue();
         assertThat(mEvidence.clear(parts("a"))).isFalse();
     }
--- a/core/src/test/java/io/bilberrygrade/core/quarantine/QuarantinePolicyTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/quarantine/QuarantinePolicyTest.java
@@ -5,7 +5,6 @@
 import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableSet;
 import io.bilberrygrade.core.forward.EndpointRun;
-import io.bilberrygrade.core.forward.PromptPart;
 import io.bilberrygrade.core.identity.EndpointId;
 import java.time.Duration;
 import java.time.Instant;
@@ -20,11 +19,11 @@
     private final CrashEvidence mEvidence = new CrashEvidence();
     private int mCrashes;
 
-    static ImmutableSet<PromptPart> parts(String text) {
+    static ImmutableSet<Suspect> parts(String text) {
         return Splitter.on(' ')
                 .omitEmptyStrings()
                 .splitToStream(text)
-                .map(PromptPart::new)
+                .map(Suspect::new)
                 .collect(ImmutableSet.toImmutableSet());
     }
 
--- a/core/src/test/java/io/bilberrygrade/core/quarantine/QuarantineTrialsTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/quarantine/QuarantineTrialsTest.java
@@ -3,14 +3,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.common.collect.ImmutableSet;
-import io.bilberrygrade.core.forward.PromptPart;
 import java.time.Duration;
 import java.time.Instant;
 import org.junit.jupiter.api.Test;
 
 final class QuarantineTrialsTest {
     private static final Instant DUE = Instant.EPOCH.plus(Duration.ofHours(1));
-    private static final PromptPart PART = new PromptPart("dead");
+    private static final Suspect PART = new Suspect("dead");
 
     private final QuarantineTrials mTrials = new QuarantineTrials();
     private final Quarantine mQuarantine = new Quarantine(ImmutableSet.of(PART), 2, DUE);
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/CrashCodec.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/CrashCodec.java
@@ -3,9 +3,9 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import io.bilberrygrade.core.forward.EndpointRun;
-import io.bilberrygrade.core.forward.PromptPart;
 import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.core.quarantine.CrashRecord;
+import io.bilberrygrade.core.quarantine.Suspect;
 import io.bilberrygrade.serving.peer.CrashEntry;
 import java.time.Duration;
 import java.time.Instant;
@@ -39,19 +39,19 @@
                                         new EndpointRun(
                                                 new EndpointId(e.endpoint()), e.startedAtMillis()),
                                         now.minusMillis(Math.max(0, e.ageMillis())),
-                                        parts(e.begun()),
-                                        parts(e.waiting()),
-                                        parts(e.cleared())))
+                                        suspects(e.begun()),
+                                        suspects(e.waiting()),
+                                        suspects(e.cleared())))
                 .collect(ImmutableList.toImmutableList());
     }
 
-    static ImmutableList<String> ids(Collection<PromptPart> parts) {
-        return parts.stream().map(PromptPart::id).collect(ImmutableList.toImmutableList());
+    static ImmutableList<String> ids(Collection<Suspect> suspects) {
+        return suspects.stream().map(Suspect::id).collect(ImmutableList.toImmutableList());
     }
 
-    static ImmutableSet<PromptPart> parts(List<String> ids) {
+    static ImmutableSet<Suspect> suspects(List<String> ids) {
         return ids == null
                 ? ImmutableSet.of()
-                : ids.stream().map(PromptPart::new).collect(ImmutableSet.toImmutableSet());
+                : ids.stream().map(Suspect::new).collect(ImmutableSet.toImmutableSet());
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/CrashDetector.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/CrashDetector.java
@@ -3,10 +3,10 @@
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
 import io.bilberrygrade.core.forward.EndpointRun;
-import io.bilberrygrade.core.forward.PromptPart;
 import io.bilberrygrade.core.forward.RegisteredEndpoint;
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.quarantine.CrashRecord;
+import io.bilberrygrade.core.quarantine.Suspect;
 import io.bilberrygrade.serving.time.Timers;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
@@ -49,14 +49,14 @@
      * @param begun whether the answer had begun
      */
     Uni<Boolean> onConnectionClosed(
-            RegisteredEndpoint endpoint, ImmutableSet<PromptPart> parts, boolean begun) {
+            RegisteredEndpoint endpoint, ImmutableSet<Suspect> suspects, boolean begun) {
         EndpointRun run = endpoint.run();
         if (mQuarantine.evidence().find(run, mClocks.now()).isPresent()) {
-            record(run, begun ? parts : ImmutableSet.of(), begun ? ImmutableSet.of() : parts);
+            record(run, begun ? suspects : ImmutableSet.of(), begun ? ImmutableSet.of() : suspects);
             return Uni.createFrom().item(true);
         }
         Probe probe = mProbes.computeIfAbsent(run, r -> start(endpoint));
-        probe.add(parts, begun);
+        probe.add(suspects, begun);
         return probe.mResult;
     }
 
@@ -81,25 +81,25 @@
     }
 
     private void record(
-            EndpointRun run, ImmutableSet<PromptPart> begun, ImmutableSet<PromptPart> waiting) {
+            EndpointRun run, ImmutableSet<Suspect> begun, ImmutableSet<Suspect> waiting) {
         Instant now = mClocks.now();
         mQuarantine.recordCrash(new CrashRecord(run, now, begun, waiting, ImmutableSet.of()), now);
     }
 
     private static final class Probe {
         private final Uni<Boolean> mResult;
-        private ImmutableSet<PromptPart> mBegun = ImmutableSet.of();
-        private ImmutableSet<PromptPart> mWaiting = ImmutableSet.of();
+        private ImmutableSet<Suspect> mBegun = ImmutableSet.of();
+        private ImmutableSet<Suspect> mWaiting = ImmutableSet.of();
 
         Probe(Uni<Boolean> result) {
             mResult = result;
         }
 
-        void add(ImmutableSet<PromptPart> parts, boolean begun) {
+        void add(ImmutableSet<Suspect> suspects, boolean begun) {
             if (begun) {
-                mBegun = Sets.union(mBegun, parts).immutableCopy();
+                mBegun = Sets.union(mBegun, suspects).immutableCopy();
             } else {
-                mWaiting = Sets.union(mWaiting, parts).immutableCopy();
+                mWaiting = Sets.union(mWaiting, suspects).immutableCopy();
             }
         }
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/CrashExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/CrashExchange.java
@@ -2,10 +2,10 @@
 
 import com.google.common.collect.ImmutableList;
 import io.bilberrygrade.core.exchange.FleetView;
-import io.bilberrygrade.core.forward.PromptPart;
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.quarantine.CrashEvidence;
 import io.bilberrygrade.core.quarantine.QuarantineTrials;
+import io.bilberrygrade.core.quarantine.Suspect;
 import io.bilberrygrade.serving.peer.CrashEntry;
 import io.bilberrygrade.serving.peer.CrashReport;
 import java.time.Duration;
@@ -84,7 +84,7 @@
             return ImmutableList.of();
         }
         return report.trials().stream()
-                .filter(id -> mQuarantine.trials().grant(new PromptPart(id), now))
+                .filter(id -> mQuarantine.trials().grant(new Suspect(id), now))
                 .collect(ImmutableList.toImmutableList());
     }
 
@@ -103,7 +103,7 @@
         mPeerDigests.put(peer, reply.digest());
         merge(reply, peer, now);
         if (reply.trials() != null) {
-            reply.trials().forEach(id -> mQuarantine.trials().add(new PromptPart(id), now));
+            reply.trials().forEach(id -> mQuarantine.trials().add(new Suspect(id), now));
         }
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
@@ -3,8 +3,8 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import io.bilberrygrade.core.forward.LostRequestDetector;
-import io.bilberrygrade.core.forward.PromptPart;
 import io.bilberrygrade.core.forward.RouteKind;
+import io.bilberrygrade.core.quarantine.Suspect;
 import io.bilberrygrade.serving.error.Delivery;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.buffer.Buffer;
@@ -71,15 +71,15 @@
                         mRelay.lastId(),
                         mPlan.helpers(mMemory),
                         Urgency.of(mExchange.route()));
-        if (!sharedParts().isEmpty() && !mTrial) {
+        if (!mTrial) {
             mContext.quarantine().watch(this);
         }
         mCall = mContext.client().send(mExchange.head(), mExchange.body(), attemptRequest, this);
     }
 
     @Override
-    public ImmutableSet<PromptPart> sharedParts() {
-        return mExchange.head().sharedParts();
+    public ImmutableSet<Suspect> suspects() {
+        return mExchange.suspects();
     }
 
     @Override
@@ -202,7 +202,7 @@
             boolean progress = events.stream().anyMatch(StreamEvent::progress);
             if (progress) {
                 onFirstEvent();
-                clearPartsOnceSettled();
+                clearOnceSettled();
             }
             for (StreamEvent event : events) {
                 if (mayRelay(event)) {
@@ -240,11 +240,11 @@
         }
     }
 
-    /** Clears the prompt's parts of suspicion once its answer is well under way. */
-    private void clearPartsOnceSettled() {
+    /** Clears the request of suspicion once its answer is well under way. */
+    private void clearOnceSettled() {
         Instant now = mContext.clocks().now();
         if (mProgress.hasSettled(now)) {
-            mContext.quarantine().recordAnswered(sharedParts(), now);
+            mContext.quarantine().recordAnswered(mExchange::suspects, now);
         }
     }
 
@@ -264,7 +264,7 @@
             return;
         }
         mContext.tracker().recordSuccess(mPlan.endpoint().id());
-        mContext.quarantine().recordAnswered(sharedParts(), mContext.clocks().now());
+        mContext.quarantine().recordAnswered(mExchange::suspects, mContext.clocks().now());
         if (isStreaming()) {
             mRelay.end(head);
         } else {
@@ -279,7 +279,7 @@
         boolean closedEarly =
                 delivery == Delivery.MAY_HAVE_RUN
                         && !mFinished
-                        && !sharedParts().isEmpty()
+                        && !suspects().isEmpty()
                         && !mContext.state().endpoints().leaving().contains(mPlan.endpoint().run())
                         && !mProgress.hasSettled(mContext.clocks().now());
         if (closedEarly) {
@@ -297,7 +297,7 @@
     private void onClosedEarly(String detail) {
         boolean begun = mProgress.hasBegun();
         Uni<Boolean> crashed =
-                mContext.crashes().onConnectionClosed(mPlan.endpoint(), sharedParts(), begun);
+                mContext.crashes().onConnectionClosed(mPlan.endpoint(), suspects(), begun);
         if (begun) {
             end(Delivery.MAY_HAVE_RUN, detail, true);
             crashed.subscribe()
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardExchange.java
@@ -1,9 +1,11 @@
 package io.bilberrygrade.serving.forward;
 
+import com.google.common.collect.ImmutableSet;
 import io.bilberrygrade.core.forward.ForwardingConfig;
 import io.bilberrygrade.core.forward.Route;
 import io.bilberrygrade.core.identity.RequestId;
 import io.bilberrygrade.core.identity.TeamId;
+import io.bilberrygrade.core.quarantine.Suspect;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
 import java.time.Instant;
@@ -91,6 +93,13 @@
         return Duration.between(mArrival, at).toMillis();
     }
 
+    /** Returns by what the request may crash endpoints. */
+    ImmutableSet<Suspect> suspects() {
+        return mHead.sharedParts().stream()
+                .map(Suspect::part)
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
     /** Returns the earlier of the caller's deadline and the route's. */
     Instant deadline() {
         Instant byRoute = mArrival.plus(route().timeout());
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOperation.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOperation.java
@@ -57,7 +57,7 @@
         mRelay = new AnswerRelay(exchange.answer(), exchange.head().resumeAfter());
         mHistory = new AttemptHistory(mRoute.maxAttempts());
         mAnswerEnd = new AnswerEnd(context, exchange, mRelay);
-        mQuarantine = new QuarantineCheck(context.quarantine(), exchange.head().sharedParts());
+        mQuarantine = new QuarantineCheck(context.quarantine(), exchange::suspects);
     }
 
     void start() {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/QuarantineCheck.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/QuarantineCheck.java
@@ -1,27 +1,28 @@
 package io.bilberrygrade.serving.forward;
 
 import com.google.common.collect.ImmutableSet;
-import io.bilberrygrade.core.forward.PromptPart;
 import io.bilberrygrade.core.quarantine.Quarantine;
+import io.bilberrygrade.core.quarantine.Suspect;
 import io.bilberrygrade.core.request.Outcome;
 import io.bilberrygrade.core.request.Reason;
 import io.bilberrygrade.core.request.Step;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
+import java.util.function.Supplier;
 
-/** Checks before each attempt of a request whether its prompt is known to crash endpoints. */
+/** Checks before each attempt of a request whether it is known to crash endpoints. */
 final class QuarantineCheck {
-    /** Least time after which a caller whose prompt is quarantined may return. */
+    /** Least time after which a caller whose request is quarantined may return. */
     private static final Duration MIN_RETRY_AFTER = Duration.ofSeconds(10);
 
     private final QuarantineController mController;
-    private final ImmutableSet<PromptPart> mParts;
+    private final Supplier<ImmutableSet<Suspect>> mSuspects;
     private boolean mTrial;
 
-    QuarantineCheck(QuarantineController controller, ImmutableSet<PromptPart> parts) {
+    QuarantineCheck(QuarantineController controller, Supplier<ImmutableSet<Suspect>> suspects) {
         mController = controller;
-        mParts = parts;
+        mSuspects = suspects;
     }
 
     /**
@@ -30,7 +31,7 @@
      * @param mayHaveRun whether an earlier attempt may have run
      */
     Optional<Outcome> check(boolean mayHaveRun, Instant now) {
-        Optional<Quarantine> quarantine = mController.of(mParts, now);
+        Optional<Quarantine> quarantine = mController.of(mSuspects, now);
         mTrial = quarantine.filter(q -> mController.trials().tryUse(q, now)).isPresent();
         return mTrial ? Optional.empty() : quarantine.map(q -> outcome(q, mayHaveRun, now));
     }
@@ -38,7 +39,7 @@
     private static Outcome outcome(Quarantine quarantine, boolean mayHaveRun, Instant now) {
         String detail =
                 "endpoints crash on prompts with "
-                        + quarantine.parts()
+                        + quarantine.suspects()
                         + ", seen "
                         + quarantine.crashes()
                         + " times";
@@ -58,13 +59,13 @@
                 untilTrial.compareTo(MIN_RETRY_AFTER) > 0 ? untilTrial : MIN_RETRY_AFTER);
     }
 
-    /** Returns whether the attempt is a trial of a quarantined prompt. */
+    /** Returns whether the attempt is a trial of a quarantined request. */
     boolean isTrial() {
         return mTrial;
     }
 
     /** Returns whether an attempt that has waited since the check may be sent. */
     boolean mayStillSend(Instant now) {
-        return mTrial || mController.of(mParts, now).isEmpty();
+        return mTrial || mController.of(mSuspects, now).isEmpty();
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/QuarantineController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/QuarantineController.java
@@ -5,12 +5,12 @@
 import com.google.common.collect.ImmutableSet;
 import io.bilberrygrade.core.exchange.ExchangeInterval;
 import io.bilberrygrade.core.exchange.FleetView;
-import io.bilberrygrade.core.forward.PromptPart;
 import io.bilberrygrade.core.quarantine.CrashEvidence;
 import io.bilberrygrade.core.quarantine.CrashRecord;
 import io.bilberrygrade.core.quarantine.Quarantine;
 import io.bilberrygrade.core.quarantine.QuarantinePolicy;
 import io.bilberrygrade.core.quarantine.QuarantineTrials;
+import io.bilberrygrade.core.quarantine.Suspect;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.event.ForwardEvent;
 import java.time.Duration;
@@ -20,9 +20,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 
 /**
- * Keeps the crashes of endpoints that prompts may have caused, and decides by them which requests
+ * Keeps the crashes of endpoints that requests may have caused, and decides by them which requests
  * are sent to no endpoint. Attempts that are quarantined while they wait at an endpoint are
  * cancelled, before they crash it.
  */
@@ -30,22 +31,22 @@
     /** Maximum time within which daemons report what they had at a crashed endpoint. */
     private static final Duration MAX_REPORT_TIME = Duration.ofMillis(1_500);
 
-    /** Time for which an answer speaks for its parts. */
+    /** Time for which an answer speaks for its suspects. */
     private static final Duration ANSWER_LIFETIME = Duration.ofSeconds(10);
 
-    /** Maximum number of answered parts that are remembered while crashes are known. */
-    private static final int MAX_ANSWERED_PARTS = 256;
+    /** Maximum number of answered suspects that are remembered while crashes are known. */
+    private static final int MAX_ANSWERED_SUSPECTS = 256;
 
     private final CrashEvidence mEvidence = new CrashEvidence();
     private final QuarantineTrials mTrials = new QuarantineTrials();
     private final Set<Quarantinable> mInFlight = new LinkedHashSet<>();
-    private final Map<PromptPart, Instant> mAnsweredAt =
+    private final Map<Suspect, Instant> mAnsweredAt =
             new LinkedHashMap<>() {
                 private static final long serialVersionUID = 1;
 
                 @Override
-                protected boolean removeEldestEntry(Map.Entry<PromptPart, Instant> eldest) {
-                    return size() > MAX_ANSWERED_PARTS;
+                protected boolean removeEldestEntry(Map.Entry<Suspect, Instant> eldest) {
+                    return size() > MAX_ANSWERED_SUSPECTS;
                 }
             };
     private final FleetView mFleet;
@@ -71,11 +72,14 @@
         return mTrials;
     }
 
-    /** Returns why a request with the given shared parts must not be sent, if that is so. */
-    Optional<Quarantine> of(ImmutableSet<PromptPart> parts, Instant now) {
+    /**
+     * Returns why a request must not be sent, if that is so. Its suspects are determined only if
+     * crashes are known.
+     */
+    Optional<Quarantine> of(Supplier<ImmutableSet<Suspect>> suspects, Instant now) {
         return mEvidence.isEmpty()
                 ? Optional.empty()
-                : QuarantinePolicy.of(parts, mEvidence.records(), completeUntil(now));
+                : QuarantinePolicy.of(suspects.get(), mEvidence.records(), completeUntil(now));
     }
 
     /** Records that this daemon has what the aggregator knows. */
@@ -120,15 +124,17 @@
         }
     }
 
-    /** Records that requests with the given parts are answered. */
-    void recordAnswered(ImmutableSet<PromptPart> parts, Instant now) {
+    /**
+     * Records that a request is answered. Its suspects are determined only if crashes are known.
+     */
+    void recordAnswered(Supplier<ImmutableSet<Suspect>> suspects, Instant now) {
         if (!mEvidence.isEmpty()) {
-            parts.forEach(p -> mAnsweredAt.put(p, now));
-            mEvidence.clear(parts);
+            suspects.get().forEach(s -> mAnsweredAt.put(s, now));
+            mEvidence.clear(suspects.get());
         }
     }
 
-    /** Clears the parts of answers that this daemon relayed shortly before a crash. */
+    /** Clears the suspects of answers that this daemon relayed shortly before a crash. */
     private void clearRecentlyAnswered(Instant now) {
         mAnsweredAt.values().removeIf(at -> at.plus(ANSWER_LIFETIME).isBefore(now));
         mEvidence.clear(ImmutableSet.copyOf(mAnsweredAt.keySet()));
@@ -163,13 +169,13 @@
 
     private void cancelQuarantined(Instant now) {
         ImmutableList.copyOf(mInFlight).stream()
-                .filter(a -> a.mayCrashEndpoint() && of(a.sharedParts(), now).isPresent())
+                .filter(a -> a.mayCrashEndpoint() && of(a::suspects, now).isPresent())
                 .forEach(Quarantinable::cancelQuarantined);
     }
 
     /** Attempt in flight that may become quarantined. */
     interface Quarantinable {
-        ImmutableSet<PromptPart> sharedParts();
+        ImmutableSet<Suspect> suspects();
 
         /** Returns whether the endpoint has not begun to send the answer's content. */
         boolean mayCrashEndpoint();
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/PromptQuarantineFleetTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/PromptQuarantineFleetTest.java
@@ -5,9 +5,9 @@
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
 import io.bilberrygrade.core.forward.EndpointRun;
-import io.bilberrygrade.core.forward.PromptPart;
 import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.core.quarantine.CrashRecord;
+import io.bilberrygrade.core.quarantine.Suspect;
 import io.bilberrygrade.serving.forward.ExchangeTestFleet.Member;
 import java.time.Duration;
 import java.time.Instant;
@@ -33,7 +33,7 @@
     /** Limit of a daemon's control traffic. */
     private static final long MAX_CONTROL_BYTES_PER_SECOND = 2_048;
 
-    private static final PromptPart FATAL = new PromptPart("dead");
+    private static final Suspect FATAL = new Suspect("dead");
     private static final Duration READING = Duration.ofMillis(120);
 
     private final ExchangeTestFleet mFleet = new ExchangeTestFleet(7);
@@ -48,12 +48,12 @@
         mFleet.mTime.advance(SETTLE_TIME);
     }
 
-    private static ImmutableSet<PromptPart> parts(PromptPart... parts) {
+    private static ImmutableSet<Suspect> parts(Suspect... parts) {
         return ImmutableSet.copyOf(parts);
     }
 
-    private PromptPart introduction() {
-        return new PromptPart("intro" + mRequests % 3);
+    private Suspect introduction() {
+        return new Suspect("intro" + mRequests % 3);
     }
 
     private Member anyMember() {
@@ -77,7 +77,7 @@
     }
 
     private void sendFatal(Member member, int number) {
-        ImmutableSet<PromptPart> parts = parts(introduction(), FATAL);
+        ImmutableSet<Suspect> parts = parts(introduction(), FATAL);
         if (isSent(member, parts)) {
             mFatalArrivals.add(mFleet.now());
             mArrivalsFrom.merge(member.mNumber, 1, Integer::sum);
@@ -85,23 +85,22 @@
         }
     }
 
-    private boolean isSent(Member member, ImmutableSet<PromptPart> parts) {
-        return new QuarantineCheck(member.mQuarantine, parts).check(false, mFleet.now()).isEmpty();
+    private boolean isSent(Member member, ImmutableSet<Suspect> parts) {
+        return new QuarantineCheck(member.mQuarantine, () -> parts)
+                .check(false, mFleet.now())
+                .isEmpty();
     }
 
-    private void crash(Member member, int number, ImmutableSet<PromptPart> parts) {
+    private void crash(Member member, int number, ImmutableSet<Suspect> parts) {
         mCrashes.add(mFleet.now());
-        PromptPart other = new PromptPart("intro" + mFleet.mRandom.nextInt(3));
+        Suspect other = new Suspect("intro" + mFleet.mRandom.nextInt(3));
         record(member, number, parts, ImmutableSet.of());
         record(anyMember(), number, ImmutableSet.of(), parts(other));
     }
 
     /** Lets a member see the crash of a run, at which it had the given requests. */
     private void record(
-            Member member,
-            int run,
-            ImmutableSet<PromptPart> begun,
-            ImmutableSet<PromptPart> waiting) {
+            Member member, int run, ImmutableSet<Suspect> begun, ImmutableSet<Suspect> waiting) {
         member.mProcess.schedule(
                 Duration.ofMillis(mFleet.mRandom.nextInt(20)),
                 () ->
@@ -116,13 +115,13 @@
     }
 
     private void sendSound(Member member) {
-        ImmutableSet<PromptPart> parts = parts(introduction());
+        ImmutableSet<Suspect> parts = parts(introduction());
         if (!isSent(member, parts)) {
             mSoundRefused++;
         } else {
             member.mProcess.schedule(
                     READING.multipliedBy(3),
-                    () -> member.mQuarantine.recordAnswered(parts, mFleet.now()));
+                    () -> member.mQuarantine.recordAnswered(() -> parts, mFleet.now()));
         }
     }
 
@@ -202,15 +201,16 @@
     void crashesOfOtherCausesQuarantineNothing(int members) {
         start(members);
         for (int i = 0; i < 30; i++) {
-            ImmutableSet<PromptPart> begun = parts(introduction());
-            ImmutableSet<PromptPart> waiting = parts(new PromptPart("intro" + i % 3));
+            ImmutableSet<Suspect> begun = parts(introduction());
+            ImmutableSet<Suspect> waiting = parts(new Suspect("intro" + i % 3));
             record(anyMember(), 1_000_000 + i, begun, waiting);
             Member member = anyMember();
             member.mProcess.schedule(
                     READING.multipliedBy(2),
                     () ->
                             member.mQuarantine.recordAnswered(
-                                    Sets.union(begun, waiting).immutableCopy(), mFleet.now()));
+                                    () -> Sets.union(begun, waiting).immutableCopy(),
+                                    mFleet.now()));
             for (int k = 0; k < 20; k++) {
                 mFleet.mTime.advance(Duration.ofMillis(40));
                 mRequests++;
