Hold back single requests that crash endpoints

Callers: a request that crashes the endpoints that begin to run it came again at any daemon and was sent each time; sound requests with the same parts lost their answers with each crash, or were refused in its place.

Cause: crashes were attributed to shared parts of prompts only. A request without a prompt has none; the parts of one with a prompt are cleared by answers to other requests, or blamed for what one request did.

Change: the request itself is a suspect beside the parts of its prompt, in the same policy, told by method, path, team and body. Crashes by one request have it in common, so they blame none of its parts; an answer to another request never clears it. The digest is computed only if crashes are known. Requests are kept beside the parts in a crash's record, each kind with a maximum of its own.

--- a/core/src/main/java/io/bilberrygrade/core/quarantine/CrashRecord.java
+++ b/core/src/main/java/io/bilberrygrade/core/quarantine/CrashRecord.java
@@ -4,6 +4,8 @@
 import com.google.common.collect.Sets;
 import io.bilberrygrade.core.forward.EndpointRun;
 import java.time.Instant;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 /**
  * Crash of an endpoint, with the suspects that the requests that it was running hold. Daemons that
@@ -20,26 +22,33 @@
         ImmutableSet<Suspect> begun,
         ImmutableSet<Suspect> waiting,
         ImmutableSet<Suspect> cleared) {
-    /**
-     * Maximum number of suspects of each kind; an endpoint runs some ten requests with a few
-     * suspects each.
-     */
-    static final int MAX_SUSPECTS = 32;
+    /** Maximum number of parts of prompts; an endpoint runs some ten requests with a few each. */
+    static final int MAX_PARTS = 32;
+
+    /** Maximum number of requests, those that an endpoint runs and those that it queues. */
+    static final int MAX_REQUESTS = 48;
 
     /** Creates a record; suspects beyond the maximum are left out. */
     public CrashRecord {
-        begun = limited(begun);
-        waiting = limited(waiting);
-        cleared = cleared.size() > 2 * MAX_SUSPECTS ? limited(cleared) : cleared;
+        begun = limited(begun, 1);
+        waiting = limited(waiting, 1);
+        cleared = limited(cleared, 2);
+    }
+
+    private static ImmutableSet<Suspect> limited(ImmutableSet<Suspect> suspects, int factor) {
+        if (suspects.size() <= factor * MAX_PARTS) {
+            return suspects;
+        }
+        return Stream.concat(
+                        smallest(suspects, Suspect::isRequest, factor * MAX_REQUESTS),
+                        smallest(suspects, s -> !s.isRequest(), factor * MAX_PARTS))
+                .collect(ImmutableSet.toImmutableSet());
     }
 
-    private static ImmutableSet<Suspect> limited(ImmutableSet<Suspect> suspects) {
-        return suspects.size() <= MAX_SUSPECTS
-                ? suspects
-                : suspects.stream()
-                        .sorted()
-                        .limit(MAX_SUSPECTS)
-                        .collect(ImmutableSet.toImmutableSet());
+    /** Daemons that merge the same suspects in another order keep the same ones. */
+    private static Stream<Suspect> smallest(
+            ImmutableSet<Suspect> suspects, Predicate<Suspect> kind, int max) {
+        return suspects.stream().filter(kind).sorted().limit(max);
     }
 
     /**
--- a/core/src/test/java/io/bilberrygrade/core/quarantine/CrashEvidenceTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/quarantine/CrashEvidenceTest.java
@@ -82,8 +82,19 @@
             mEvidence.merge(record("e" + i, 1_000L * i, many, ""));
         }
         assertThat(mEvidence.records()).hasSize(CrashEvidence.MAX_RECORDS);
-        assertThat(mEvidence.records())
-                .allMatch(r -> r.suspects().size() <= CrashRecord.MAX_SUSPECTS);
+        assertThat(mEvidence.records()).allMatch(r -> r.suspects().size() <= CrashRecord.MAX_PARTS);
+    }
+
+    @Test
+    void requestsAreKeptBesideManyPartsAndTheirNumberIsBounded() {
+        String parts = String.join(" ", IntStream.range(0, 500).mapToObj(i -> "p" + i).toList());
+        String requests =
+                String.join(" ", IntStream.range(0, 500).mapToObj(i -> "request:" + i).toList());
+        mEvidence.merge(record("e", 0, parts + " request:0", ""));
+        assertThat(mEvidence.records().getFirst().begun()).contains(new Suspect("request:0"));
+        mEvidence.merge(record("e", 0, requests, ""));
+        assertThat(mEvidence.records().getFirst().begun())
+                .hasSize(CrashRecord.MAX_PARTS + CrashRecord.MAX_REQUESTS);
     }
 
     /** Crashes of other causes, whose parts were answered since, go first. */
--- a/core/src/test/java/io/bilberrygrade/core/quarantine/QuarantinePolicyTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/quarantine/QuarantinePolicyTest.java
@@ -163,4 +163,42 @@
         assertThat(of("dead").orElseThrow().trialAt())
                 .isEqualTo(START.plusMillis(last).plus(Duration.ofMinutes(minutes)));
     }
+
+    @Test
+    void crashesByOneRequestBlameNoneOfItsParts() {
+        crash(0, "intro rare request:1", "");
+        crash(300, "intro rare request:1", "");
+        assertThat(of("intro rare request:1")).isPresent();
+        assertThat(of("intro rare request:2")).isEmpty();
+    }
+
+    @Test
+    void crashesByDifferentRequestsBlameTheirCommonPart() {
+        crash(0, "intro rare request:1", "");
+        crash(300, "rare request:2", "");
+        assertThat(of("other rare request:3").map(Quarantine::suspects)).contains(parts("rare"));
+        assertThat(of("intro request:4")).isEmpty();
+    }
+
+    @Test
+    void answersToOtherRequestsDoNotClearTheRequest() {
+        crash(0, "intro rare request:1", "");
+        crash(300, "intro rare request:1", "");
+        mEvidence.clear(parts("intro rare request:2"));
+        assertThat(of("intro rare request:1").map(Quarantine::suspects))
+                .contains(parts("request:1"));
+        mEvidence.clear(parts("intro rare request:1"));
+        assertThat(of("intro rare request:1")).isEmpty();
+    }
+
+    /** An endpoint that crashes before any head had other requests that wait as well. */
+    @Test
+    void requestThatWaitedAtThreeCrashesIsToldFromOthersThatWaitedThere() {
+        crash(0, "", "request:1 request:2 request:3");
+        crash(300, "", "request:1 request:4");
+        assertThat(of("request:1")).isEmpty();
+        crash(600, "", "request:1 request:2");
+        assertThat(of("request:1")).isPresent();
+        assertThat(of("request:2")).isEmpty();
+    }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
@@ -91,7 +91,7 @@
     public void cancelQuarantined() {
         fail(
                 mProgress.isSent() ? Delivery.MAY_HAVE_RUN : Delivery.NOT_DELIVERED,
-                "its prompt was quarantined meanwhile",
+                "it was quarantined meanwhile",
                 false);
     }
 
@@ -279,7 +279,6 @@
         boolean closedEarly =
                 delivery == Delivery.MAY_HAVE_RUN
                         && !mFinished
-                        && !suspects().isEmpty()
                         && !mContext.state().endpoints().leaving().contains(mPlan.endpoint().run())
                         && !mProgress.hasSettled(mContext.clocks().now());
         if (closedEarly) {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardExchange.java
@@ -25,6 +25,7 @@
     private final CallerAnswer mAnswer;
     private Optional<Route> mRoute = Optional.empty();
     private Optional<TeamId> mTeam = Optional.empty();
+    private ImmutableSet<Suspect> mSuspects = ImmutableSet.of();
 
     ForwardExchange(
             RequestId id,
@@ -93,11 +94,19 @@
         return Duration.between(mArrival, at).toMillis();
     }
 
-    /** Returns by what the request may crash endpoints. */
+    /**
+     * Returns by what the request may crash endpoints. Reads the whole body at the first call, so
+     * that it is called only once endpoints have crashed.
+     */
     ImmutableSet<Suspect> suspects() {
-        return mHead.sharedParts().stream()
-                .map(Suspect::part)
-                .collect(ImmutableSet.toImmutableSet());
+        if (mSuspects.isEmpty()) {
+            mSuspects =
+                    ImmutableSet.<Suspect>builder()
+                            .addAll(mHead.sharedParts().stream().map(Suspect::part).iterator())
+                            .add(Suspect.request(RequestDigest.of(mHead, mTeam, mBody)))
+                            .build();
+        }
+        return mSuspects;
     }
 
     /** Returns the earlier of the caller's deadline and the route's. */
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/QuarantineCheck.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/QuarantineCheck.java
@@ -37,24 +37,24 @@
     }
 
     private static Outcome outcome(Quarantine quarantine, boolean mayHaveRun, Instant now) {
+        Reason reason =
+                quarantine.suspects().stream().anyMatch(Suspect::isRequest)
+                        ? Reason.REQUEST_QUARANTINED
+                        : Reason.PROMPT_QUARANTINED;
         String detail =
-                "endpoints crash on prompts with "
+                "endpoints crash on requests with "
                         + quarantine.suspects()
                         + ", seen "
                         + quarantine.crashes()
                         + " times";
         if (mayHaveRun) {
             return new Outcome.Unknown(
-                    Step.ROUTE,
-                    Reason.PROMPT_QUARANTINED,
-                    detail,
-                    Optional.empty(),
-                    Optional.empty());
+                    Step.ROUTE, reason, detail, Optional.empty(), Optional.empty());
         }
         Duration untilTrial = Duration.between(now, quarantine.trialAt());
         return Outcome.notRun(
                 Step.ROUTE,
-                Reason.PROMPT_QUARANTINED,
+                reason,
                 detail,
                 untilTrial.compareTo(MIN_RETRY_AFTER) > 0 ? untilTrial : MIN_RETRY_AFTER);
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/QuarantineController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/QuarantineController.java
@@ -35,7 +35,7 @@
     private static final Duration ANSWER_LIFETIME = Duration.ofSeconds(10);
 
     /** Maximum number of answered suspects that are remembered while crashes are known. */
-    private static final int MAX_ANSWERED_SUSPECTS = 256;
+    private static final int MAX_ANSWERED_SUSPECTS = 1_024;
 
     private final CrashEvidence mEvidence = new CrashEvidence();
     private final QuarantineTrials mTrials = new QuarantineTrials();
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/RequestHead.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/RequestHead.java
@@ -15,6 +15,7 @@
  * @param timeLeft time for which the caller still waits
  * @param sharedParts parts of the prompt that other requests may share, in order; the part that
  *     belongs to the request alone is left out
+ * @param ownPart part of the prompt that belongs to the request or its session alone
  * @param resumeAfter last event of a broken stream that the caller has received
  * @param passedOn headers that are forwarded to the endpoint unchanged
  */
@@ -27,5 +28,6 @@
         Optional<Duration> timeLeft,
         Optional<PromptShape> prompt,
         ImmutableSet<PromptPart> sharedParts,
+        Optional<PromptPart> ownPart,
         Optional<Long> resumeAfter,
         MultiMap passedOn) {}
--- a/serving/src/main/java/io/bilberrygrade/serving/http/StatusCodes.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/StatusCodes.java
@@ -22,7 +22,12 @@
     private static int ofUnknown(Reason reason) {
         return switch (reason) {
             case DEADLINE_PAST, DEADLINE_UNREACHABLE -> GATEWAY_TIMEOUT;
-            case PROMPT_QUARANTINED, NO_ENDPOINT, ENDPOINT_REFUSED, ENDPOINT_FAILED, CALLER_GONE ->
+            case PROMPT_QUARANTINED,
+                    REQUEST_QUARANTINED,
+                    NO_ENDPOINT,
+                    ENDPOINT_REFUSED,
+                    ENDPOINT_FAILED,
+                    CALLER_GONE ->
                     BAD_GATEWAY;
             default -> ofRefusal(reason);
         };
@@ -50,6 +55,7 @@
                     DRAINING,
                     NO_ENDPOINT,
                     PROMPT_QUARANTINED,
+                    REQUEST_QUARANTINED,
                     ENDPOINT_REFUSED,
                     ENDPOINT_FAILED,
                     KEY_HOME_UNREACHABLE,
