--- a/serving/src/test/java/io/bilberrygrade/serving/forward/PromptQuarantineFleetTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/PromptQuarantineFleetTest.java
@@ -2,12 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
-import com.google.common.collect.Sets;
-import io.bilberrygrade.core.forward.EndpointRun;
 import io.bilberrygrade.core.forward.PromptPart;
-import io.bilberrygrade.core.identity.EndpointId;
-import io.bilberrygrade.core.quarantine.CrashRecord;
 import io.bilberrygrade.serving.forward.ExchangeTestFleet.Member;
 import java.time.Duration;
 import java.time.Instant;
@@ -21,45 +18,32 @@
 
 /** Fleets of up to 410 daemons on virtual time whose endpoints crash on a part of prompts. */
 final class PromptQuarantineFleetTest {
-    private static final Duration SETTLE_TIME = Duration.ofSeconds(10);
-    private static final Duration STABILITY_WINDOW = Duration.ofSeconds(3);
-
     /** Crashes after which, and the stability window, the rule applies. */
     private static final int COUNTED_CRASHES = 5;
 
-    /** Requests with the part that may reach endpoints after that. */
-    private static final int MAX_LATE_ARRIVALS = 3;
-
-    /** Limit of a daemon's control traffic. */
-    private static final long MAX_CONTROL_BYTES_PER_SECOND = 2_048;
+    /** Requests with the part that a daemon without its peers may send. */
+    private static final int MAX_ARRIVALS_OF_ONE = 3;
 
     private static final PromptPart FATAL = new PromptPart("dead");
-    private static final Duration READING = Duration.ofMillis(120);
+    private static final Duration READING = QuarantineTestFleet.READING;
 
-    private final ExchangeTestFleet mFleet = new ExchangeTestFleet(7);
+    private final QuarantineTestFleet mModel = new QuarantineTestFleet();
+    private final ExchangeTestFleet mFleet = mModel.mFleet;
     private final List<Instant> mFatalArrivals = new ArrayList<>();
     private final List<Instant> mCrashes = new ArrayList<>();
     private final Map<Integer, Integer> mArrivalsFrom = new HashMap<>();
     private int mRequests;
-    private int mSoundRefused;
-
-    private void start(int members) {
-        mFleet.add(members);
-        mFleet.mTime.advance(SETTLE_TIME);
-    }
+    private int mIds;
 
-    private static ImmutableSet<PromptPart> parts(PromptPart... parts) {
-        return ImmutableSet.copyOf(parts);
+    /** Returns a request that no other is equal to. */
+    private QuarantineTestRequest request(PromptPart... parts) {
+        return new QuarantineTestRequest("r" + mIds++, ImmutableSet.copyOf(parts));
     }
 
     private PromptPart introduction() {
         return new PromptPart("intro" + mRequests % 3);
     }
 
-    private Member anyMember() {
-        return mFleet.mMembers.get(mFleet.mRandom.nextInt(mFleet.mMembers.size()));
-    }
-
     /** Plays requests at random members; one in five holds the fatal part. */
     private void play(Duration span, int requestsPerSecond) {
         Duration interval = Duration.ofNanos(1_000_000_000L / requestsPerSecond);
@@ -67,7 +51,7 @@
         while (mFleet.now().isBefore(end)) {
             mFleet.mTime.advance(interval);
             mRequests++;
-            Member member = anyMember();
+            Member member = mModel.anyMember();
             if (mRequests % 5 == 0) {
                 sendFatal(member, mRequests);
             } else {
@@ -77,71 +61,37 @@
     }
 
     private void sendFatal(Member member, int number) {
-        ImmutableSet<PromptPart> parts = parts(introduction(), FATAL);
-        if (isSent(member, parts)) {
+        QuarantineTestRequest request = request(introduction(), FATAL);
+        if (request.isSentBy(member, mFleet.now())) {
             mFatalArrivals.add(mFleet.now());
             mArrivalsFrom.merge(member.mNumber, 1, Integer::sum);
-            member.mProcess.schedule(READING, () -> crash(member, number, parts));
+            member.mProcess.schedule(READING, () -> crash(member, number, request));
         }
     }
 
-    private boolean isSent(Member member, ImmutableSet<PromptPart> parts) {
-        return new QuarantineCheck(member.mQuarantine, parts).check(false, mFleet.now()).isEmpty();
-    }
-
-    private void crash(Member member, int number, ImmutableSet<PromptPart> parts) {
+    private void crash(Member member, int number, QuarantineTestRequest request) {
         mCrashes.add(mFleet.now());
-        PromptPart other = new PromptPart("intro" + mFleet.mRandom.nextInt(3));
-        record(member, number, parts, ImmutableSet.of());
-        record(anyMember(), number, ImmutableSet.of(), parts(other));
-    }
-
-    /** Lets a member see the crash of a run, at which it had the given requests. */
-    private void record(
-            Member member,
-            int run,
-            ImmutableSet<PromptPart> begun,
-            ImmutableSet<PromptPart> waiting) {
-        member.mProcess.schedule(
-                Duration.ofMillis(mFleet.mRandom.nextInt(20)),
-                () ->
-                        member.mQuarantine.recordCrash(
-                                new CrashRecord(
-                                        new EndpointRun(new EndpointId("e" + run), run),
-                                        mFleet.now(),
-                                        begun,
-                                        waiting,
-                                        ImmutableSet.of()),
-                                mFleet.now()));
+        QuarantineTestRequest other = request(new PromptPart("intro" + mFleet.mRandom.nextInt(3)));
+        mModel.recordCrash(member, number, ImmutableList.of(request), ImmutableList.of());
+        mModel.recordCrash(mModel.anyMember(), number, ImmutableList.of(), ImmutableList.of(other));
     }
 
     private void sendSound(Member member) {
-        ImmutableSet<PromptPart> parts = parts(introduction());
-        if (!isSent(member, parts)) {
-            mSoundRefused++;
-        } else {
-            member.mProcess.schedule(
-                    READING.multipliedBy(3),
-                    () -> member.mQuarantine.recordAnswered(parts, mFleet.now()));
-        }
+        mModel.sendSound(member, request(introduction()));
     }
 
     private void checkRule() {
         assertThat(mCrashes).isNotEmpty();
-        Instant binding =
-                mCrashes.size() < COUNTED_CRASHES
-                        ? Instant.MAX
-                        : mCrashes.get(COUNTED_CRASHES - 1).plus(STABILITY_WINDOW);
-        assertThat(mFatalArrivals.stream().filter(t -> t.isAfter(binding)).count())
+        assertThat(QuarantineTestFleet.lateArrivals(mFatalArrivals, mCrashes, COUNTED_CRASHES))
                 .as(mFatalArrivals.size() + " reached endpoints")
-                .isLessThanOrEqualTo(MAX_LATE_ARRIVALS);
-        assertThat(mSoundRefused).isZero();
+                .isLessThanOrEqualTo(QuarantineTestFleet.MAX_LATE_ARRIVALS);
+        mModel.assertNoSoundOneRefused();
     }
 
     @ParameterizedTest
     @CsvSource({"4, 25", "45, 100", "410, 500", "410, 5"})
     void partIsNoLongerSentByAnyDaemonAfterCrashesSeenByOthers(int members, int perSecond) {
-        start(members);
+        mModel.start(members);
         play(Duration.ofSeconds(12), perSecond);
         checkRule();
     }
@@ -149,11 +99,11 @@
     @ParameterizedTest
     @CsvSource({"4, 25, true", "4, 25, false", "45, 100, true", "45, 100, false", "410, 100, true"})
     void lossOfTheAggregatorKeepsThePartQuarantined(int members, int perSecond, boolean killed) {
-        start(members);
+        mModel.start(members);
         play(Duration.ofMillis(500), perSecond);
         for (int i = 0; i < 3; i++) {
             Member aggregator =
-                    mFleet.member(anyMember().mFleet.aggregator(mFleet.now()).address());
+                    mFleet.member(mModel.anyMember().mFleet.aggregator(mFleet.now()).address());
             if (killed) {
                 mFleet.restart(aggregator.mNumber);
             } else {
@@ -168,7 +118,7 @@
     @ParameterizedTest
     @CsvSource({"4, 25", "45, 100"})
     void restartedDaemonsLearnTheQuarantineFromPeers(int members, int perSecond) {
-        start(members);
+        mModel.start(members);
         play(Duration.ofSeconds(5), perSecond);
         int before = mFatalArrivals.size();
         for (int i = 0; i < members; i++) {
@@ -184,67 +134,59 @@
     @ParameterizedTest
     @CsvSource({"4, 25, 2", "45, 100, 2", "45, 100, 3"})
     void daemonsThatCannotReachTheirPeersStopBySelf(int members, int perSecond, int parts) {
-        start(members);
+        mModel.start(members);
         List<Member> group = mFleet.mMembers.subList(0, members / parts);
         mFleet.cut(group, mFleet.mMembers.subList(members / parts, members));
         play(Duration.ofSeconds(20), perSecond);
         Instant healed = mFleet.now();
         mFleet.mNetwork.heal();
         play(Duration.ofSeconds(10), perSecond);
-        assertThat(mArrivalsFrom.values()).allMatch(n -> n <= MAX_LATE_ARRIVALS);
-        assertThat(mFatalArrivals).noneMatch(t -> t.isAfter(healed.plus(STABILITY_WINDOW)));
-        assertThat(mSoundRefused).isZero();
+        assertThat(mArrivalsFrom.values()).allMatch(n -> n <= MAX_ARRIVALS_OF_ONE);
+        assertThat(mFatalArrivals)
+                .noneMatch(t -> t.isAfter(healed.plus(QuarantineTestFleet.STABILITY_WINDOW)));
+        mModel.assertNoSoundOneRefused();
     }
 
     /** Crashes of other causes, each with sound requests that are sent again and answered. */
     @ParameterizedTest
     @CsvSource({"4", "45"})
     void crashesOfOtherCausesQuarantineNothing(int members) {
-        start(members);
+        mModel.start(members);
         for (int i = 0; i < 30; i++) {
-            ImmutableSet<PromptPart> begun = parts(introduction());
-            ImmutableSet<PromptPart> waiting = parts(new PromptPart("intro" + i % 3));
-            record(anyMember(), 1_000_000 + i, begun, waiting);
-            Member member = anyMember();
+            QuarantineTestRequest begun = request(introduction());
+            QuarantineTestRequest waiting = request(new PromptPart("intro" + i % 3));
+            mModel.recordCrash(
+                    mModel.anyMember(),
+                    1_000_000 + i,
+                    ImmutableList.of(begun),
+                    ImmutableList.of(waiting));
+            Member member = mModel.anyMember();
             member.mProcess.schedule(
                     READING.multipliedBy(2),
-                    () ->
-                            member.mQuarantine.recordAnswered(
-                                    Sets.union(begun, waiting).immutableCopy(), mFleet.now()));
+                    () -> {
+                        begun.recordAnswered(member, mFleet.now());
+                        waiting.recordAnswered(member, mFleet.now());
+                    });
             for (int k = 0; k < 20; k++) {
                 mFleet.mTime.advance(Duration.ofMillis(40));
                 mRequests++;
-                sendSound(anyMember());
+                sendSound(mModel.anyMember());
             }
         }
-        assertThat(mSoundRefused).isZero();
+        mModel.assertNoSoundOneRefused();
     }
 
     @ParameterizedTest
     @CsvSource({"45, 100", "410, 500"})
     void quarantineLeavesRoomInTheControlTraffic(int members, int perSecond) {
-        start(members);
-        long idle = bytesPerMemberAndSecond(members, 0);
-        long crashing = bytesPerMemberAndSecond(members, perSecond);
-        assertThat(crashing - idle)
-                .as(idle + " B/s without and " + crashing + " B/s with crashes")
-                .isLessThan(MAX_CONTROL_BYTES_PER_SECOND);
-    }
-
-    private long bytesPerMemberAndSecond(int members, int perSecond) {
-        long before = mFleet.mNetwork.totalSentBytes();
-        if (perSecond == 0) {
-            mFleet.mTime.advance(Duration.ofSeconds(10));
-        } else {
-            play(Duration.ofSeconds(10), perSecond);
-        }
-        return (mFleet.mNetwork.totalSentBytes() - before) / members / 10;
+        mModel.start(members);
+        mModel.assertLittleSent(span -> play(span, perSecond));
     }
 
     /** In an hour the fleet tries the part again twice, wherever requests with it arrive. */
     @Test
     void trialsAreTheFleetsAndNotEachDaemons() {
-        start(8);
+        mModel.start(8);
         play(Duration.ofSeconds(10), 20);
         int before = mFatalArrivals.size();
         play(Duration.ofMinutes(60), 5);
