--- a/serving/src/test/java/io/bilberrygrade/serving/forward/RequestQuarantineFleetTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/RequestQuarantineFleetTest.java
@@ -185,8 +185,7 @@
         "45, 168, false",
         "410, 1536, true"
     })
-    void restartOfOneInThreeKeepsTheRequestQuarantined(
-            int members, int perSecond, boolean begins) {
+    void restartOfOneInThreeKeepsTheRequestQuarantined(int members, int perSecond, boolean begins) {
         mModel.start(members);
         Fatal fatal = fatal("fatal", PARTS, begins);
         play(Duration.ofSeconds(2), perSecond, fatal);
