Keep records of crashes small enough for the control traffic

Cause: each record held ids of 24 characters for requests, cleared suspects twice, and 16 records were sent at each change.

Change: a request's id is a colon and 48 bits in 8 characters, what is cleared isn't also kept as begun or waiting, and at most 12 records are kept.

--- a/core/src/main/java/io/bilberrygrade/core/quarantine/CrashEvidence.java
+++ b/core/src/main/java/io/bilberrygrade/core/quarantine/CrashEvidence.java
@@ -20,7 +20,7 @@
  */
 public final class CrashEvidence {
     /** Maximum number of records kept; a request is suspected after a few crashes. */
-    static final int MAX_RECORDS = 16;
+    static final int MAX_RECORDS = 12;
 
     /** Time for which a record is kept. */
     static final Duration LIFETIME = Duration.ofHours(12);
--- a/core/src/main/java/io/bilberrygrade/core/quarantine/CrashRecord.java
+++ b/core/src/main/java/io/bilberrygrade/core/quarantine/CrashRecord.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.Sets;
 import io.bilberrygrade.core.forward.EndpointRun;
 import java.time.Instant;
+import java.util.Collections;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 
@@ -12,8 +13,9 @@
  * saw the same crash have different requests at the endpoint, so their records are merged.
  *
  * @param at when the crash was first known here
- * @param begun suspects of requests whose answers had just begun
- * @param waiting suspects of requests that the endpoint had received and not begun to answer
+ * @param begun suspects of requests whose answers had just begun, without the cleared ones
+ * @param waiting suspects of requests that the endpoint had received and not begun to answer,
+ *     without the cleared ones
  * @param cleared suspects with which a request has been answered since
  */
 public record CrashRecord(
@@ -30,9 +32,16 @@
 
     /** Creates a record; suspects beyond the maximum are left out. */
     public CrashRecord {
-        begun = limited(begun, 1);
-        waiting = limited(waiting, 1);
         cleared = limited(cleared, 2);
+        begun = limited(without(begun, cleared), 1);
+        waiting = limited(without(waiting, cleared), 1);
+    }
+
+    private static ImmutableSet<Suspect> without(
+            ImmutableSet<Suspect> suspects, ImmutableSet<Suspect> cleared) {
+        return Collections.disjoint(suspects, cleared)
+                ? suspects
+                : Sets.difference(suspects, cleared).immutableCopy();
     }
 
     private static ImmutableSet<Suspect> limited(ImmutableSet<Suspect> suspects, int factor) {
@@ -56,13 +65,12 @@
      * if none of those that had begun can be the cause.
      */
     public ImmutableSet<Suspect> suspects() {
-        ImmutableSet<Suspect> first = Sets.difference(begun, cleared).immutableCopy();
-        return first.isEmpty() ? Sets.difference(waiting, cleared).immutableCopy() : first;
+        return begun.isEmpty() ? waiting : begun;
     }
 
     /** Returns whether an answer had just begun with one of the suspects. */
     boolean isStrong() {
-        return !Sets.difference(begun, cleared).isEmpty();
+        return !begun.isEmpty();
     }
 
     /** Returns this record with what another record of the same crash adds. */
--- a/core/src/main/java/io/bilberrygrade/core/quarantine/Suspect.java
+++ b/core/src/main/java/io/bilberrygrade/core/quarantine/Suspect.java
@@ -1,7 +1,8 @@
 package io.bilberrygrade.core.quarantine;
 
+import com.google.common.io.BaseEncoding;
+import com.google.common.primitives.Longs;
 import io.bilberrygrade.core.forward.PromptPart;
-import java.util.Locale;
 
 /**
  * Something that requests have in common and by which they may crash endpoints: a part of their
@@ -11,7 +12,10 @@
  */
 public record Suspect(String id) implements Comparable<Suspect> {
     /** Ids of parts hold no colon. */
-    private static final String REQUEST_PREFIX = "request:";
+    private static final String REQUEST_PREFIX = ":";
+
+    /** Bytes of a digest that are kept; a few requests are told from some millions. */
+    private static final int DIGEST_BYTES = 6;
 
     /** Returns the suspect that stands for a part of a prompt. */
     public static Suspect part(PromptPart part) {
@@ -20,7 +24,10 @@
 
     /** Returns the suspect that stands for a whole request with the given digest. */
     public static Suspect request(long digest) {
-        return new Suspect(REQUEST_PREFIX + String.format(Locale.ROOT, "%016x", digest));
+        return new Suspect(
+                REQUEST_PREFIX
+                        + BaseEncoding.base64Url()
+                                .encode(Longs.toByteArray(digest), 0, DIGEST_BYTES));
     }
 
     /** Returns whether it stands for a whole request. */
--- a/core/src/test/java/io/bilberrygrade/core/quarantine/CrashEvidenceTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/quarantine/CrashEvidenceTest.java
@@ -88,10 +88,9 @@
     @Test
     void requestsAreKeptBesideManyPartsAndTheirNumberIsBounded() {
         String parts = String.join(" ", IntStream.range(0, 500).mapToObj(i -> "p" + i).toList());
-        String requests =
-                String.join(" ", IntStream.range(0, 500).mapToObj(i -> "request:" + i).toList());
-        mEvidence.merge(record("e", 0, parts + " request:0", ""));
-        assertThat(mEvidence.records().getFirst().begun()).contains(new Suspect("request:0"));
+        String requests = String.join(" ", IntStream.range(0, 500).mapToObj(i -> ":" + i).toList());
+        mEvidence.merge(record("e", 0, parts + " :0", ""));
+        assertThat(mEvidence.records().getFirst().begun()).contains(new Suspect(":0"));
         mEvidence.merge(record("e", 0, requests, ""));
         assertThat(mEvidence.records().getFirst().begun())
                 .hasSize(CrashRecord.MAX_PARTS + CrashRecord.MAX_REQUESTS);
--- a/core/src/test/java/io/bilberrygrade/core/quarantine/QuarantinePolicyTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/quarantine/QuarantinePolicyTest.java
@@ -166,39 +166,38 @@
 
     @Test
     void crashesByOneRequestBlameNoneOfItsParts() {
-        crash(0, "intro rare request:1", "");
-        crash(300, "intro rare request:1", "");
-        assertThat(of("intro rare request:1")).isPresent();
-        assertThat(of("intro rare request:2")).isEmpty();
+        crash(0, "intro rare :1", "");
+        crash(300, "intro rare :1", "");
+        assertThat(of("intro rare :1")).isPresent();
+        assertThat(of("intro rare :2")).isEmpty();
     }
 
     @Test
     void crashesByDifferentRequestsBlameTheirCommonPart() {
-        crash(0, "intro rare request:1", "");
-        crash(300, "rare request:2", "");
-        assertThat(of("other rare request:3").map(Quarantine::suspects)).contains(parts("rare"));
-        assertThat(of("intro request:4")).isEmpty();
+        crash(0, "intro rare :1", "");
+        crash(300, "rare :2", "");
+        assertThat(of("other rare :3").map(Quarantine::suspects)).contains(parts("rare"));
+        assertThat(of("intro :4")).isEmpty();
     }
 
     @Test
     void answersToOtherRequestsDoNotClearTheRequest() {
-        crash(0, "intro rare request:1", "");
-        crash(300, "intro rare request:1", "");
-        mEvidence.clear(parts("intro rare request:2"));
-        assertThat(of("intro rare request:1").map(Quarantine::suspects))
-                .contains(parts("request:1"));
-        mEvidence.clear(parts("intro rare request:1"));
-        assertThat(of("intro rare request:1")).isEmpty();
+        crash(0, "intro rare :1", "");
+        crash(300, "intro rare :1", "");
+        mEvidence.clear(parts("intro rare :2"));
+        assertThat(of("intro rare :1").map(Quarantine::suspects)).contains(parts(":1"));
+        mEvidence.clear(parts("intro rare :1"));
+        assertThat(of("intro rare :1")).isEmpty();
     }
 
     /** An endpoint that crashes before any head had other requests that wait as well. */
     @Test
     void requestThatWaitedAtThreeCrashesIsToldFromOthersThatWaitedThere() {
-        crash(0, "", "request:1 request:2 request:3");
-        crash(300, "", "request:1 request:4");
-        assertThat(of("request:1")).isEmpty();
-        crash(600, "", "request:1 request:2");
-        assertThat(of("request:1")).isPresent();
-        assertThat(of("request:2")).isEmpty();
+        crash(0, "", ":1 :2 :3");
+        crash(300, "", ":1 :4");
+        assertThat(of(":1")).isEmpty();
+        crash(600, "", ":1 :2");
+        assertThat(of(":1")).isPresent();
+        assertThat(of(":2")).isEmpty();
     }
 }
