Look for a crash only if the endpoint closed the connection

Cause: since single requests are suspects, each attempt that failed after it was sent made the daemon connect to the endpoint again to see whether it had crashed, also where this daemon had given up on a malformed answer. Endpoints got needless connections.

Change: the client of endpoints tells a connection that the endpoint closed from other failures, and only the former is looked into.

--- a/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointClient.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointClient.java
@@ -11,10 +11,12 @@
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpClosedException;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
+import java.io.IOException;
 import java.net.ConnectException;
 import java.time.Duration;
 import java.util.function.Consumer;
@@ -129,14 +131,12 @@
 
         void onConnected(HttpClientRequest request, Buffer body) {
             mRequest = request;
-            request.exceptionHandler(e -> fail(Delivery.MAY_HAVE_RUN, e));
+            request.exceptionHandler(this::failSent);
             if (mDone) {
                 request.reset();
                 return;
             }
-            request.response()
-                    .onSuccess(this::onResponse)
-                    .onFailure(e -> fail(Delivery.MAY_HAVE_RUN, e));
+            request.response().onSuccess(this::onResponse).onFailure(this::failSent);
             mListener.onConnected();
             if (body.length() == 0) {
                 request.end();
@@ -150,7 +150,7 @@
                 return;
             }
             mResponse = response;
-            response.exceptionHandler(e -> fail(Delivery.MAY_HAVE_RUN, e));
+            response.exceptionHandler(this::failSent);
             response.handler(this::onBodyPart);
             response.endHandler(v -> onBodyEnd());
             mListener.onHead(mProtocol.readAnswer(response.statusCode(), response.headers()));
@@ -169,24 +169,35 @@
             }
         }
 
-        void fail(Delivery delivery, Throwable cause) {
+        private void fail(Delivery delivery, Throwable cause) {
             if (!mDone) {
-                mDone = true;
-                if (mRequest != null) {
-                    mRequest.reset();
-                }
+                abandon();
                 mListener.onFailed(delivery, String.valueOf(cause.getMessage()));
             }
         }
 
-        @Override
-        public void cancel() {
+        /** Fails after the request was sent, by the endpoint or for what it has answered. */
+        private void failSent(Throwable cause) {
+            if (!mDone && (cause instanceof HttpClosedException || cause instanceof IOException)) {
+                abandon();
+                mListener.onClosed(String.valueOf(cause.getMessage()));
+            } else {
+                fail(Delivery.MAY_HAVE_RUN, cause);
+            }
+        }
+
+        private void abandon() {
             mDone = true;
             if (mRequest != null) {
                 mRequest.reset();
             }
         }
 
+        @Override
+        public void cancel() {
+            abandon();
+        }
+
         @Override
         public void pause() {
             if (mResponse != null) {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointListener.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointListener.java
@@ -4,7 +4,8 @@
 import io.vertx.core.buffer.Buffer;
 
 /**
- * Receives the progress of an attempt; the last call is either {@code onEnd} or {@code onFailed}.
+ * Receives the progress of an attempt; the last call is {@code onEnd}, {@code onClosed} or {@code
+ * onFailed}.
  */
 interface EndpointListener {
     /** The connection is established; from now on the endpoint may run the request. */
@@ -19,6 +20,12 @@
     /** The answer is complete. */
     void onEnd();
 
+    /**
+     * The endpoint closed the connection before the answer was complete; it may have run the
+     * request.
+     */
+    void onClosed(String detail);
+
     /**
      * The attempt failed; {@code delivery} states whether the endpoint may have run the request.
      */
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
@@ -276,15 +276,19 @@
 
     @Override
     public void onFailed(Delivery delivery, String detail) {
+        fail(delivery, detail);
+    }
+
+    @Override
+    public void onClosed(String detail) {
         boolean closedEarly =
-                delivery == Delivery.MAY_HAVE_RUN
-                        && !mFinished
+                !mFinished
                         && !mContext.state().endpoints().leaving().contains(mPlan.endpoint().run())
                         && !mProgress.hasSettled(mContext.clocks().now());
         if (closedEarly) {
             onClosedEarly(detail);
         } else {
-            fail(delivery, detail);
+            fail(Delivery.MAY_HAVE_RUN, detail);
         }
     }
 
