Eject an endpoint that was silent only briefly

Callers: a sound endpoint that fell silent for a second was left out for 1, 2, 4 and up to 30 s, as if it had failed, and its work moved to the others.

Cause: a silence before an answer's first content counted as a failure.

Change: it counts like a refusal for lack of capacity, which ejects for 250 ms at first and 2 s at most; silences of several requests at once count as one. An endpoint that is down is still found by its refused or unanswered connections.

--- a/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointTracker.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointTracker.java
@@ -23,6 +23,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
+import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
 
 /**
@@ -270,10 +271,23 @@
      * before, such as those that the same crash cut off, and count as one with the first.
      */
     void recordFailure(EndpointRun run, Instant now) {
+        recordIncident(run, health -> health.failed(now), now);
+    }
+
+    /**
+     * Records that an endpoint has sent nothing of an answer for long. It may be sound and go on,
+     * so it is ejected only as long as one that refuses requests for lack of capacity.
+     */
+    void recordSilence(EndpointRun run, Instant now) {
+        recordIncident(run, health -> health.refused(now), now);
+    }
+
+    private void recordIncident(
+            EndpointRun run, UnaryOperator<EndpointHealth> change, Instant now) {
         mHealth.merge(
                 run,
-                EndpointHealth.GOOD.failed(now),
-                (old, f) -> now.isBefore(old.ejectedUntil()) ? old : old.failed(now));
+                change.apply(EndpointHealth.GOOD),
+                (old, f) -> now.isBefore(old.ejectedUntil()) ? old : change.apply(old));
     }
 
     /** Records a refusal for lack of capacity. */
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
@@ -138,7 +138,7 @@
         }
         boolean sentElsewhere = mOwner.trySendElsewhere(now);
         if (sentElsewhere && beforeContent) {
-            mContext.tracker().recordFailure(mPlan.endpoint().run(), now);
+            mContext.tracker().recordSilence(mPlan.endpoint().run(), now);
         }
         AttemptLog.recordSilent(
                 mContext, mExchange.id(), mAttemptNumber, mPlan, mProgress, span, sentElsewhere);
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/EndpointTrackerTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/EndpointTrackerTest.java
@@ -116,6 +116,20 @@
         assertThat(eligible(NOW.plusMillis(1_000))).containsExactly(OTHER, HEALTHY);
     }
 
+    /** Sound endpoints fall silent now and then. */
+    @Test
+    void silenceDoesNotEjectAnEndpointForLong() {
+        mDirectory.put(OTHER, NOW);
+        mDirectory.put(HEALTHY, NOW);
+        for (int i = 0; i < 6; i++) {
+            Instant silentAt = NOW.plusSeconds(3L * i);
+            mTracker.recordSilence(OTHER.run(), silentAt);
+            mTracker.recordSilence(OTHER.run(), silentAt.plusMillis(1));
+            assertThat(eligible(silentAt.plusMillis(249))).containsExactly(HEALTHY);
+            assertThat(eligible(silentAt.plusSeconds(2))).containsExactly(OTHER, HEALTHY);
+        }
+    }
+
     @Test
     void nextRunUnderTheSameIdIsNotEjectedForTheFailuresOfTheLast() {
         mDirectory.put(OTHER, NOW);
