--- a/core/src/test/java/io/bilberrygrade/core/quarantine/CrashEvidenceTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/quarantine/CrashEvidenceTest.java
@@ -6,7 +6,6 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import io.bilberrygrade.core.forward.EndpointRun;
-import io.bilberrygrade.core.forward.PromptPart;
 import io.bilberrygrade.core.identity.EndpointId;
 import java.time.Duration;
 import java.time.Instant;
@@ -86,6 +85,18 @@
         assertThat(mEvidence.records()).allMatch(r -> r.suspects().size() <= CrashRecord.MAX_PARTS);
     }
 
+    @Test
+    void requestsAreKeptBesideManyPartsAndTheirNumberIsBounded() {
+        String parts = String.join(" ", IntStream.range(0, 500).mapToObj(i -> "p" + i).toList());
+        String requests =
+                String.join(" ", IntStream.range(0, 500).mapToObj(i -> "request:" + i).toList());
+        mEvidence.merge(record("e", 0, parts + " request:0", ""));
+        assertThat(mEvidence.records().getFirst().begun()).contains(new Suspect("request:0"));
+        mEvidence.merge(record("e", 0, requests, ""));
+        assertThat(mEvidence.records().getFirst().begun())
+                .hasSize(CrashRecord.MAX_PARTS + CrashRecord.MAX_REQUESTS);
+    }
+
     /** Crashes of other causes, whose parts were answered since, go first. */
     @Test
     void recordsWithSuspectsAreKeptLongest() {
@@ -110,7 +121,7 @@
     @Test
     void answerWithUnknownPartsChangesNothing() {
         mEvidence.merge(record("e", 0, "a", ""));
-        assertThat(mEvidence.clear(ImmutableSet.of(new PromptPart("z")))).isFalse();
+        assertThat(mEvidence.clear(ImmutableSet.of(new Suspect("z")))).isFalse();
         assertThat(mEvidence.clear(parts("a z"))).isTrue();
         assertThat(mEvidence.clear(parts("a"))).isFalse();
     }
--- a/core/src/test/java/io/bilberrygrade/core/quarantine/QuarantinePolicyTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/quarantine/QuarantinePolicyTest.java
@@ -5,7 +5,6 @@
 import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableSet;
 import io.bilberrygrade.core.forward.EndpointRun;
-import io.bilberrygrade.core.forward.PromptPart;
 import io.bilberrygrade.core.identity.EndpointId;
 import java.time.Duration;
 import java.time.Instant;
@@ -20,11 +19,11 @@
     private final CrashEvidence mEvidence = new CrashEvidence();
     private int mCrashes;
 
-    static ImmutableSet<PromptPart> parts(String text) {
+    static ImmutableSet<Suspect> parts(String text) {
         return Splitter.on(' ')
                 .omitEmptyStrings()
                 .splitToStream(text)
-                .map(PromptPart::new)
+                .map(Suspect::new)
                 .collect(ImmutableSet.toImmutableSet());
     }
 
@@ -164,4 +163,42 @@
         assertThat(of("dead").orElseThrow().trialAt())
                 .isEqualTo(START.plusMillis(last).plus(Duration.ofMinutes(minutes)));
     }
+
+    @Test
+    void crashesByOneRequestBlameNoneOfItsParts() {
+        crash(0, "intro rare request:1", "");
+        crash(300, "intro rare request:1", "");
+        assertThat(of("intro rare request:1")).isPresent();
+        assertThat(of("intro rare request:2")).isEmpty();
+    }
+
+    @Test
+    void crashesByDifferentRequestsBlameTheirCommonPart() {
+        crash(0, "intro rare request:1", "");
+        crash(300, "rare request:2", "");
+        assertThat(of("other rare request:3").map(Quarantine::suspects)).contains(parts("rare"));
+        assertThat(of("intro request:4")).isEmpty();
+    }
+
+    @Test
+    void answersToOtherRequestsDoNotClearTheRequest() {
+        crash(0, "intro rare request:1", "");
+        crash(300, "intro rare request:1", "");
+        mEvidence.clear(parts("intro rare request:2"));
+        assertThat(of("intro rare request:1").map(Quarantine::suspects))
+                .contains(parts("request:1"));
+        mEvidence.clear(parts("intro rare request:1"));
+        assertThat(of("intro rare request:1")).isEmpty();
+    }
+
+    /** An endpoint that crashes before any head had other requests that wait as well. */
+    @Test
+    void requestThatWaitedAtThreeCrashesIsToldFromOthersThatWaitedThere() {
+        crash(0, "", "request:1 request:2 request:3");
+        crash(300, "", "request:1 request:4");
+        assertThat(of("request:1")).isEmpty();
+        crash(600, "", "request:1 request:2");
+        assertThat(of("request:1")).isPresent();
+        assertThat(of("request:2")).isEmpty();
+    }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardExchange.java
@@ -1,9 +1,11 @@
 package io.bilberrygrade.serving.forward;
 
+import com.google.common.collect.ImmutableSet;
 import io.bilberrygrade.core.forward.ForwardingConfig;
 import io.bilberrygrade.core.forward.Route;
 import io.bilberrygrade.core.identity.RequestId;
 import io.bilberrygrade.core.identity.TeamId;
+import io.bilberrygrade.core.quarantine.Suspect;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
 import java.time.Instant;
@@ -23,6 +25,7 @@
     private final CallerAnswer mAnswer;
     private Optional<Route> mRoute = Optional.empty();
     private Optional<TeamId> mTeam = Optional.empty();
+    private ImmutableSet<Suspect> mSuspects = ImmutableSet.of();
 
     ForwardExchange(
             RequestId id,
@@ -91,6 +94,21 @@
         return Duration.between(mArrival, at).toMillis();
     }
 
+    /**
+     * Returns by what the request may crash endpoints. Reads the whole body at the first call, so
+     * that it is called only once endpoints have crashed.
+     */
+    ImmutableSet<Suspect> suspects() {
+        if (mSuspects.isEmpty()) {
+            mSuspects =
+                    ImmutableSet.<Suspect>builder()
+                            .addAll(mHead.sharedParts().stream().map(Suspect::part).iterator())
+                            .add(Suspect.request(RequestDigest.of(mHead, mTeam, mBody)))
+                            .build();
+        }
+        return mSuspects;
+    }
+
     /** Returns the earlier of the caller's deadline and the route's. */
     Instant deadline() {
         Instant byRoute = mArrival.plus(route().timeout());
