Don't take an endpoint for silent while its caller pauses

Cause: while a caller's connection takes no more data, the daemon stops reading from the endpoint, but went on counting the time since the last event. After a second it took the sound endpoint for silent and sent the request to another one as well, whose first event cancelled the sound attempt.

Change: the watch for silences is suspended while reading is paused, and starts anew once it goes on. A watch that has ended can't be started by a late resumption.

--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
@@ -229,10 +229,16 @@
         }
         if (!writable) {
             mCall.pause();
-            mRelay.answer().onWritable(mCall::resume);
+            mSilence.suspend();
+            mRelay.answer().onWritable(this::resumeReading);
         }
     }
 
+    private void resumeReading() {
+        mSilence.resume();
+        mCall.resume();
+    }
+
     private void onFirstEvent() {
         if (mProgress.recordEvent(mContext.clocks().now())) {
             mContext.tracker().recordSuccess(mPlan.endpoint().id());
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/SilenceWatch.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/SilenceWatch.java
@@ -12,6 +12,7 @@
     private final Predicate<Duration> mOnSilence;
     private Optional<Duration> mLimit = Optional.empty();
     private Optional<Cancellable> mTimer = Optional.empty();
+    private boolean mSuspended;
 
     /**
      * Creates a watch that isn't started.
@@ -25,9 +26,11 @@
 
     /** Starts to wait for the endpoint for at most the given time, instead of the time before. */
     void start(Duration limit) {
-        stop();
+        cancelTimer();
         mLimit = Optional.of(limit);
-        mTimer = Optional.of(mTimers.after(limit).subscribe().with(v -> onLimit(limit)));
+        if (!mSuspended) {
+            mTimer = Optional.of(mTimers.after(limit).subscribe().with(v -> onLimit(limit)));
+        }
     }
 
     /** Starts again with the last limit, if the watch was started before. */
@@ -35,7 +38,25 @@
         mLimit.ifPresent(this::start);
     }
 
+    /** Stops counting while the endpoint isn't read from, which would look like a silence. */
+    void suspend() {
+        mSuspended = true;
+        cancelTimer();
+    }
+
+    /** Counts again, from now on. */
+    void resume() {
+        mSuspended = false;
+        restart();
+    }
+
+    /** Ends the watch. */
     void stop() {
+        cancelTimer();
+        mLimit = Optional.empty();
+    }
+
+    private void cancelTimer() {
         mTimer.ifPresent(Cancellable::cancel);
         mTimer = Optional.empty();
     }
