Show what callers see of a planned stop

Callers: another operator saw requests that came during the grace taken, passed on, and cut without an answer at its end. It happens here too: whatever runs, waits or is uploaded at the end of the grace ends with a closed connection, and a slow caller loses the rest of an answer that an endpoint had given whole.

The test stops the daemon as its process does (ForwardProcess.stop, used by both), on a Vert.x instance of its own, so that the endpoints go on.

--- a/daemon/src/main/java/io/bilberrygrade/daemon/ForwardProcess.java
+++ b/daemon/src/main/java/io/bilberrygrade/daemon/ForwardProcess.java
@@ -92,9 +92,16 @@
     }
 
     private static void drain(ForwardDaemon daemon, Vertx vertx, LogSetup.LogOutput log) {
+        stop(daemon, vertx);
+        log.close().run();
+    }
+
+    /**
+     * Drains a daemon and closes its Vert.x instance, as the process does when it is terminated.
+     */
+    public static void stop(ForwardDaemon daemon, Vertx vertx) {
         daemon.drain().await().indefinitely();
         vertx.close().toCompletionStage().toCompletableFuture().join();
-        log.close().run();
     }
 
     private static void await(CountDownLatch failed) {
