Let answers of a stopping daemon close their connections

Callers: after SIGTERM their answers kept the connection, so that their next requests went to the same daemon and ended at its close or in a refusal.

Cause: only refusals after the close of admission carried Connection: close.

Change: from SIGTERM on, each answer whose head isn't written yet says Connection: close, and the connection is closed once the answer is written.

--- a/serving/src/main/java/io/bilberrygrade/serving/forward/CallerAnswer.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/CallerAnswer.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 /**
  * The answer to one caller. It is ended only once; nothing is written after the caller has
@@ -17,14 +18,17 @@
 
     private final HttpServerRequest mRequest;
     private final HttpServerResponse mResponse;
+    private final BooleanSupplier mStopping;
     private Runnable mOnGone = () -> {};
     private Runnable mOnEnd = () -> {};
     private boolean mCloseAfterEnd;
     private boolean mGone;
     private boolean mEnded;
 
-    CallerAnswer(HttpServerRequest request) {
+    /** Creates an answer; {@code stopping} tells whether this instance is about to stop. */
+    CallerAnswer(HttpServerRequest request, BooleanSupplier stopping) {
         mRequest = request;
+        mStopping = stopping;
         mResponse = request.response();
         mResponse.closeHandler(v -> handleClosed());
         mResponse.exceptionHandler(e -> handleClosed());
@@ -66,6 +70,7 @@
         if (mEnded) {
             return;
         }
+        closeConnectionIfStopping();
         mResponse.setStatusCode(status).putHeader("Content-Type", "text/plain");
         retryAfter.ifPresent(r -> mResponse.putHeader("Retry-After", formatSeconds(r)));
         finish(Buffer.buffer(text + "\n"));
@@ -82,14 +87,23 @@
         }
         mResponse.setStatusCode(head.status());
         mResponse.headers().addAll(head.passedOn());
+        closeConnectionIfStopping();
         finish(body);
     }
 
+    /** Keeps the caller from sending its next request into the stop. */
+    private void closeConnectionIfStopping() {
+        if (mStopping.getAsBoolean()) {
+            closeConnectionAfterwards();
+        }
+    }
+
     /** Starts a chunked answer whose body follows in parts. */
     void begin(AnswerHead head) {
         if (!mEnded) {
             mResponse.setStatusCode(head.status()).setChunked(true);
             mResponse.headers().addAll(head.passedOn());
+            closeConnectionIfStopping();
         }
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -289,6 +289,7 @@
 
     private void drainOnContext(Consumer<Void> done) {
         mReadiness.stopAccepting();
+        mFront.closeConnectionsAfterAnswers();
         mEvents.record(new LifecycleEvent.DrainStarted(mDrain.runningRequests()));
         Uni<Void> idle =
                 mTimers.after(DRAIN_DELAY)
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/FrontServer.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/FrontServer.java
@@ -40,6 +40,7 @@
     private final RequestJournal mJournal;
     private final Clocks mClocks;
     private final Uploads mUploads;
+    private boolean mStopping;
     private final Map<HttpConnection, CallerConnection> mConnections = new HashMap<>();
 
     FrontServer(
@@ -73,6 +74,11 @@
         return HttpListeners.listen(address, mServer);
     }
 
+    /** Lets each answer whose head isn't written yet close its connection. */
+    void closeConnectionsAfterAnswers() {
+        mStopping = true;
+    }
+
     private void onOpened(HttpConnection connection) {
         mConnections.put(connection, new CallerConnection(mClocks.now()));
         connection.closeHandler(
@@ -129,7 +135,7 @@
                 upload.body().body(),
                 upload.arrival(),
                 mState.config(),
-                new CallerAnswer(upload.request()));
+                new CallerAnswer(upload.request(), () -> mStopping));
     }
 
     private void refuse(ForwardExchange exchange, Reason reason, String detail) {
