Count requests from their heads to the last byte of their answers

Callers: a slow caller lost the rest of an answer that an endpoint had given whole; an upload was cut as admission closed, since the process ended then.

Cause: a request counted as running from the end of its body until its answer was queued. The close of idle connections and the end of the process then dropped what was still in the queue.

Change: CallerConnections counts a request from its head to the last byte written, or to the end of its connection. The idle limit still closes connections of callers that read nothing, as before. The gauge running_requests now counts uploads and refusals being written, too.

--- a/serving/src/main/java/io/bilberrygrade/serving/forward/CallerAnswer.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/CallerAnswer.java
@@ -42,12 +42,17 @@
         }
     }
 
-    /** Registers an action to run once nothing more will be written. */
+    /**
+     * Registers an action to run once the last byte has been written, or can't be written any more.
+     */
     void onEnd(Runnable action) {
         mOnEnd = action;
-        if (mEnded) {
-            action.run();
-        }
+    }
+
+    private void runOnEnd() {
+        Runnable action = mOnEnd;
+        mOnEnd = () -> {};
+        action.run();
     }
 
     /** Returns whether the head of the answer has been written. */
@@ -136,17 +141,20 @@
         if (!mEnded) {
             mEnded = true;
             mRequest.connection().close();
-            mOnEnd.run();
+            runOnEnd();
         }
     }
 
     private void finish(Buffer last) {
         mEnded = true;
         Future<Void> written = mResponse.end(last);
-        if (mCloseAfterEnd) {
-            written.onComplete(w -> mRequest.connection().close());
-        }
-        mOnEnd.run();
+        written.onComplete(
+                w -> {
+                    if (mCloseAfterEnd) {
+                        mRequest.connection().close();
+                    }
+                    runOnEnd();
+                });
     }
 
     private void handleClosed() {
@@ -154,7 +162,7 @@
             mEnded = true;
             mGone = true;
             mOnGone.run();
-            mOnEnd.run();
         }
+        runOnEnd();
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/DrainFilter.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/DrainFilter.java
@@ -8,7 +8,7 @@
 import io.bilberrygrade.serving.filter.RequestFilter;
 import io.smallrye.mutiny.Uni;
 
-/** Counts running requests, and refuses new ones once the drain has closed admission. */
+/** Refuses new requests once the drain has closed admission. */
 final class DrainFilter implements RequestFilter<ForwardExchange> {
     private final DrainController mDrain;
 
@@ -23,8 +23,6 @@
             return Refusals.notRun(
                     Step.ADMISSION, Reason.DRAINING, "this instance is about to stop");
         }
-        mDrain.recordStart();
-        exchange.answer().onEnd(mDrain::recordEnd);
         return next.proceed(exchange);
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -108,7 +108,9 @@
         mReadiness = new ReadinessController(mState, mEvents);
         RequestJournal journal =
                 new RequestJournal(mSettings.get().instance(), mClocks, mRandom, mEvents);
-        mFront = new FrontServer(vertx, mPlatform.protocol(), mState, chain(), journal, mClocks);
+        mFront =
+                new FrontServer(
+                        vertx, mPlatform.protocol(), mState, chain(), journal, mDrain, mClocks);
         ReadinessServer readiness =
                 new ReadinessServer(
                         vertx,
@@ -292,9 +294,7 @@
         mFront.closeConnectionsAfterAnswers();
         mEvents.record(new LifecycleEvent.DrainStarted(mDrain.runningRequests()));
         Uni<Void> idle =
-                mTimers.after(DRAIN_DELAY)
-                        .invoke(() -> mFront.closeIdleFor(Duration.ZERO, mClocks.now()))
-                        .chain(mDrain::drain);
+                mTimers.after(DRAIN_DELAY).invoke(() -> mFront.closeIdle()).chain(mDrain::drain);
         Uni.join()
                 .first(idle, mTimers.after(mSettings.get().stopGrace().minus(EXIT_MARGIN)))
                 .toTerminate()
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/FrontServer.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/FrontServer.java
@@ -6,6 +6,7 @@
 import io.bilberrygrade.core.request.Outcome;
 import io.bilberrygrade.core.request.Reason;
 import io.bilberrygrade.core.request.Step;
+import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.filter.FilterChain;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
@@ -15,8 +16,6 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 
 /** Accepts callers' requests, reads them completely and passes them to the filters. */
@@ -38,10 +37,9 @@
     private final StateController mState;
     private final FilterChain<ForwardExchange> mChain;
     private final RequestJournal mJournal;
-    private final Clocks mClocks;
     private final Uploads mUploads;
     private boolean mStopping;
-    private final Map<HttpConnection, CallerConnection> mConnections = new HashMap<>();
+    private final CallerConnections mConnections;
 
     FrontServer(
             Vertx vertx,
@@ -49,13 +47,14 @@
             StateController state,
             FilterChain<ForwardExchange> chain,
             RequestJournal journal,
+            DrainController drain,
             Clocks clocks) {
         mProtocol = protocol;
         mState = state;
         mChain = chain;
         mJournal = journal;
-        mClocks = clocks;
         mUploads = new Uploads(clocks);
+        mConnections = new CallerConnections(drain, clocks);
         mServer =
                 vertx.createHttpServer(
                         new HttpServerOptions()
@@ -80,29 +79,19 @@
     }
 
     private void onOpened(HttpConnection connection) {
-        mConnections.put(connection, new CallerConnection(mClocks.now()));
+        mConnections.onOpened(connection);
         connection.closeHandler(
                 v -> {
-                    mConnections.remove(connection);
+                    mConnections.onClosed(connection);
                     mUploads.removeAll(connection);
                 });
         connection.exceptionHandler(e -> mJournal.onConnectionFailed(e));
     }
 
     private void onRequest(HttpServerRequest request) {
-        CallerConnection connection = mConnections.get(request.connection());
-        if (connection != null) {
-            connection.mActiveRequests++;
-        }
+        mConnections.onRequest(request.connection());
         request.exceptionHandler(mJournal::onConnectionFailed);
-        request.response()
-                .endHandler(
-                        v -> {
-                            if (connection != null) {
-                                connection.mActiveRequests--;
-                                connection.mIdleSince = mClocks.now();
-                            }
-                        });
+        request.response().endHandler(v -> mConnections.onAnswered(request.connection()));
         long maxBytes = limits().map(RequestLimits::maxBodyBytes).orElse(MAX_BODY_BYTES);
         mUploads.read(request, maxBytes, this::onReceived);
     }
@@ -129,13 +118,15 @@
 
     private ForwardExchange exchange(Uploads.Upload upload) {
         RequestHead head = mProtocol.readRequest(upload.request());
+        CallerAnswer answer = new CallerAnswer(upload.request(), () -> mStopping);
+        answer.onEnd(() -> mConnections.onWritten(upload.request().connection()));
         return new ForwardExchange(
                 mJournal.newId(head),
                 head,
                 upload.body().body(),
                 upload.arrival(),
                 mState.config(),
-                new CallerAnswer(upload.request(), () -> mStopping));
+                answer);
     }
 
     private void refuse(ForwardExchange exchange, Reason reason, String detail) {
@@ -148,7 +139,7 @@
         Optional<Duration> bound = limits().map(l -> l.idleTimeout().plus(IDLE_MARGIN));
         bound.ifPresent(
                 b -> {
-                    closeIdleFor(b, now);
+                    mConnections.closeIdleFor(b, now);
                     mUploads.removeStalled(b, now)
                             .forEach(
                                     u ->
@@ -159,23 +150,8 @@
                 });
     }
 
-    /** Closes connections that have been idle for at least the given time. */
-    void closeIdleFor(Duration span, Instant now) {
-        mConnections.entrySet().stream()
-                .filter(e -> e.getValue().mActiveRequests == 0)
-                .filter(e -> !e.getValue().mIdleSince.plus(span).isAfter(now))
-                .map(Map.Entry::getKey)
-                .toList()
-                .forEach(HttpConnection::close);
-    }
-
-    /** Activity of a caller's connection. */
-    private static final class CallerConnection {
-        private Instant mIdleSince;
-        private int mActiveRequests;
-
-        CallerConnection(Instant openedAt) {
-            mIdleSince = openedAt;
-        }
+    /** Closes the connections on which no request is running. */
+    void closeIdle() {
+        mConnections.closeIdle();
     }
 }
