Answer the requests that run at the end of a planned stop

Callers: what was running at endpoints, waiting for the state or being uploaded at the end of the grace ended with a closed connection and no answer, also requests that may not be repeated.

Cause: the drain had no step between its bound and the close of all connections.

Change: PlannedStop, taken out of ForwardDaemon, gives each request that is left a final answer 0.4 s before the end of the grace: 503 if no endpoint can have run it, 502 if one may have; attempts are cancelled, uploads refused, and only streams that have begun are cut. RunningRequests holds what to end; BG7024 tells how many there were.

--- a/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
@@ -86,6 +86,14 @@
             boolean sentElsewhere)
             implements ForwardEvent {}
 
+    /**
+     * The grace of a planned stop ended while requests ran. Those still running at endpoints or
+     * waiting, and those being uploaded, were given a final answer; {@code unfinished} also counts
+     * answers that slow callers haven't taken.
+     */
+    @EventInfo(number = 7024, level = EventLevel.WARN)
+    record RequestsAbandoned(int running, int uploads, int unfinished) implements ForwardEvent {}
+
     /** The caller disconnected before its answer was complete; its work was cancelled. */
     @EventInfo(number = 7006, level = EventLevel.INFO)
     record CallerGone(String request, int attempts, long millis) implements ForwardEvent {}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/AwaitStateFilter.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AwaitStateFilter.java
@@ -27,10 +27,18 @@
             return next.proceed(exchange);
         }
         mReader.confirmNow();
-        return mState.awaitCurrentState()
+        Uni<Void> abandoned =
+                Uni.createFrom().emitter(e -> exchange.onAbandoned(() -> e.complete(null)));
+        return Uni.join()
+                .first(mState.awaitCurrentState(), abandoned)
+                .toTerminate()
                 .onItem()
                 .transformToUni(
                         v -> {
+                            if (exchange.isAbandoned()) {
+                                return Refusals.notRun(
+                                        Step.ADMISSION, Reason.DRAINING, Refusals.STOPPING);
+                            }
                             if (mState.config().isEmpty()) {
                                 return Refusals.notRun(
                                         Step.ROUTE,
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/DrainFilter.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/DrainFilter.java
@@ -11,18 +11,20 @@
 /** Refuses new requests once the drain has closed admission. */
 final class DrainFilter implements RequestFilter<ForwardExchange> {
     private final DrainController mDrain;
+    private final RunningRequests mRunning;
 
-    DrainFilter(DrainController drain) {
+    DrainFilter(DrainController drain, RunningRequests running) {
         mDrain = drain;
+        mRunning = running;
     }
 
     @Override
     public Uni<Outcome> handle(ForwardExchange exchange, FilterChain<ForwardExchange> next) {
         if (mDrain.isDraining()) {
             exchange.answer().closeConnectionAfterwards();
-            return Refusals.notRun(
-                    Step.ADMISSION, Reason.DRAINING, "this instance is about to stop");
+            return Refusals.notRun(Step.ADMISSION, Reason.DRAINING, Refusals.STOPPING);
         }
-        return next.proceed(exchange);
+        mRunning.add(exchange);
+        return next.proceed(exchange).onTermination().invoke(() -> mRunning.remove(exchange));
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -30,17 +30,6 @@
 
 /** A forwarding daemon. All its state is confined to one event loop, so that it needs no locks. */
 public final class ForwardDaemon extends AbstractVerticle {
-    /**
-     * Time for which a stopping daemon still accepts requests: the platform probes readiness every
-     * second and needs two negative answers before it sends callers elsewhere.
-     */
-    private static final Duration DRAIN_DELAY = Duration.ofMillis(2_300);
-
-    /**
-     * Time before the end of the platform's grace period at which running requests are abandoned.
-     */
-    private static final Duration EXIT_MARGIN = Duration.ofMillis(400);
-
     private static final double PERCENT = 100;
 
     /** Stands for the request in events about answers to orders. */
@@ -56,6 +45,7 @@
     private final UniformRandomProvider mRandom = RandomSource.SPLIT_MIX_64.create();
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final DrainController mDrain = new DrainController();
+    private final RunningRequests mRunning = new RunningRequests();
     private final WorkLedger mWork = new WorkLedger();
     private final PeerIdentity mSelf;
     private final FleetView mFleet;
@@ -202,7 +192,7 @@
                         mEvents);
         return new FilterChain<>(
                 ImmutableList.of(
-                        new DrainFilter(mDrain),
+                        new DrainFilter(mDrain, mRunning),
                         new AwaitStateFilter(mState, mReader),
                         new FindRouteFilter(mState),
                         new FindTeamFilter(mState),
@@ -263,7 +253,8 @@
     /**
      * Drains the daemon: reports not ready, still serves requests until the platform has noticed,
      * then refuses new ones. Completes when all running requests have ended, or shortly before the
-     * process would be killed. Safe to call from any thread.
+     * process would be killed, once those that still run have got a final answer. Safe to call from
+     * any thread.
      */
     public Uni<Void> drain() {
         return Uni.createFrom()
@@ -290,14 +281,8 @@
     }
 
     private void drainOnContext(Consumer<Void> done) {
-        mReadiness.stopAccepting();
-        mFront.closeConnectionsAfterAnswers();
-        mEvents.record(new LifecycleEvent.DrainStarted(mDrain.runningRequests()));
-        Uni<Void> idle =
-                mTimers.after(DRAIN_DELAY).invoke(() -> mFront.closeIdle()).chain(mDrain::drain);
-        Uni.join()
-                .first(idle, mTimers.after(mSettings.get().stopGrace().minus(EXIT_MARGIN)))
-                .toTerminate()
+        new PlannedStop(mFront, mRunning, mReadiness, mDrain, mTimers, mEvents)
+                .run(mSettings.get().stopGrace())
                 .subscribe()
                 .with(v -> done.accept(null));
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardExchange.java
@@ -23,6 +23,8 @@
     private final CallerAnswer mAnswer;
     private Optional<Route> mRoute = Optional.empty();
     private Optional<TeamId> mTeam = Optional.empty();
+    private Runnable mOnAbandoned = () -> {};
+    private boolean mAbandoned;
 
     ForwardExchange(
             RequestId id,
@@ -86,6 +88,22 @@
         mTeam = Optional.of(team);
     }
 
+    /** Registers how to end the request if the process ends first; replaces the action before. */
+    void onAbandoned(Runnable action) {
+        mOnAbandoned = action;
+    }
+
+    /** Ends the request without waiting any longer, since the process ends. */
+    void abandon() {
+        mAbandoned = true;
+        mOnAbandoned.run();
+    }
+
+    /** Returns whether the request may not be passed on any more. */
+    boolean isAbandoned() {
+        return mAbandoned;
+    }
+
     /** Returns the time since the request's arrival in milliseconds. */
     long millisSinceArrival(Instant at) {
         return Duration.between(mArrival, at).toMillis();
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOperation.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOperation.java
@@ -61,6 +61,7 @@
     }
 
     void start() {
+        mExchange.onAbandoned(() -> endNow(Reason.DRAINING, Refusals.STOPPING));
         mExchange.answer().onGone(this::onCallerGone);
         if (mEnded) {
             return;
@@ -72,7 +73,11 @@
                         mContext.timers()
                                 .after(Duration.between(now, mExchange.deadline()))
                                 .subscribe()
-                                .with(v -> onDeadline()));
+                                .with(
+                                        v ->
+                                                endNow(
+                                                        Reason.DEADLINE_PAST,
+                                                        "the request's time is up")));
         sendUnlessRefused();
     }
 
@@ -350,12 +355,13 @@
                 : Outcome.notRun(step, reason, detail);
     }
 
-    private void onDeadline() {
+    /** Gives the final answer without waiting for the endpoints any longer. */
+    private void endNow(Reason reason, String detail) {
         if (!mEnded) {
             if (mInFlight.mayHaveRun()) {
                 mMayHaveRun = true;
             }
-            giveUp(Reason.DEADLINE_PAST, "the request's time is up");
+            giveUp(reason, detail);
         }
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/FrontServer.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/FrontServer.java
@@ -150,6 +150,16 @@
                 });
     }
 
+    /** Returns the number of requests whose bodies are still arriving. */
+    int openUploads() {
+        return mUploads.count();
+    }
+
+    /** Refuses the requests whose bodies are still arriving, since the process ends. */
+    void refuseUploads() {
+        mUploads.removeAll().forEach(u -> refuse(exchange(u), Reason.DRAINING, Refusals.STOPPING));
+    }
+
     /** Closes the connections on which no request is running. */
     void closeIdle() {
         mConnections.closeIdle();
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/Refusals.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/Refusals.java
@@ -14,6 +14,9 @@
      */
     private static final Duration CONFIG_CERTAINTY_AGE = Duration.ofMillis(3_200);
 
+    /** Detail of answers to requests that the planned stop of this instance has ended. */
+    static final String STOPPING = "this instance is about to stop";
+
     private Refusals() {}
 
     static Uni<Outcome> notRun(Step step, Reason reason, String detail) {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/Uploads.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/Uploads.java
@@ -43,6 +43,18 @@
         mOpen.removeIf(u -> u.mRequest.connection().equals(connection));
     }
 
+    /** Returns the number of open uploads. */
+    int count() {
+        return mOpen.size();
+    }
+
+    /** Removes and returns all uploads. */
+    ImmutableList<Upload> removeAll() {
+        ImmutableList<Upload> all = ImmutableList.copyOf(mOpen);
+        mOpen.clear();
+        return all;
+    }
+
     /** Removes and returns the uploads that have received nothing for at least the given time. */
     ImmutableList<Upload> removeStalled(Duration span, Instant now) {
         ImmutableList<Upload> stalled =
