Let a second stop join the first

A second call of drain() began the steps again and didn't complete once the first had ended the event loop. Callers saw nothing of it, and the process calls it once; a second SIGTERM to a process wasn't tested.

Change: the steps run once, and later calls complete with them.

Measured: PlannedStopTest, secondStopChangesNothing red before, all 26 cases green after in two runs. Green in one run each: ForwardingTest 46, SilentEndpointTest 8, BrokenAnswerTest 23, EndlessAnswerTest 13, EndpointSignalsTest 18, BadInputTest 15, PromptPartCrashTest 4, StoreEraTest 6, EventCatalogueTest 50, WorkExchangeFleetTest 33, PromptQuarantineFleetTest 19, EndpointRateLimitFleetTest 59, StoreCutTest 8, StoreRelayTest 9.

--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -23,6 +23,7 @@
 import io.vertx.core.AbstractVerticle;
 import io.vertx.core.Promise;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -62,6 +63,7 @@
     private EndpointClient mClient;
     private Timers mTimers;
     private PeriodicTasks mTasks;
+    private Optional<Uni<Void>> mStop = Optional.empty();
 
     /**
      * Creates the daemon; deploying it starts it. {@code droppedLines} returns the number of lost
@@ -253,8 +255,8 @@
     /**
      * Drains the daemon: reports not ready, still serves requests until the platform has noticed,
      * then refuses new ones. Completes when all running requests have ended, or shortly before the
-     * process would be killed, once those that still run have got a final answer. Safe to call from
-     * any thread.
+     * process would be killed, once those that still run have got a final answer. A second call
+     * changes nothing. Safe to call from any thread.
      */
     public Uni<Void> drain() {
         return Uni.createFrom()
@@ -281,10 +283,15 @@
     }
 
     private void drainOnContext(Consumer<Void> done) {
-        new PlannedStop(mFront, mRunning, mReadiness, mDrain, mTimers, mEvents)
-                .run(mSettings.get().stopGrace())
-                .subscribe()
-                .with(v -> done.accept(null));
+        if (mStop.isEmpty()) {
+            mStop =
+                    Optional.of(
+                            new PlannedStop(mFront, mRunning, mReadiness, mDrain, mTimers, mEvents)
+                                    .run(mSettings.get().stopGrace())
+                                    .memoize()
+                                    .indefinitely());
+        }
+        mStop.get().subscribe().with(v -> done.accept(null));
     }
 
     @Override
