--- a/serving/src/main/java/io/bilberrygrade/serving/forward/CallerAnswer.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/CallerAnswer.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 /**
  * The answer to one caller. It is ended only once; nothing is written after the caller has
@@ -17,14 +18,17 @@
 
     private final HttpServerRequest mRequest;
     private final HttpServerResponse mResponse;
+    private final BooleanSupplier mStopping;
     private Runnable mOnGone = () -> {};
     private Runnable mOnEnd = () -> {};
     private boolean mCloseAfterEnd;
     private boolean mGone;
     private boolean mEnded;
 
-    CallerAnswer(HttpServerRequest request) {
+    /** Creates an answer; {@code stopping} tells whether this instance is about to stop. */
+    CallerAnswer(HttpServerRequest request, BooleanSupplier stopping) {
         mRequest = request;
+        mStopping = stopping;
         mResponse = request.response();
         mResponse.closeHandler(v -> handleClosed());
         mResponse.exceptionHandler(e -> handleClosed());
@@ -38,12 +42,17 @@
         }
     }
 
-    /** Registers an action to run once nothing more will be written. */
+    /**
+     * Registers an action to run once the last byte has been written, or can't be written any more.
+     */
     void onEnd(Runnable action) {
         mOnEnd = action;
-        if (mEnded) {
-            action.run();
-        }
+    }
+
+    private void runOnEnd() {
+        Runnable action = mOnEnd;
+        mOnEnd = () -> {};
+        action.run();
     }
 
     /** Returns whether the head of the answer has been written. */
@@ -66,6 +75,7 @@
         if (mEnded) {
             return;
         }
+        closeConnectionIfStopping();
         mResponse.setStatusCode(status).putHeader("Content-Type", "text/plain");
         retryAfter.ifPresent(r -> mResponse.putHeader("Retry-After", formatSeconds(r)));
         finish(Buffer.buffer(text + "\n"));
@@ -82,14 +92,23 @@
         }
         mResponse.setStatusCode(head.status());
         mResponse.headers().addAll(head.passedOn());
+        closeConnectionIfStopping();
         finish(body);
     }
 
+    /** Keeps the caller from sending its next request into the stop. */
+    private void closeConnectionIfStopping() {
+        if (mStopping.getAsBoolean()) {
+            closeConnectionAfterwards();
+        }
+    }
+
     /** Starts a chunked answer whose body follows in parts. */
     void begin(AnswerHead head) {
         if (!mEnded) {
             mResponse.setStatusCode(head.status()).setChunked(true);
             mResponse.headers().addAll(head.passedOn());
+            closeConnectionIfStopping();
         }
     }
 
@@ -122,17 +141,20 @@
         if (!mEnded) {
             mEnded = true;
             mRequest.connection().close();
-            mOnEnd.run();
+            runOnEnd();
         }
     }
 
     private void finish(Buffer last) {
         mEnded = true;
         Future<Void> written = mResponse.end(last);
-        if (mCloseAfterEnd) {
-            written.onComplete(w -> mRequest.connection().close());
-        }
-        mOnEnd.run();
+        written.onComplete(
+                w -> {
+                    if (mCloseAfterEnd) {
+                        mRequest.connection().close();
+                    }
+                    runOnEnd();
+                });
     }
 
     private void handleClosed() {
@@ -140,7 +162,7 @@
             mEnded = true;
             mGone = true;
             mOnGone.run();
-            mOnEnd.run();
         }
+        runOnEnd();
     }
 }
