--- a/core/src/main/java/io/bilberrygrade/core/identity/Address.java
+++ b/core/src/main/java/io/bilberrygrade/core/identity/Address.java
@@ -8,9 +8,20 @@
 public record Address(String host, int port) {
     private static final int MAX_PORT = 65_535;
 
-    /** Creates the address; rejects an empty host and a port outside 1 to 65,535. */
+    /** Maximum length of a host name in characters, as in DNS. */
+    private static final int MAX_HOST_CHARS = 253;
+
+    /**
+     * Creates the address; rejects an empty or too long host, one with white space or control
+     * characters, and a port outside 1 to 65,535.
+     */
     public Address {
         checkArgument(!host.isEmpty(), "a host must not be empty");
+        checkArgument(
+                host.length() <= MAX_HOST_CHARS, "a host has at most %s characters", MAX_HOST_CHARS);
+        checkArgument(
+                host.chars().noneMatch(c -> Character.isWhitespace(c) || Character.isISOControl(c)),
+                "a host must not contain white space or control characters");
         checkArgument(port > 0 && port <= MAX_PORT, "port %s is out of range", port);
     }
 
