Log an entry that can't be read once, with its key

Operators could not see that an entry was ignored, nor whose it was. BG7025 entry-unreadable names its key, from the list and from the watch.

--- a/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
@@ -132,6 +132,13 @@
     record EndpointCrashed(String endpoint, String begunParts, String waitingParts, String source)
             implements ForwardEvent {}
 
+    /**
+     * An entry of the store can't be read and is ignored; logged once for each value of a key.
+     * {@code length} is that of the encoded value.
+     */
+    @EventInfo(number = 7025, level = EventLevel.WARN)
+    record EntryUnreadable(String key, int length) implements ForwardEvent {}
+
     /** The store could not be read. */
     @EventInfo(number = 7012, level = EventLevel.WARN)
     record StoreLost(String call, String error) implements ForwardEvent {}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/PublishedState.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/PublishedState.java
@@ -16,7 +16,7 @@
      */
     Uni<ConfigReading> config(StorePosition known);
 
-    /** Reads the entries of all endpoints; skips entries that can't be parsed. */
+    /** Reads the entries of all endpoints. */
     Uni<EndpointsReading> endpoints();
 
     /** Waits for changes after a revision, at most for the given time. */
@@ -32,11 +32,31 @@
     record ConfigReading(
             Optional<StorePosition> at, Optional<PublishedConfig> config, StorePosition store) {}
 
-    /** All entries, and the position from which to watch. */
-    record EndpointsReading(StorePosition store, ImmutableList<RegisteredEndpoint> entries) {}
+    /** All entries, those that can't be read, and the position from which to watch. */
+    record EndpointsReading(
+            StorePosition store,
+            ImmutableList<RegisteredEndpoint> entries,
+            ImmutableList<UnreadableEntry> unreadable) {
+        /** Creates a reading in which all entries could be read. */
+        public EndpointsReading(StorePosition store, ImmutableList<RegisteredEndpoint> entries) {
+            this(store, entries, ImmutableList.of());
+        }
+    }
 
-    /** Changes up to a position; {@code historyLost} is set if some are no longer available. */
-    record Changes(StorePosition store, boolean historyLost, ImmutableList<Change> changes) {}
+    /**
+     * Changes up to a position, and the written entries that can't be read; {@code historyLost} is
+     * set if some are no longer available.
+     */
+    record Changes(
+            StorePosition store,
+            boolean historyLost,
+            ImmutableList<Change> changes,
+            ImmutableList<UnreadableEntry> unreadable) {
+        /** Creates changes that could all be read. */
+        public Changes(StorePosition store, boolean historyLost, ImmutableList<Change> changes) {
+            this(store, historyLost, changes, ImmutableList.of());
+        }
+    }
 
     /** One change. */
     sealed interface Change {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/StateController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/StateController.java
@@ -50,6 +50,7 @@
     private final EndpointDirectory mDirectory = new EndpointDirectory();
     private final StoreEra mEra = new StoreEra();
     private final StartGate mStartGate;
+    private final UnreadableEntryLog mUnreadable;
     private Optional<PublishedConfig> mPublished = Optional.empty();
     private StorePosition mConfigPosition = StorePosition.NONE;
     private StorePosition mStorePosition = StorePosition.NONE;
@@ -62,6 +63,7 @@
         mTimers = timers;
         mEvents = events;
         mLease = new FreshnessLease(keyStaleness);
+        mUnreadable = new UnreadableEntryLog(events);
         mStartGate = new StartGate(clocks.now());
     }
 
@@ -229,9 +231,15 @@
                 : Optional.empty();
     }
 
+    /** Records the entries that an answer of the store held and that can't be read. */
+    void onUnreadable(List<UnreadableEntry> entries) {
+        mUnreadable.record(entries);
+    }
+
     /** Replaces the entries of the endpoints after a full read. */
     void onEndpointsRead(PublishedState.EndpointsReading reading) {
         onStoreAnswer("endpoints");
+        onUnreadable(reading.unreadable());
         ImmutableList<RegisteredEndpoint> entries = reading.entries();
         entries.forEach(e -> recordIfChanged(e, "list"));
         mDirectory.replace(entries, mClocks.now());
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/StateReader.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/StateReader.java
@@ -345,6 +345,7 @@
             readEndpoints();
             return;
         }
+        mState.onUnreadable(changes.unreadable());
         // A peer may have relayed later changes meanwhile; these would undo them.
         boolean later = !changes.store().isBefore(mHistory.position());
         mState.onChanges(later ? changes.changes() : ImmutableList.of());
