Keep following while the published configuration can't be read

Operators saw a daemon stop following the endpoints for as long as the published configuration could not be read: no new endpoint and no leaving mark was seen, and the store counted as lost.

Cause: one configuration that can't be decoded failed the whole answer, both of the watch and of the periodic read, and the read of the endpoints waits for the latter to succeed. It is now part of a successful answer: the configuration in force stays, and the next one is taken.

--- a/serving/src/main/java/io/bilberrygrade/serving/forward/PublishedState.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/PublishedState.java
@@ -25,12 +25,23 @@
     /**
      * Result of a read of the configuration.
      *
-     * @param at position of its last change; empty if there is no configuration
+     * @param at position of its last change; empty if there is no configuration that can be read,
+     *     so that the reading confirms none
      * @param config empty if nothing is published or the position is the known one
      * @param store position of the store, which every change advances
+     * @param unreadable the published configuration if it can't be read
      */
     record ConfigReading(
-            Optional<StorePosition> at, Optional<PublishedConfig> config, StorePosition store) {}
+            Optional<StorePosition> at,
+            Optional<PublishedConfig> config,
+            StorePosition store,
+            Optional<UnreadableEntry> unreadable) {
+        /** Creates a reading of a configuration that could be read, or of none. */
+        public ConfigReading(
+                Optional<StorePosition> at, Optional<PublishedConfig> config, StorePosition store) {
+            this(at, config, store, Optional.empty());
+        }
+    }
 
     /** All entries, those that can't be read, and the position from which to watch. */
     record EndpointsReading(
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/StateController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/StateController.java
@@ -195,6 +195,7 @@
         reading.at().ifPresent(at -> applyReading(reading.config(), at, sentAt));
         mStorePosition = mStorePosition.later(reading.store());
         onStoreAnswer("configuration");
+        onUnreadable(reading.unreadable().stream().toList());
         completeWaiters();
     }
 
