Apply the other entries of a peer's answer if one is malformed

A change, sum, leaving run or aggregator without a valid id, service, data centre or address failed the whole answer of a peer, which then counted as a failed call, and again at each exchange. Such entries are now skipped, as addresses that can't be parsed were before.

The cause is read from the code.

--- a/core/src/main/java/io/bilberrygrade/core/identity/Address.java
+++ b/core/src/main/java/io/bilberrygrade/core/identity/Address.java
@@ -32,10 +32,10 @@
         return new Address(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
     }
 
-    /** Parses {@code host:port}; empty on any other form. */
+    /** Parses {@code host:port}; empty if it is null or of any other form. */
     public static Optional<Address> tryParse(String text) {
         try {
-            return Optional.of(parse(text));
+            return Optional.ofNullable(text).map(Address::parse);
         } catch (IllegalArgumentException e) {
             return Optional.empty();
         }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/StoreRelay.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/StoreRelay.java
@@ -6,12 +6,14 @@
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.identity.DataCentreId;
 import io.bilberrygrade.core.identity.EndpointId;
+import io.bilberrygrade.core.identity.Identifier;
 import io.bilberrygrade.core.identity.ServiceId;
 import io.bilberrygrade.serving.forward.PublishedState.Change;
 import io.bilberrygrade.serving.peer.EndpointChangeEntry;
 import io.bilberrygrade.serving.peer.StoreChanges;
 import java.time.Duration;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.stream.Stream;
 
@@ -106,26 +108,35 @@
 
     private static ImmutableList<Change> decode(List<EndpointChangeEntry> entries) {
         return entries.stream()
+                .filter(Objects::nonNull)
                 .flatMap(e -> decode(e).stream())
                 .collect(ImmutableList.toImmutableList());
     }
 
+    /** Decodes a change; empty if it is malformed. */
     private static Optional<Change> decode(EndpointChangeEntry e) {
-        EndpointId id = new EndpointId(e.endpoint());
-        if (e.address() == null) {
-            return Optional.of(new Change.EndpointGone(id));
+        Optional<EndpointId> id = Identifier.tryCreate(e.endpoint(), EndpointId::new);
+        return e.address() == null
+                ? id.map(Change.EndpointGone::new)
+                : id.flatMap(i -> endpoint(i, e)).map(Change.Endpoint::new);
+    }
+
+    private static Optional<RegisteredEndpoint> endpoint(EndpointId id, EndpointChangeEntry e) {
+        Optional<ServiceId> service = Identifier.tryCreate(e.service(), ServiceId::new);
+        Optional<Address> address = Address.tryParse(e.address());
+        Optional<DataCentreId> dataCentre =
+                Identifier.tryCreate(e.dataCentre(), DataCentreId::new);
+        if (service.isEmpty() || address.isEmpty() || dataCentre.isEmpty()) {
+            return Optional.empty();
         }
-        return Address.tryParse(e.address())
-                .map(
-                        a ->
-                                new Change.Endpoint(
-                                        new RegisteredEndpoint(
-                                                id,
-                                                e.startedAtMillis(),
-                                                new ServiceId(e.service()),
-                                                a,
-                                                new DataCentreId(e.dataCentre()),
-                                                e.slots(),
-                                                e.leaving())));
+        return Optional.of(
+                new RegisteredEndpoint(
+                        id,
+                        e.startedAtMillis(),
+                        service.get(),
+                        address.get(),
+                        dataCentre.get(),
+                        e.slots(),
+                        e.leaving()));
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/WorkCodec.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/WorkCodec.java
@@ -7,14 +7,19 @@
 import io.bilberrygrade.core.forward.EndpointWork;
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.identity.EndpointId;
+import io.bilberrygrade.core.identity.Identifier;
 import io.bilberrygrade.serving.peer.AggregatorEntry;
 import io.bilberrygrade.serving.peer.LeavingRunEntry;
 import io.bilberrygrade.serving.peer.WorkEntry;
 import java.util.Collection;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 
-/** Converts between the messages that daemons exchange and the domain types. */
+/**
+ * Converts between the messages that daemons exchange and the domain types. Skips entries of a
+ * peer's message that are malformed, so that the others in it are applied.
+ */
 final class WorkCodec {
     private WorkCodec() {}
 
@@ -36,19 +41,21 @@
 
     static ImmutableMap<EndpointId, EndpointWork> work(List<WorkEntry> entries) {
         ImmutableMap.Builder<EndpointId, EndpointWork> work = ImmutableMap.builder();
-        entries.forEach(
-                e ->
-                        work.put(
-                                new EndpointId(e.endpoint()),
-                                new EndpointWork(
-                                        e.calls(),
-                                        e.readMillis(),
-                                        e.writers(),
-                                        e.strictCalls(),
-                                        e.tokens())));
+        entries.stream()
+                .filter(Objects::nonNull)
+                .forEach(e -> endpoint(e.endpoint()).ifPresent(id -> work.put(id, work(e))));
         return work.buildKeepingLast();
     }
 
+    private static EndpointWork work(WorkEntry e) {
+        return new EndpointWork(
+                e.calls(), e.readMillis(), e.writers(), e.strictCalls(), e.tokens());
+    }
+
+    private static Optional<EndpointId> endpoint(String text) {
+        return Identifier.tryCreate(text, EndpointId::new);
+    }
+
     static ImmutableList<AggregatorEntry> fleet(ImmutableList<FleetMember> members) {
         return members.stream()
                 .map(m -> new AggregatorEntry(m.address().toString(), m.startedAtMillis()))
@@ -58,6 +65,7 @@
     /** Returns the members whose addresses can be parsed. */
     static ImmutableList<FleetMember> members(List<AggregatorEntry> entries) {
         return entries.stream()
+                .filter(Objects::nonNull)
                 .flatMap(e -> member(e.address(), e.startedAtMillis()).stream())
                 .collect(ImmutableList.toImmutableList());
     }
@@ -74,7 +82,12 @@
 
     static ImmutableList<EndpointRun> runs(List<LeavingRunEntry> entries) {
         return entries.stream()
-                .map(e -> new EndpointRun(new EndpointId(e.endpoint()), e.startedAtMillis()))
+                .filter(Objects::nonNull)
+                .flatMap(
+                        e ->
+                                endpoint(e.endpoint())
+                                        .map(id -> new EndpointRun(id, e.startedAtMillis()))
+                                        .stream())
                 .collect(ImmutableList.toImmutableList());
     }
 }
