Report every frame that can't be read, and allocate no more than it has

A peer's frame with a text, bytes or extension of 2 GB, a text, list or map of 4 G entries or an unused type was neither reported (BG3003) nor answered by closing at once. Two of them ended in OutOfMemoryError. Frames are read before the sender is authenticated.

Cause: the MessagePack parser throws unchecked exceptions, of which only IOException was handled, and allocates the length that a value announces. All values are now walked first, which fails if one is longer than the frame, and any failure to decode is a faulty frame. Failures of the receiver are no longer mistaken for those of the frame.

--- a/serving/src/main/java/io/bilberrygrade/serving/peer/PeerFrames.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/PeerFrames.java
@@ -8,7 +8,10 @@
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.parsetools.RecordParser;
 import java.io.IOException;
+import java.util.Optional;
 import java.util.function.Consumer;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
 
 /** Reads and writes frames: a length of four bytes, then one MessagePack envelope. */
 final class PeerFrames {
@@ -42,6 +45,28 @@
         }
     }
 
+    /** Decodes a frame; empty if it is no envelope. */
+    private static Optional<Envelope> decode(byte[] frame) {
+        try {
+            checkLengths(frame);
+            return Optional.ofNullable(Mappers.MESSAGE_PACK.readValue(frame, Envelope.class));
+        } catch (IOException | RuntimeException e) {
+            return Optional.empty();
+        }
+    }
+
+    /**
+     * Fails if a value announces more bytes than the frame has, since the parser allocates them
+     * before it reads them.
+     */
+    private static void checkLengths(byte[] frame) throws IOException {
+        try (MessageUnpacker values = MessagePack.newDefaultUnpacker(frame)) {
+            while (values.hasNext()) {
+                values.skipValue();
+            }
+        }
+    }
+
     private final class Reader {
         private final RecordParser mParser;
         private final Consumer<Envelope> mReceiver;
@@ -75,16 +100,14 @@
         private void onBody(Buffer bytes) {
             mReadingLength = true;
             mParser.fixedSizeMode(LENGTH_BYTES);
-            try {
-                Envelope envelope =
-                        Mappers.MESSAGE_PACK.readValue(bytes.getBytes(), Envelope.class);
-                if (envelope.version() != Envelope.VERSION || envelope.message() == null) {
-                    fail("a frame of version " + envelope.version());
-                    return;
-                }
-                mReceiver.accept(envelope);
-            } catch (IOException e) {
+            Optional<Envelope> envelope = decode(bytes.getBytes());
+            if (envelope.isEmpty()) {
                 fail("a frame that is no envelope");
+            } else if (envelope.get().version() != Envelope.VERSION
+                    || envelope.get().message() == null) {
+                fail("a frame of version " + envelope.get().version());
+            } else {
+                mReceiver.accept(envelope.get());
             }
         }
 
