--- a/core/src/main/java/io/bilberrygrade/core/identity/Address.java
+++ b/core/src/main/java/io/bilberrygrade/core/identity/Address.java
@@ -18,7 +18,9 @@
     public Address {
         checkArgument(!host.isEmpty(), "a host must not be empty");
         checkArgument(
-                host.length() <= MAX_HOST_CHARS, "a host has at most %s characters", MAX_HOST_CHARS);
+                host.length() <= MAX_HOST_CHARS,
+                "a host has at most %s characters",
+                MAX_HOST_CHARS);
         checkArgument(
                 host.chars().noneMatch(c -> Character.isWhitespace(c) || Character.isISOControl(c)),
                 "a host must not contain white space or control characters");
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/StoreRelay.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/StoreRelay.java
@@ -124,8 +124,7 @@
     private static Optional<RegisteredEndpoint> endpoint(EndpointId id, EndpointChangeEntry e) {
         Optional<ServiceId> service = Identifier.tryCreate(e.service(), ServiceId::new);
         Optional<Address> address = Address.tryParse(e.address());
-        Optional<DataCentreId> dataCentre =
-                Identifier.tryCreate(e.dataCentre(), DataCentreId::new);
+        Optional<DataCentreId> dataCentre = Identifier.tryCreate(e.dataCentre(), DataCentreId::new);
         if (service.isEmpty() || address.isEmpty() || dataCentre.isEmpty()) {
             return Optional.empty();
         }
