--- a/core/src/main/java/io/bilberrygrade/core/identity/Address.java
+++ b/core/src/main/java/io/bilberrygrade/core/identity/Address.java
@@ -8,9 +8,22 @@
 public record Address(String host, int port) {
     private static final int MAX_PORT = 65_535;
 
-    /** Creates the address; rejects an empty host and a port outside 1 to 65,535. */
+    /** Maximum length of a host name in characters, as in DNS. */
+    private static final int MAX_HOST_CHARS = 253;
+
+    /**
+     * Creates the address; rejects an empty or too long host, one with white space or control
+     * characters, and a port outside 1 to 65,535.
+     */
     public Address {
         checkArgument(!host.isEmpty(), "a host must not be empty");
+        checkArgument(
+                host.length() <= MAX_HOST_CHARS,
+                "a host has at most %s characters",
+                MAX_HOST_CHARS);
+        checkArgument(
+                host.chars().noneMatch(c -> Character.isWhitespace(c) || Character.isISOControl(c)),
+                "a host must not contain white space or control characters");
         checkArgument(port > 0 && port <= MAX_PORT, "port %s is out of range", port);
     }
 
@@ -21,10 +34,10 @@
         return new Address(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
     }
 
-    /** Parses {@code host:port}; empty on any other form. */
+    /** Parses {@code host:port}; empty if it is null or of any other form. */
     public static Optional<Address> tryParse(String text) {
         try {
-            return Optional.of(parse(text));
+            return Optional.ofNullable(text).map(Address::parse);
         } catch (IllegalArgumentException e) {
             return Optional.empty();
         }
--- a/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
@@ -86,6 +86,14 @@
             boolean sentElsewhere)
             implements ForwardEvent {}
 
+    /**
+     * The grace of a planned stop ended while requests ran. Those still running at endpoints or
+     * waiting, and those being uploaded, were given a final answer; {@code unfinished} also counts
+     * answers that slow callers haven't taken.
+     */
+    @EventInfo(number = 7024, level = EventLevel.WARN)
+    record RequestsAbandoned(int running, int uploads, int unfinished) implements ForwardEvent {}
+
     /** The caller disconnected before its answer was complete; its work was cancelled. */
     @EventInfo(number = 7006, level = EventLevel.INFO)
     record CallerGone(String request, int attempts, long millis) implements ForwardEvent {}
@@ -132,6 +140,13 @@
     record EndpointCrashed(String endpoint, String begunParts, String waitingParts, String source)
             implements ForwardEvent {}
 
+    /**
+     * An entry of the store can't be read and is ignored; logged once for each value of a key.
+     * {@code length} is that of the encoded value.
+     */
+    @EventInfo(number = 7025, level = EventLevel.WARN)
+    record EntryUnreadable(String key, int length) implements ForwardEvent {}
+
     /** The store could not be read. */
     @EventInfo(number = 7012, level = EventLevel.WARN)
     record StoreLost(String call, String error) implements ForwardEvent {}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -23,6 +23,7 @@
 import io.vertx.core.AbstractVerticle;
 import io.vertx.core.Promise;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -30,17 +31,6 @@
 
 /** A forwarding daemon. All its state is confined to one event loop, so that it needs no locks. */
 public final class ForwardDaemon extends AbstractVerticle {
-    /**
-     * Time for which a stopping daemon still accepts requests: the platform probes readiness every
-     * second and needs two negative answers before it sends callers elsewhere.
-     */
-    private static final Duration DRAIN_DELAY = Duration.ofMillis(2_300);
-
-    /**
-     * Time before the end of the platform's grace period at which running requests are abandoned.
-     */
-    private static final Duration EXIT_MARGIN = Duration.ofMillis(400);
-
     private static final double PERCENT = 100;
 
     /** Stands for the request in events about answers to orders. */
@@ -56,6 +46,7 @@
     private final UniformRandomProvider mRandom = RandomSource.SPLIT_MIX_64.create();
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final DrainController mDrain = new DrainController();
+    private final RunningRequests mRunning = new RunningRequests();
     private final WorkLedger mWork = new WorkLedger();
     private final PeerIdentity mSelf;
     private final FleetView mFleet;
@@ -72,6 +63,7 @@
     private EndpointClient mClient;
     private Timers mTimers;
     private PeriodicTasks mTasks;
+    private Optional<Uni<Void>> mStop = Optional.empty();
 
     /**
      * Creates the daemon; deploying it starts it. {@code droppedLines} returns the number of lost
@@ -108,7 +100,9 @@
         mReadiness = new ReadinessController(mState, mEvents);
         RequestJournal journal =
                 new RequestJournal(mSettings.get().instance(), mClocks, mRandom, mEvents);
-        mFront = new FrontServer(vertx, mPlatform.protocol(), mState, chain(), journal, mClocks);
+        mFront =
+                new FrontServer(
+                        vertx, mPlatform.protocol(), mState, chain(), journal, mDrain, mClocks);
         ReadinessServer readiness =
                 new ReadinessServer(
                         vertx,
@@ -200,7 +194,7 @@
                         mEvents);
         return new FilterChain<>(
                 ImmutableList.of(
-                        new DrainFilter(mDrain),
+                        new DrainFilter(mDrain, mRunning),
                         new AwaitStateFilter(mState, mReader),
                         new FindRouteFilter(mState),
                         new FindTeamFilter(mState),
@@ -261,7 +255,8 @@
     /**
      * Drains the daemon: reports not ready, still serves requests until the platform has noticed,
      * then refuses new ones. Completes when all running requests have ended, or shortly before the
-     * process would be killed. Safe to call from any thread.
+     * process would be killed, once those that still run have got a final answer. A second call
+     * changes nothing. Safe to call from any thread.
      */
     public Uni<Void> drain() {
         return Uni.createFrom()
@@ -288,17 +283,15 @@
     }
 
     private void drainOnContext(Consumer<Void> done) {
-        mReadiness.stopAccepting();
-        mEvents.record(new LifecycleEvent.DrainStarted(mDrain.runningRequests()));
-        Uni<Void> idle =
-                mTimers.after(DRAIN_DELAY)
-                        .invoke(() -> mFront.closeIdleFor(Duration.ZERO, mClocks.now()))
-                        .chain(mDrain::drain);
-        Uni.join()
-                .first(idle, mTimers.after(mSettings.get().stopGrace().minus(EXIT_MARGIN)))
-                .toTerminate()
-                .subscribe()
-                .with(v -> done.accept(null));
+        if (mStop.isEmpty()) {
+            mStop =
+                    Optional.of(
+                            new PlannedStop(mFront, mRunning, mReadiness, mDrain, mTimers, mEvents)
+                                    .run(mSettings.get().stopGrace())
+                                    .memoize()
+                                    .indefinitely());
+        }
+        mStop.get().subscribe().with(v -> done.accept(null));
     }
 
     @Override
