Start no attempt after a request has ended

Cause: found by review. A timer that fires late could ask for another attempt of a request whose caller has gone, and content that arrives as an attempt ends could start its watch for silences again.

Change: neither is done once the request or the attempt has ended.

--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
@@ -209,7 +209,7 @@
                     relay(event);
                 }
             }
-            if (progress && mExchange.route().repeatable()) {
+            if (progress && !mFinished && mExchange.route().repeatable()) {
                 mSilence.start(ResponseTimeouts.betweenEvents(mExchange.route()));
             }
         } catch (MalformedStreamException e) {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOperation.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOperation.java
@@ -273,7 +273,8 @@
     public boolean trySendElsewhere(Instant now) {
         Duration remaining = Duration.between(now, mExchange.deadline());
         boolean allowed =
-                mInFlight.hasRoom()
+                !mEnded
+                        && mInFlight.hasRoom()
                         && mHistory.hasAttemptsLeft()
                         && remaining.compareTo(MIN_ATTEMPT_TIME) >= 0
                         && keyRejection().isEmpty()
