--- a/serving/src/main/java/io/bilberrygrade/serving/forward/FrontServer.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/FrontServer.java
@@ -38,8 +38,8 @@
     private final FilterChain<ForwardExchange> mChain;
     private final RequestJournal mJournal;
     private final Uploads mUploads;
-    private boolean mStopping;
     private final CallerConnections mConnections;
+    private boolean mStopping;
 
     FrontServer(
             Vertx vertx,
