--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
@@ -209,7 +209,7 @@
                     relay(event);
                 }
             }
-            if (progress && mExchange.route().repeatable()) {
+            if (progress && !mFinished && mExchange.route().repeatable()) {
                 mSilence.start(ResponseTimeouts.betweenEvents(mExchange.route()));
             }
         } catch (MalformedStreamException e) {
@@ -282,15 +282,19 @@
 
     @Override
     public void onFailed(Delivery delivery, String detail) {
+        fail(delivery, detail);
+    }
+
+    @Override
+    public void onClosed(String detail) {
         boolean closedEarly =
-                delivery == Delivery.MAY_HAVE_RUN
-                        && !mFinished
+                !mFinished
                         && !mContext.state().endpoints().leaving().contains(mPlan.endpoint().run())
                         && !mProgress.hasSettled(mContext.clocks().now());
         if (closedEarly) {
             onClosedEarly(detail);
         } else {
-            fail(delivery, detail);
+            fail(Delivery.MAY_HAVE_RUN, detail);
         }
     }
 
