--- a/core/src/main/java/io/bilberrygrade/core/admission/RetryBudget.java
+++ b/core/src/main/java/io/bilberrygrade/core/admission/RetryBudget.java
@@ -44,8 +44,7 @@
         return true;
     }
 
-    /** Returns whether the budget allows another retry. */
-    public boolean mayRetry(Instant now) {
+    private boolean mayRetry(Instant now) {
         removeExpired(now);
         return mRetries.size() + 1 <= mRatio * mRequests.size() + mSlack.getAsInt();
     }
--- a/core/src/main/java/io/bilberrygrade/core/quarantine/QuarantinePolicy.java
+++ b/core/src/main/java/io/bilberrygrade/core/quarantine/QuarantinePolicy.java
@@ -61,7 +61,7 @@
                         .filter(r -> r.isStrong() || !r.at().isAfter(completeUntil))
                         .collect(ImmutableList.toImmutableList());
         return suspects.stream()
-                .flatMap(p -> of(p, suspects, counted).stream())
+                .flatMap(s -> of(s, suspects, counted).stream())
                 .max(Comparator.comparing(Quarantine::trialAt));
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardExchange.java
@@ -114,7 +114,7 @@
 
     /**
      * Returns by what the request may crash endpoints. Reads the whole body at the first call, so
-     * that it is called only once endpoints have crashed.
+     * that it is called only if crashes are known or an endpoint closed its connection early.
      */
     ImmutableSet<Suspect> suspects() {
         if (mSuspects.isEmpty()) {
