--- a/review/src/Play.java
+++ b/review/src/Play.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -23,7 +24,7 @@
     static final int COULD_NOT_RUN = 2;
 
     /** Longest time that a play may take. */
-    private static final long MAX_MILLIS = 110_000;
+    private static final long MAX_MILLIS = 116_000;
 
     /** False if the play is run without the disruption. */
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
@@ -51,17 +52,27 @@
         mRecord.println("%8.3f ".formatted(millis() / 1000.0) + String.format(Locale.ROOT, format, args));
     }
 
+    /**
+     * Returns a port that is free now. It lies below the ephemeral range, so that no outgoing
+     * connection takes it.
+     */
     static int freePort(String host) throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName(host))) {
-            return s.getLocalPort();
+        for (int tries = 0; tries < 200; tries++) {
+            int port = ThreadLocalRandom.current().nextInt(20_000, 32_000);
+            try (ServerSocket s = new ServerSocket(port, 1, InetAddress.getByName(host))) {
+                return s.getLocalPort();
+            } catch (IOException e) {
+                // The port is in use.
+            }
         }
+        throw new IOException("no port is free");
     }
 
     /** Starts daemons that have the first three of them as seeds, and waits until all are ready. */
     List<Daemon> startDaemons(int count) throws IOException, InterruptedException {
-        int front = freePort("127.0.0.1");
-        int ready = freePort("127.0.0.1");
-        int control = freePort("127.0.0.1");
+        int front = freePort("127.0.0.11");
+        int ready = freePort("127.0.0.11");
+        int control = freePort("127.0.0.11");
         List<String> hosts = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             hosts.add("127.0.0." + (11 + i));
--- a/review/src/Server.java
+++ b/review/src/Server.java
@@ -30,8 +30,8 @@
         this.id = id;
         mReceiveBuffer = receiveBuffer;
         mHandler = handler;
-        listen(0);
-        mPort = mSocket.getLocalPort();
+        mPort = Play.freePort("127.0.0.1");
+        listen(mPort);
     }
 
     private void listen(int port) throws IOException {
@@ -53,8 +53,12 @@
     void crash() throws IOException {
         mSocket.close();
         for (Socket s : mOpen) {
-            s.setSoLinger(true, 0);
-            s.close();
+            try {
+                s.setSoLinger(true, 0);
+                s.close();
+            } catch (IOException e) {
+                // It was closed already.
+            }
         }
     }
 
--- a/review/src/Store.java
+++ b/review/src/Store.java
@@ -27,7 +27,7 @@
     }
 
     Store() throws IOException {
-        mSocket = new ServerSocket(0, 256, InetAddress.getByName("127.0.0.1"));
+        mSocket = new ServerSocket(Play.freePort("127.0.0.1"), 256, InetAddress.getByName("127.0.0.1"));
         Thread.startVirtualThread(this::accept);
     }
 
