--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.."
 export TROUBLE=${TROUBLE:-1}
 jdk=$(bin/find-jdk) || exit 2
-exec "$jdk/bin/java" -cp target/review ManyParts review/3
+exec "$jdk/bin/java" -cp target/review LostMachines review/3
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.."
 export TROUBLE=${TROUBLE:-1}
 jdk=$(bin/find-jdk) || exit 2
-exec "$jdk/bin/java" -cp target/review ManyCrashes review/4
+exec "$jdk/bin/java" -cp target/review ManyParts review/4
--- a/review/src/Play.java
+++ b/review/src/Play.java
@@ -167,6 +167,33 @@
                 .formatted(host, front, ready, control, String.join(",", seeds), store.address());
     }
 
+    /** Returns the daemons, each as it was started last. */
+    List<Daemon> daemons() {
+        return List.copyOf(mDaemons);
+    }
+
+    /** Changes a line of a daemon's settings file, as the platform may do. */
+    void changeSetting(Daemon d, String key, String value) throws IOException {
+        String text = Files.readString(d.settings());
+        Files.writeString(
+                d.settings(), text.replaceAll("(?m)^" + key + "=.*$", key + "=" + value));
+    }
+
+    /** Starts a daemon that has ended again. */
+    Daemon restart(int index) throws IOException {
+        Daemon d = mDaemons.get(index);
+        Daemon again =
+                new Daemon(
+                        d.host(),
+                        d.front(),
+                        d.ready(),
+                        d.control(),
+                        d.settings(),
+                        launch(d.host(), d.settings()));
+        mDaemons.set(index, again);
+        return again;
+    }
+
     /** Waits until a daemon reports ready. */
     void awaitReady(Daemon d) throws IOException, InterruptedException {
         long end = System.nanoTime() + 25_000_000_000L;
