--- a/review/src/LargeBodies.java
+++ b/review/src/LargeBodies.java
@@ -27,7 +27,7 @@
     /** Clients of each daemon in a wave; the hash by which the platform deals them is uneven. */
     private static final int[] SHARES = {16, 22, 26, 31};
 
-    private static final int WAVES = 4;
+    private static final int WAVES = 5;
 
     /** Time after which no further wave begins. */
     private static final long LAST_WAVE_MILLIS = 80_000;
@@ -54,12 +54,11 @@
                     byte[] got = Http.readBody(in, head);
                     String id = head.header("x-attempt-id");
                     ran.incrementAndGet();
-                    if (crc(got) != sent) {
-                        changed.incrementAndGet();
-                        play.log(
-                                "RUN %s at %s with another body: %d bytes instead of %d",
-                                id, server.id, got.length, BODY_BYTES);
-                    }
+                    boolean same = crc(got) == sent;
+                    changed.addAndGet(same ? 0 : 1);
+                    play.log(
+                            "RUN %s at %s, %d bytes%s",
+                            id, server.id, got.length, same ? "" : ", ANOTHER BODY");
                     Thread.sleep(WORK_MILLIS);
                     stream(out, id);
                 };
@@ -151,6 +150,7 @@
     /** Sends one request; returns what came of it. */
     private static String ask(Play play, Play.Daemon d, int c, byte[] body) {
         String id = "a%04x".formatted(c);
+        play.log("%s to %s: %d bytes are sent", id, d.host(), body.length);
         String result;
         try (Socket s = new Socket(d.host(), d.front())) {
             Thread.startVirtualThread(() -> closeLater(s));
--- a/review/src/LostMachines.java
+++ b/review/src/LostMachines.java
@@ -76,6 +76,7 @@
                                     onDeadly(server, id);
                                     return;
                                 }
+                                mPlay.log("RUN %s at %s", id, server.id);
                                 Thread.sleep(WORK_MILLIS);
                                 Server.write(
                                         out,
@@ -190,6 +191,7 @@
                         break;
                     }
                     Http.readBody(in, head);
+                    mPlay.log("%s to %s: %d", id, d.host(), head.status());
                     (head.status() == 200 ? mServed : mFailed).incrementAndGet();
                     Thread.sleep(40);
                 }
--- a/review/src/ManyParts.java
+++ b/review/src/ManyParts.java
@@ -97,6 +97,9 @@
         Http.readBody(in, head);
         String id = head.header("x-attempt-id");
         boolean deadly = head.header("x-prompt-prefix").contains(DEADLY_PART);
+        if (!deadly || !mPlay.trouble) {
+            mPlay.log("RUN %s at %s", id, server.id);
+        }
         Thread.sleep(40);
         out.write(
                 ("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Response-Seal: s." + id
@@ -166,9 +169,7 @@
             String id = name + "%03x".formatted(n);
             String result = ask(d, id, prompt(id, false));
             (result.startsWith("200") ? mServed : mFailed).incrementAndGet();
-            if (!result.startsWith("200")) {
-                mPlay.log("%s to %s: %s", id, d.host(), result);
-            }
+            mPlay.log("%s to %s: %s", id, d.host(), result);
         }
     }
 
