Start with every number that the platform may write

Cause: bounds.retrySlack and bounds.revokeMs were parsed as whole numbers, while the platform states bounds as whole numbers or fractions. The class is a value that could be served with and stops the start. The same cause stood in the published configuration (weights cut to whole numbers, so that 0.5 and 0.5 were no weight; whole numbers over 2^31 made it unreadable) and in the entries of endpoints (6.0 for 6). retryRatio was read too widely: NaN, 45d, 0x1p3 and negative numbers were accepted.

Evidence: BG1099 step=reload and the last line before exit name 'bounds.retrySlack: For input string: "45.2"'.

The retry budget compares its count with the real bound, and the daemons' parts of a real slack still add up to at most the whole.

--- a/core/src/main/java/io/bilberrygrade/core/admission/RetryBudget.java
+++ b/core/src/main/java/io/bilberrygrade/core/admission/RetryBudget.java
@@ -4,7 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.function.IntSupplier;
+import java.util.function.DoubleSupplier;
 
 /**
  * Limits retries to a fraction of the requests in a sliding window plus a slack, so that retries
@@ -14,7 +14,7 @@
  */
 public final class RetryBudget {
     private final double mRatio;
-    private final IntSupplier mSlack;
+    private final DoubleSupplier mSlack;
     private final Duration mWindow;
     private final Deque<Instant> mRequests = new ArrayDeque<>();
     private final Deque<Instant> mRetries = new ArrayDeque<>();
@@ -23,7 +23,7 @@
      * Creates a budget; {@code slack} supplies this daemon's part of the fleet's slack, which
      * shrinks as peers are found.
      */
-    public RetryBudget(double ratio, IntSupplier slack, Duration window) {
+    public RetryBudget(double ratio, DoubleSupplier slack, Duration window) {
         mRatio = ratio;
         mSlack = slack;
         mWindow = window;
@@ -46,7 +46,7 @@
 
     private boolean mayRetry(Instant now) {
         removeExpired(now);
-        return mRetries.size() + 1 <= mRatio * mRequests.size() + mSlack.getAsInt();
+        return mRetries.size() + 1 <= mRatio * mRequests.size() + mSlack.getAsDouble();
     }
 
     private void removeExpired(Instant now) {
--- a/core/src/main/java/io/bilberrygrade/core/forward/Route.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/Route.java
@@ -31,10 +31,7 @@
     /** Creates the route; throws if it has no service or no positive total weight. */
     public Route {
         checkArgument(!services.isEmpty(), "route %s names no service", name);
-        checkArgument(
-                services.stream().mapToInt(WeightedService::weight).sum() > 0,
-                "route %s has no weight",
-                name);
+        checkArgument(totalWeight(services) > 0, "route %s has no weight", name);
     }
 
     /** Returns whether a request may be executed more than once. */
@@ -48,8 +45,7 @@
 
     /** Returns the service for a request; {@code draw} is uniform in [0, 1). */
     public ServiceId service(double draw) {
-        int total = services.stream().mapToInt(WeightedService::weight).sum();
-        double remaining = draw * total;
+        double remaining = draw * totalWeight(services);
         for (WeightedService s : services) {
             remaining -= s.weight();
             if (remaining < 0) {
@@ -58,4 +54,8 @@
         }
         return services.getLast().service();
     }
+
+    private static double totalWeight(ImmutableList<WeightedService> services) {
+        return services.stream().mapToDouble(WeightedService::weight).sum();
+    }
 }
--- a/core/src/test/java/io/bilberrygrade/core/admission/RetryBudgetTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/admission/RetryBudgetTest.java
@@ -6,10 +6,12 @@
 import java.time.Instant;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 final class RetryBudgetTest {
     private static final Instant T0 = Instant.parse("2026-01-01T00:00:00Z");
-    private int mSlack = 2;
+    private double mSlack = 2;
     private final RetryBudget mBudget = new RetryBudget(0.2, () -> mSlack, Duration.ofSeconds(10));
 
     @Test
@@ -52,6 +54,22 @@
         assertThat(takeRetries(T0, 1)).isZero();
     }
 
+    // Guards against a bound that is a fraction and is rounded up to one retry more.
+    @ParameterizedTest
+    @CsvSource({"0, 0", "0.99, 0", "1, 1", "1.2, 1", "2.999, 2"})
+    void fractionOfTheSlackIsNoRetry(double slack, int retries) {
+        mSlack = slack;
+        assertThat(takeRetries(T0, 5)).isEqualTo(retries);
+    }
+
+    // Guards against fractions of the ratio and of the slack that are each cut off, or rounded up.
+    @Test
+    void fractionsOfRatioAndSlackAddUp() {
+        mSlack = 0.7;
+        IntStream.range(0, 4).forEach(i -> mBudget.recordRequest(T0));
+        assertThat(takeRetries(T0, 5)).isEqualTo(1);
+    }
+
     private long takeRetries(Instant now, int tries) {
         return IntStream.range(0, tries).filter(i -> mBudget.tryRetry(now)).count();
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardSettings.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardSettings.java
@@ -35,7 +35,7 @@
         Duration stopGrace,
         double repeatRatio,
         Duration repeatWindow,
-        int repeatSlack) {
+        double repeatSlack) {
 
     /**
      * Returns these settings with the ones of {@code newer} that may change in a running daemon.
@@ -70,7 +70,7 @@
         addIf(names, "key staleness", !keyStaleness.equals(other.keyStaleness));
         addIf(names, "stop grace", !stopGrace.equals(other.stopGrace));
         addIf(names, "repeat window", !repeatWindow.equals(other.repeatWindow));
-        addIf(names, "repeat slack", repeatSlack != other.repeatSlack);
+        addIf(names, "repeat slack", Double.compare(repeatSlack, other.repeatSlack) != 0);
         addIf(names, "repeat ratio", Double.compare(repeatRatio, other.repeatRatio) != 0);
         return names.build();
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/RetryBudgets.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/RetryBudgets.java
@@ -48,7 +48,7 @@
                                 mSettings.repeatWindow()));
     }
 
-    private int slack() {
+    private double slack() {
         int known = ASSUMED_DAEMONS_PER_KNOWN * mFleetSize.getAsInt();
         int daemons = Math.max(known, mFleetPeak.getAsInt());
         return mSettings.repeatSlack() / Math.max(MIN_ASSUMED_DAEMONS, daemons);
