Tell a dead connection to the store from an unreachable store

Cause: a time-out counted as an outage of the store, although it may only mean a dead connection. The watch was on a dead connection; the aggregator noticed that up to 1.5 s after the removal and read all endpoints on another dead one of the pool. That read timed out after 900 ms, was declared an outage, and at the next answer the entry was kept for 2 s, as one that vanished in an outage. Followers learnt still later, since a full read emptied the history that is relayed to them.

A slow store is ruled out, since new connections answered in ms.

Change: ReconnectingCalls sends a call again on a new connection if one that has worked gives no answer for 400 ms or fails; the call fails, and an outage is declared, only if the new connection fails too, within the same 900 ms. The other connections are closed and the watch is renewed. Aggregator and standby tell each other changes and positions, so that a dead watch of one of them is noticed by the other.

StoreRelayTest#daemonWhoseEndpointReadFails... checks its watch twice now, since the first check renews the watch and only the second reads the endpoints, whose failure the test is about; nothing else of it changed.

--- a/core/src/main/java/io/bilberrygrade/core/forward/EndpointDirectory.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/EndpointDirectory.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.core.identity.ServiceId;
 import java.time.Duration;
@@ -191,6 +192,11 @@
         return Optional.ofNullable(mEntries.get(id)).map(e -> e.mEndpoint);
     }
 
+    /** Returns the ids of all registered endpoints, whether or not they are eligible for work. */
+    public ImmutableSet<EndpointId> ids() {
+        return ImmutableSet.copyOf(mEntries.keySet());
+    }
+
     /** Returns the endpoints of a service that are eligible for work. */
     public ImmutableList<RegisteredEndpoint> usable(ServiceId service, Instant now) {
         removeExpired(now);
--- a/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
@@ -151,6 +151,13 @@
     @EventInfo(number = 7012, level = EventLevel.WARN)
     record StoreLost(String call, String error) implements ForwardEvent {}
 
+    /**
+     * Connections to the store were replaced by new ones, since one of them seemed dead. The store
+     * counts as lost only if a new connection fails as well.
+     */
+    @EventInfo(number = 7026, level = EventLevel.INFO)
+    record StoreReconnected(String reason) implements ForwardEvent {}
+
     /** The store can be read again. */
     @EventInfo(number = 7013, level = EventLevel.INFO)
     record StoreRegained(String call, long lostForMillis) implements ForwardEvent {}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ChangeHistory.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ChangeHistory.java
@@ -3,6 +3,8 @@
 import com.google.common.collect.ImmutableList;
 import io.bilberrygrade.core.forward.StorePosition;
 import io.bilberrygrade.serving.forward.PublishedState.Change;
+import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
@@ -10,18 +12,39 @@
 /**
  * Recent changes of the published state that this daemon has seen, for peers that don't watch the
  * store themselves. Sending a change twice is harmless, omitting one isn't. All changes belong to
- * one era of the store; a full read starts the next era.
+ * one era of the store; the first full read of an era starts it.
  */
 final class ChangeHistory {
     /** Limit of the changes kept; a release replaces some hundred endpoints within a minute. */
     static final int MAX_CHANGES = 1_024;
 
+    /** Time within which entries of an older copy have been written again or are ignored. */
+    static final Duration ERA_SETTLE_TIME = Duration.ofSeconds(15);
+
     private final Deque<Batch> mBatches = new ArrayDeque<>();
     private long mOldestRevision = Long.MAX_VALUE;
     private StorePosition mPosition = StorePosition.NONE;
+    private Instant mEraBeganAt = Instant.MIN;
     private int mChangeCount;
 
-    /** Clears the history after a full read, which doesn't list single changes. */
+    /**
+     * Adds what a full read has shown to differ from the entries known before. Clears the history
+     * if the read doesn't continue it, or shortly after an era has begun: then entries count as
+     * written again even if they don't differ.
+     */
+    void recordFullRead(StorePosition position, ImmutableList<Change> differences, Instant now) {
+        boolean continues = position.sameEra(mPosition) && !position.isBefore(mPosition);
+        if (!continues) {
+            mEraBeganAt = now;
+        }
+        if (continues && mEraBeganAt.plus(ERA_SETTLE_TIME).isBefore(now)) {
+            add(position, differences);
+        } else {
+            reset(position);
+        }
+    }
+
+    /** Clears the history, as of a position at which peers can't continue. */
     void reset(StorePosition position) {
         mBatches.clear();
         mChangeCount = 0;
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -12,6 +12,8 @@
 import io.bilberrygrade.serving.event.ForwardEvent;
 import io.bilberrygrade.serving.event.LifecycleEvent;
 import io.bilberrygrade.serving.filter.FilterChain;
+import io.bilberrygrade.serving.http.HttpCalls;
+import io.bilberrygrade.serving.http.ReconnectingCalls;
 import io.bilberrygrade.serving.metrics.ControlTraffic;
 import io.bilberrygrade.serving.metrics.PrometheusPage;
 import io.bilberrygrade.serving.peer.PeerIdentity;
@@ -126,7 +128,7 @@
 
     private StateReader reader() {
         return new StateReader(
-                mPlatform.store(vertx),
+                mPlatform.store(storeCalls()),
                 mState,
                 mClocks,
                 mTimers,
@@ -134,6 +136,14 @@
                 () -> mFleet.isAggregator(mClocks.now()));
     }
 
+    private ReconnectingCalls storeCalls() {
+        return new ReconnectingCalls(
+                () -> new HttpCalls(io.vertx.mutiny.core.Vertx.newInstance(vertx)),
+                mClocks::now,
+                mTimers,
+                reason -> mEvents.record(new ForwardEvent.StoreReconnected(reason)));
+    }
+
     private PeerServer peers() {
         mPeers =
                 new TcpPeerNetwork(
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/PlatformBindings.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/PlatformBindings.java
@@ -1,5 +1,6 @@
 package io.bilberrygrade.serving.forward;
 
+import io.bilberrygrade.serving.http.ReconnectingCalls;
 import io.vertx.core.Vertx;
 
 /** Adapters of a forwarding daemon to one platform: header names, formats and calls. */
@@ -10,8 +11,8 @@
     /** Returns the header protocol of callers and endpoints. */
     ForwardProtocol protocol();
 
-    /** Returns a client of the platform's store. */
-    PublishedState store(Vertx vertx);
+    /** Returns a client of the platform's store, to which the given calls are made. */
+    PublishedState store(ReconnectingCalls calls);
 
     /** Returns the decoder of configurations that peers send. */
     ConfigDecoder configDecoder();
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/PublishedState.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/PublishedState.java
@@ -22,6 +22,12 @@
     /** Waits for changes after a revision, at most for the given time. */
     Uni<Changes> watch(long afterRevision, Duration wait);
 
+    /**
+     * Closes the open connections, since one of them seems dead; later calls use new ones. Calls in
+     * flight that weren't cancelled are sent again.
+     */
+    void reconnect();
+
     /**
      * Result of a read of the configuration.
      *
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/StateController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/StateController.java
@@ -1,6 +1,7 @@
 package io.bilberrygrade.serving.forward;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import io.bilberrygrade.core.config.VersionGuard;
 import io.bilberrygrade.core.forward.ClockReading;
 import io.bilberrygrade.core.forward.Confirmation;
@@ -27,6 +28,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 
 /**
  * Holds this daemon's view of the published state: the configuration, the age of its last
@@ -237,14 +239,40 @@
         mUnreadable.record(entries);
     }
 
-    /** Replaces the entries of the endpoints after a full read. */
-    void onEndpointsRead(PublishedState.EndpointsReading reading) {
+    /**
+     * Replaces the entries of the endpoints after a full read; returns what differs from those that
+     * were known.
+     */
+    ImmutableList<PublishedState.Change> onEndpointsRead(PublishedState.EndpointsReading reading) {
         onStoreAnswer("endpoints");
         onUnreadable(reading.unreadable());
         ImmutableList<RegisteredEndpoint> entries = reading.entries();
+        ImmutableList<PublishedState.Change> differences = differences(entries);
         entries.forEach(e -> recordIfChanged(e, "list"));
+        differences.forEach(
+                c -> {
+                    if (c instanceof PublishedState.Change.EndpointGone g) {
+                        recordRemoval(g.id(), "list");
+                    }
+                });
         mDirectory.replace(entries, mClocks.now());
         completeWaiters();
+        return differences;
+    }
+
+    private ImmutableList<PublishedState.Change> differences(
+            ImmutableList<RegisteredEndpoint> entries) {
+        ImmutableSet<EndpointId> read =
+                entries.stream().map(RegisteredEndpoint::id).collect(ImmutableSet.toImmutableSet());
+        Stream<PublishedState.Change> gone =
+                mDirectory.ids().stream()
+                        .filter(id -> !read.contains(id))
+                        .map(PublishedState.Change.EndpointGone::new);
+        Stream<PublishedState.Change> changed =
+                entries.stream()
+                        .filter(e -> !mDirectory.find(e.id()).equals(Optional.of(e)))
+                        .map(PublishedState.Change.Endpoint::new);
+        return Stream.concat(gone, changed).collect(ImmutableList.toImmutableList());
     }
 
     /** Applies changes that the watch returned. */
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/StateReader.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/StateReader.java
@@ -8,6 +8,7 @@
 import io.bilberrygrade.serving.error.Delivery;
 import io.bilberrygrade.serving.time.Timers;
 import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.Cancellable;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.function.BooleanSupplier;
@@ -76,6 +77,8 @@
     private Duration mConfirmRetry = INITIAL_RETRY;
     private Duration mWatchRetry = INITIAL_RETRY;
     private long mWatchId;
+    private Cancellable mWatchCall = () -> {};
+    private boolean mWatchRestarted;
     private boolean mWatching;
     private boolean mReading;
     private Instant mLastRelayAt = Instant.MIN;
@@ -229,8 +232,9 @@
     }
 
     /**
-     * Restarts the watch if it doesn't return a known change, since its connection may be dead;
-     * immediately if the store has begun a new era, which the watch can't report.
+     * Restarts the watch on a new connection if it doesn't return a known change, since its
+     * connection may be dead, and reads all endpoints if that doesn't help. Reads them at once if
+     * the store has begun a new era, which the watch can't report.
      */
     void checkWatch(StorePosition store) {
         if (mHistory.position().era() < store.era() && canReadEndpoints()) {
@@ -243,12 +247,23 @@
                     WATCH_LAG,
                     () -> {
                         if (mWatchId == watch && mWatching && mHistory.position().isBefore(store)) {
-                            readEndpoints();
+                            restartWatch();
                         }
                     });
         }
     }
 
+    private void restartWatch() {
+        if (mWatchRestarted) {
+            readEndpoints();
+            return;
+        }
+        mWatchRestarted = true;
+        mWatchCall.cancel();
+        mStore.reconnect();
+        watch(mHistory.position().revision());
+    }
+
     private boolean canReadEndpoints() {
         return mState.endpoints().isLoaded() && !mReading;
     }
@@ -266,8 +281,9 @@
                 .with(
                         r -> {
                             mReading = false;
-                            mState.onEndpointsRead(r);
-                            mHistory.reset(r.store());
+                            mHistory.recordFullRead(
+                                    r.store(), mState.onEndpointsRead(r), mClocks.now());
+                            mWatchRestarted = false;
                             mWatchRetry = INITIAL_RETRY;
                             watchUnlessRelayed();
                         },
@@ -305,14 +321,23 @@
         return mHistory;
     }
 
-    /** Applies changes that a peer has seen after those in the history. */
-    void applyRelayed(StorePosition position, ImmutableList<PublishedState.Change> changes) {
+    /**
+     * Applies changes that a peer has seen after those in the history.
+     *
+     * @param replacesWatch whether this daemon needs no watch of its own as long as the peer relays
+     */
+    void applyRelayed(
+            StorePosition position,
+            ImmutableList<PublishedState.Change> changes,
+            boolean replacesWatch) {
         if (mReading
                 || !position.sameEra(mHistory.position())
                 || position.isBefore(mHistory.position())) {
             return;
         }
-        mLastRelayAt = mClocks.now();
+        if (replacesWatch) {
+            mLastRelayAt = mClocks.now();
+        }
         mState.onRelayedChanges(changes);
         mHistory.add(position, changes);
     }
@@ -320,22 +345,24 @@
     private void watch(long revision) {
         long watch = ++mWatchId;
         mWatching = true;
-        mStore.watch(revision, WATCH_POLL_TIMEOUT)
-                .onItem()
-                .transformToUni(c -> requireCurrentEra(c, c.store(), Step.MEMBERSHIP))
-                .subscribe()
-                .with(
-                        c -> {
-                            if (mWatchId == watch && mWatching) {
-                                onWatchAnswer(watch, c);
-                            }
-                        },
-                        e -> {
-                            if (mWatchId == watch && mWatching) {
-                                confirmNow();
-                                retryEndpoints("watch", e);
-                            }
-                        });
+        mWatchCall =
+                mStore.watch(revision, WATCH_POLL_TIMEOUT)
+                        .onItem()
+                        .transformToUni(c -> requireCurrentEra(c, c.store(), Step.MEMBERSHIP))
+                        .subscribe()
+                        .with(
+                                c -> {
+                                    if (mWatchId == watch && mWatching) {
+                                        mWatchRestarted = false;
+                                        onWatchAnswer(watch, c);
+                                    }
+                                },
+                                e -> {
+                                    if (mWatchId == watch && mWatching) {
+                                        confirmNow();
+                                        retryEndpoints("watch", e);
+                                    }
+                                });
     }
 
     private void onWatchAnswer(long watch, PublishedState.Changes changes) {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/StoreRelay.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/StoreRelay.java
@@ -90,8 +90,12 @@
         return new EndpointChangeEntry(id.value(), 0, null, null, null, 0, false);
     }
 
-    /** Applies the changes that a peer has seen after the given position of this daemon. */
-    void applyPeerChanges(StoreChanges answer, StorePosition askedPosition) {
+    /**
+     * Applies the changes that a peer has seen after the given position of this daemon.
+     *
+     * @param replacesWatch whether this daemon needs no watch of its own as long as the peer relays
+     */
+    void applyPeerChanges(StoreChanges answer, StorePosition askedPosition, boolean replacesWatch) {
         StorePosition upTo = new StorePosition(answer.era(), answer.revision());
         if (answer.changes() == null
                 || !askedPosition.equals(position())
@@ -103,7 +107,16 @@
                     .onStoreReturned(
                             mClocks.now().minus(Duration.ofMillis(answer.returnedAgoMillis())));
         }
-        mReader.applyRelayed(upTo, decode(answer.changes()));
+        mReader.applyRelayed(upTo, decode(answer.changes()), replacesWatch);
+    }
+
+    /**
+     * Compares a peer's position with that of this daemon, whose watch may have a dead connection.
+     */
+    void onPeerPosition(StorePosition position) {
+        if (position.sameEra(position())) {
+            mReader.checkWatch(position);
+        }
     }
 
     private static ImmutableList<Change> decode(List<EndpointChangeEntry> entries) {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
@@ -259,12 +259,12 @@
         if (aggregator.equals(source)) {
             mState.onPeersAsked();
         }
-        // The aggregator and the standby watch the store themselves; the others take the changes
-        // from both, since either may be cut off from the store without having noticed it.
+        // The aggregator and the standby watch the store themselves; all take the changes from
+        // both, since either may be cut off from the store without having noticed it.
         ImmutableList<FleetMember> watching =
                 aggregators.subList(0, Math.min(STORE_WATCHERS, aggregators.size()));
-        if (watching.contains(source) && !watching.contains(mSelf) && h.store() != null) {
-            mRelay.applyPeerChanges(h.store(), asked.store());
+        if (watching.contains(source) && h.store() != null) {
+            mRelay.applyPeerChanges(h.store(), asked.store(), !watching.contains(mSelf));
         }
     }
 
@@ -296,6 +296,7 @@
         mFleet.recordContact(member.get(), now);
         mSums.recordReport(member.get().address(), WorkCodec.work(work.entries()), now);
         applyLeaving(work.leaving(), work.address());
+        mRelay.onPeerPosition(new StorePosition(work.storeEra(), work.storeRevision()));
         return reply(member.get().address(), work, now);
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/http/HttpCalls.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/HttpCalls.java
@@ -17,6 +17,9 @@
     private static final int MAX_CONNECTIONS_PER_PEER = 512;
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
+    /** Time for which an idle connection is kept. */
+    private static final Duration DEFAULT_IDLE_TIME = Duration.ofMinutes(1);
+
     private final HttpClient mClient;
     private final WebClient mWebClient;
     private final ControlTraffic mTraffic;
@@ -26,14 +29,27 @@
         this(vertx, ControlTraffic.unexported());
     }
 
+    /**
+     * Creates a client that keeps an idle connection for the given time, in whole seconds. One that
+     * has gone silent isn't used after that.
+     */
+    public HttpCalls(Vertx vertx, Duration idleTime) {
+        this(vertx, ControlTraffic.unexported(), idleTime);
+    }
+
     /** Creates the client, which counts its control calls in {@code traffic}. */
     public HttpCalls(Vertx vertx, ControlTraffic traffic) {
+        this(vertx, traffic, DEFAULT_IDLE_TIME);
+    }
+
+    private HttpCalls(Vertx vertx, ControlTraffic traffic, Duration idleTime) {
         mTraffic = traffic;
         HttpClientOptions options =
                 new HttpClientOptions()
                         .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
                         .setTcpNoDelay(true)
-                        .setKeepAlive(true);
+                        .setKeepAlive(true)
+                        .setKeepAliveTimeout((int) idleTime.toSeconds());
         PoolOptions pool = new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_PEER);
         mClient =
                 vertx.httpClientBuilder()
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/ChangeHistoryTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/ChangeHistoryTest.java
@@ -6,9 +6,12 @@
 import io.bilberrygrade.core.forward.StorePosition;
 import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.serving.forward.PublishedState.Change;
+import java.time.Instant;
 import org.junit.jupiter.api.Test;
 
 final class ChangeHistoryTest {
+    private static final Instant START = Instant.EPOCH;
+
     private final ChangeHistory mHistory = new ChangeHistory();
 
     private static Change gone(int number) {
@@ -56,6 +59,29 @@
         assertThat(mHistory.since(at(30))).contains(ImmutableList.of());
     }
 
+    // Guards against followers that can't go on after a full read of the daemon that relays.
+    @Test
+    void fullReadOfSettledEraContinuesTheHistory() {
+        mHistory.recordFullRead(at(10), ImmutableList.of(gone(1)), START);
+        Instant settled = START.plus(ChangeHistory.ERA_SETTLE_TIME).plusMillis(1);
+        mHistory.recordFullRead(at(20), ImmutableList.of(gone(2)), settled);
+        assertThat(mHistory.since(at(10))).contains(ImmutableList.of(gone(2)));
+        assertThat(mHistory.position()).isEqualTo(at(20));
+        mHistory.recordFullRead(at(20), ImmutableList.of(gone(3)), settled);
+        assertThat(mHistory.since(at(10))).contains(ImmutableList.of(gone(2)));
+    }
+
+    // Guards against entries that were written again after a restore and look unchanged.
+    @Test
+    void fullReadShortlyAfterAnEraBeganDiscardsEarlierChanges() {
+        mHistory.recordFullRead(at(10), ImmutableList.of(), START);
+        Instant settled = START.plus(ChangeHistory.ERA_SETTLE_TIME).plusMillis(1);
+        mHistory.recordFullRead(new StorePosition(2, 8), ImmutableList.of(), settled);
+        mHistory.recordFullRead(new StorePosition(2, 9), ImmutableList.of(), settled);
+        assertThat(mHistory.since(new StorePosition(2, 8))).isEmpty();
+        assertThat(mHistory.since(new StorePosition(2, 9))).contains(ImmutableList.of());
+    }
+
     @Test
     void oldestChangesAreEvictedAndNeverSkipped() {
         mHistory.reset(at(0));
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/ConfirmationExchangeTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/ConfirmationExchangeTest.java
@@ -135,5 +135,8 @@
         public Uni<Changes> watch(long afterRevision, Duration wait) {
             return Uni.createFrom().nothing();
         }
+
+        @Override
+        public void reconnect() {}
     }
 }
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/ExchangeTestFleet.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/ExchangeTestFleet.java
@@ -187,5 +187,8 @@
         public Uni<Changes> watch(long afterRevision, Duration wait) {
             return Uni.createFrom().nothing();
         }
+
+        @Override
+        public void reconnect() {}
     }
 }
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/RestoredStore.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/RestoredStore.java
@@ -37,12 +37,18 @@
     private static final Duration ANSWER_TIME = Duration.ofMillis(4);
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(900);
 
+    /** Time after which a caller sends a call again on a new connection. */
+    private static final Duration RECONNECT_TIME = Duration.ofMillis(400);
+
     private final VirtualTime mTime;
     private final SimulatedProcess mProcess;
     private final TreeMap<Instant, Content> mSnapshots = new TreeMap<>();
     private final TreeMap<Long, PublishedState.Change> mChanges = new TreeMap<>();
     private final List<Watcher> mWatchers = new ArrayList<>();
     private final Set<SimulatedProcess> mDisconnected = new HashSet<>();
+    private final Set<SimulatedProcess> mCallers = new HashSet<>();
+    private final Set<SimulatedProcess> mSilenced = new HashSet<>();
+    private final List<Watcher> mLost = new ArrayList<>();
     private Content mContent;
     private long mEra = 1;
     private long mHistoryFrom;
@@ -134,6 +140,26 @@
         mDisconnected.add(process);
     }
 
+    /** Lets the open connections of all callers go silent for good; new ones work. */
+    void silenceOpenConnections() {
+        mSilenced.addAll(mCallers);
+        mLost.addAll(mWatchers);
+        mWatchers.clear();
+    }
+
+    /** Opens new connections of a caller and sends its lost watches again. */
+    private void reconnect(SimulatedProcess caller) {
+        mSilenced.remove(caller);
+        List<Watcher> lost = mLost.stream().filter(w -> w.process().equals(caller)).toList();
+        mLost.removeAll(lost);
+        lost.forEach(this::begin);
+    }
+
+    private void begin(Watcher watcher) {
+        mWatchers.add(watcher);
+        answer(watcher);
+    }
+
     void heal() {
         mDisconnected.clear();
     }
@@ -201,6 +227,12 @@
 
         View(SimulatedProcess caller) {
             mCaller = caller;
+            mCallers.add(caller);
+        }
+
+        @Override
+        public void reconnect() {
+            RestoredStore.this.reconnect(mCaller);
         }
 
         private <T> Uni<T> call(java.util.function.Supplier<T> answer) {
@@ -211,6 +243,16 @@
                                     mTime.schedule(mCaller, CALL_TIMEOUT, () -> e.fail(failure()));
                                     return;
                                 }
+                                if (mSilenced.contains(mCaller)) {
+                                    mTime.schedule(
+                                            mCaller,
+                                            RECONNECT_TIME,
+                                            () -> {
+                                                reconnect();
+                                                call(answer).subscribe().with(e::complete, e::fail);
+                                            });
+                                    return;
+                                }
                                 Optional<T> result =
                                         mDown ? Optional.empty() : Optional.of(answer.get());
                                 mTime.schedule(
@@ -256,7 +298,10 @@
                                     return;
                                 }
                                 Watcher watcher = new Watcher(mCaller, afterRevision, e);
-                                mWatchers.add(watcher);
+                                if (mSilenced.contains(mCaller)) {
+                                    mLost.add(watcher);
+                                    return;
+                                }
                                 mTime.schedule(
                                         mProcess,
                                         wait,
@@ -269,7 +314,7 @@
                                                                 ImmutableList.of()));
                                             }
                                         });
-                                answer(watcher);
+                                begin(watcher);
                             });
         }
     }
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/StoreRelayTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/StoreRelayTest.java
@@ -93,7 +93,7 @@
             StorePosition asked = mFollowing.mRelay.position();
             StoreChanges answer = mWatching.mRelay.changesSince(asked);
             if (answer != null) {
-                mFollowing.mRelay.applyPeerChanges(answer, asked);
+                mFollowing.mRelay.applyPeerChanges(answer, asked, true);
             }
             mTime.advance(Duration.ofMillis(100));
         }
@@ -159,6 +159,8 @@
         relayFor(Duration.ofSeconds(1));
         mStore.mRejectsEndpoints = true;
         mFollowing.mReader.checkWatch(position(99));
+        relayFor(Duration.ofMillis(500));
+        mFollowing.mReader.checkWatch(position(99));
         relayFor(Duration.ofSeconds(2));
         mStore.change(new Change.EndpointGone(new EndpointId("a")));
         relayFor(Duration.ofSeconds(2));
@@ -219,6 +221,37 @@
         assertThat(mStore.mCalls - calls).isBetween(2, 20);
     }
 
+    // Guards against followers that learn of a removal only once they watch for themselves, since
+    // the full read of the daemon that relays has emptied its history.
+    @Test
+    void removalThatAFullReadHasShownIsRelayed() {
+        start();
+        mTime.advance(ChangeHistory.ERA_SETTLE_TIME);
+        relayFor(Duration.ofSeconds(1));
+        mStore.change(new Change.Endpoint(endpoint("c", false)));
+        relayFor(Duration.ofSeconds(1));
+        int watches = mStore.mWatches;
+        mStore.mHistoryLost = true;
+        mStore.change(new Change.EndpointGone(new EndpointId("a")));
+        relayFor(Duration.ofMillis(500));
+        assertThat(mWatching.usable()).containsExactly("b", "c");
+        assertThat(mFollowing.usable()).containsExactly("b", "c");
+        assertThat(mStore.mWatches - watches).isEqualTo(1);
+    }
+
+    // Guards against a removal that is noticed only by the next full read.
+    @Test
+    void silentWatchIsRestartedOnceAConfirmationIsAhead() {
+        start();
+        mStore.mSilent = true;
+        mStore.change(new Change.EndpointGone(new EndpointId("a")));
+        mStore.mSilent = false;
+        mWatching.mReader.checkWatch(position(mStore.mRevision));
+        mTime.advance(Duration.ofMillis(401));
+        assertThat(mWatching.usable()).containsExactly("b");
+        assertThat(mStore.mReconnects).isEqualTo(1);
+    }
+
     /** Store that holds endpoints only and counts the calls. */
     private static final class FakeStore implements PublishedState {
         private final List<UniEmitter<? super Changes>> mWaiting = new ArrayList<>();
@@ -229,26 +262,43 @@
         private int mCalls;
         private boolean mDown;
         private boolean mRejectsEndpoints;
+        private boolean mHistoryLost;
+        private boolean mSilent;
+        private int mReconnects;
 
         /** Applies a change and answers the waiting watches. */
         void change(Change change) {
             mRevision++;
             mChanges.put(mRevision, change);
-            if (change instanceof Change.EndpointGone gone) {
-                mEntries =
-                        mEntries.stream()
-                                .filter(e -> !e.id().equals(gone.id()))
-                                .collect(ImmutableList.toImmutableList());
+            switch (change) {
+                case Change.EndpointGone gone -> mEntries = without(gone.id());
+                case Change.Endpoint e ->
+                        mEntries =
+                                ImmutableList.<RegisteredEndpoint>builder()
+                                        .addAll(without(e.entry().id()))
+                                        .add(e.entry())
+                                        .build();
+                case Change.Config c -> {}
+            }
+            if (mSilent) {
+                return;
             }
             List<UniEmitter<? super Changes>> waiting = List.copyOf(mWaiting);
             mWaiting.clear();
             waiting.forEach(w -> w.complete(after(mRevision - 1)));
+            mHistoryLost = false;
+        }
+
+        private ImmutableList<RegisteredEndpoint> without(EndpointId id) {
+            return mEntries.stream()
+                    .filter(e -> !e.id().equals(id))
+                    .collect(ImmutableList.toImmutableList());
         }
 
         private Changes after(long revision) {
             return new Changes(
                     position(mRevision),
-                    false,
+                    mHistoryLost,
                     ImmutableList.copyOf(mChanges.tailMap(revision, false).values()));
         }
 
@@ -295,5 +345,10 @@
                     ? Uni.createFrom().item(after(afterRevision))
                     : Uni.createFrom().emitter(mWaiting::add);
         }
+
+        @Override
+        public void reconnect() {
+            mReconnects++;
+        }
     }
 }
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/StoreRestoreModelTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/StoreRestoreModelTest.java
@@ -70,5 +70,10 @@
             return store.watch(afterRevision, wait)
                     .map(c -> new Changes(withoutEra(c.store()), c.historyLost(), c.changes()));
         }
+
+        @Override
+        public void reconnect() {
+            store.reconnect();
+        }
     }
 }
