Don't use a connection to a peer again on which a call got no answer

When open connections between daemons go silent, all later calls to that peer timed out until the kernel gave up after minutes; daemons then didn't know each other, and each decided by its own evidence.

Cause: TcpPeerNetwork kept its one connection to a peer whatever became of the calls on it.

Change: if nothing at all came on a connection while a call timed out, no more calls are made on it, and it is closed after those in flight. The next call opens another. A peer that is only frozen gets a new connection the same way. The accepting side closes connections without calls after a minute, since the end of a silent one never arrives.

Evidence: TcpPeerNetworkTest#silentConnectionIsReplacedAfterOneTimeout with a proxy that silences open connections: red on the old code (the call after the silence timed out after 10 s), green now, for two silences.

--- a/serving/src/main/java/io/bilberrygrade/serving/peer/PeerConnection.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/PeerConnection.java
@@ -30,8 +30,10 @@
     private final List<UniEmitter<? super PeerConnection>> mReadyEmitters = new ArrayList<>();
     private Optional<NetSocket> mSocket = Optional.empty();
     private boolean mReady;
+    private boolean mRetired;
     private boolean mClosed;
     private long mNextCallId = 1;
+    private long mReceived;
 
     PeerConnection(
             Vertx vertx,
@@ -52,8 +54,9 @@
                 .onFailure(e -> fail(e.toString()));
     }
 
-    boolean isClosed() {
-        return mClosed;
+    /** Returns whether further calls may be made on this connection. */
+    boolean isUsable() {
+        return !mClosed && !mRetired;
     }
 
     /** Completes with this connection after the handshake. */
@@ -81,11 +84,38 @@
                             }
                             long call = mNextCallId++;
                             mPending.put(call, e);
-                            e.onTermination(() -> mPending.remove(call));
+                            e.onTermination(
+                                    () -> {
+                                        mPending.remove(call);
+                                        closeIfUnused();
+                                    });
                             send(call, EnvelopeKind.CALL, message);
                         });
     }
 
+    /** Returns the number of messages received so far. */
+    long received() {
+        return mReceived;
+    }
+
+    /**
+     * Uses the connection for no more calls if nothing was received since the given count, since it
+     * may be dead, and closes it after those in flight. One that isn't ready yet is left alone; its
+     * handshake has a time limit of its own.
+     */
+    void retireIfSilentSince(long received) {
+        if (mReady && mReceived == received) {
+            mRetired = true;
+            closeIfUnused();
+        }
+    }
+
+    private void closeIfUnused() {
+        if (mRetired && mPending.isEmpty()) {
+            fail("nothing was received on this connection");
+        }
+    }
+
     void close() {
         fail("closed");
     }
@@ -99,6 +129,7 @@
     }
 
     private void receive(Envelope envelope) {
+        mReceived++;
         switch (envelope.message()) {
             case PeerMessage.Challenge c when !mReady -> sendHello(c);
             case PeerMessage.Welcome w when !mReady -> onWelcome(w);
--- a/serving/src/main/java/io/bilberrygrade/serving/peer/PeerServer.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/PeerServer.java
@@ -11,12 +11,16 @@
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
+import java.time.Duration;
 import java.util.Optional;
 
 /** Accepts connections of peers, authenticates them and answers their calls. */
 public final class PeerServer {
     private static final int HANDSHAKE_TIMEOUT_MILLIS = 2_000;
 
+    /** Time after which a connection without calls is closed; its peer may have vanished. */
+    private static final Duration IDLE_TIMEOUT = Duration.ofMinutes(1);
+
     private final Vertx mVertx;
     private final PeerIdentity mSelf;
     private final PeerAuthenticator mAuthenticator;
@@ -39,7 +43,11 @@
         mHandler = handler;
         mFrames = new PeerFrames(traffic);
         mEvents = events;
-        mServer = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true));
+        mServer =
+                vertx.createNetServer(
+                        new NetServerOptions()
+                                .setTcpNoDelay(true)
+                                .setReadIdleTimeout((int) IDLE_TIMEOUT.toSeconds()));
         mServer.connectHandler(s -> new Connection(s).open());
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/peer/TcpPeerNetwork.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/TcpPeerNetwork.java
@@ -16,7 +16,10 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** Calls peers over TCP, with one connection per peer that is opened on demand. */
+/**
+ * Calls peers over TCP, with one connection per peer that is opened on demand. A connection on
+ * which nothing came while a call timed out isn't used again: it may be dead without a reset.
+ */
 public final class TcpPeerNetwork implements PeerNetwork {
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
@@ -44,30 +47,28 @@
 
     @Override
     public Uni<PeerMessage> call(Address peer, PeerMessage message, Duration timeout) {
-        return connection(peer)
-                .onItem()
-                .transformToUni(c -> c.call(message))
-                .plug(reply -> withTimeout(reply, peer, timeout));
-    }
-
-    /** Fails the call after its timeout, on the event loop that owns all state. */
-    private Uni<PeerMessage> withTimeout(Uni<PeerMessage> reply, Address peer, Duration timeout) {
+        PeerConnection connection = connection(peer);
+        long received = connection.received();
+        Uni<PeerMessage> reply =
+                connection.whenReady().onItem().transformToUni(c -> c.call(message));
+        // Timers and connections share the event loop that owns all state.
         Uni<PeerMessage> expired =
                 mTimers.after(timeout)
+                        .invoke(() -> connection.retireIfSilentSince(received))
                         .onItem()
                         .transformToUni(v -> Uni.createFrom().failure(timedOut(peer)));
         return Uni.join().first(reply, expired).toTerminate();
     }
 
-    private Uni<PeerConnection> connection(Address peer) {
+    private PeerConnection connection(Address peer) {
         PeerConnection existing = mConnections.get(peer);
-        if (existing != null && !existing.isClosed()) {
-            return existing.whenReady();
+        if (existing != null && existing.isUsable()) {
+            return existing;
         }
         PeerConnection created = new PeerConnection(mVertx, peer, mSelf, mAuthenticator, mTraffic);
         mConnections.put(peer, created);
         created.connect(mClient);
-        return created.whenReady();
+        return created;
     }
 
     /** Closes all connections. */
--- a/serving/src/test/java/io/bilberrygrade/serving/peer/TcpPeerNetworkTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/peer/TcpPeerNetworkTest.java
@@ -30,9 +30,11 @@
 
 final class TcpPeerNetworkTest {
     private static final Duration TIMEOUT = Duration.ofSeconds(10);
+    private static final Duration SHORT_TIMEOUT = Duration.ofMillis(300);
     private static final PeerKey KEY = PeerKey.of("right".getBytes(StandardCharsets.UTF_8));
 
     private final Vertx mVertx = Vertx.vertx();
+    private final Context mContext = mVertx.getOrCreateContext();
     private final BlockingQueue<Event> mEvents = new LinkedBlockingQueue<>();
     private Address mServer;
 
@@ -91,6 +93,26 @@
                 .isInstanceOf(MembershipEvent.FrameRejected.class);
     }
 
+    // Guards against daemons that lose each other for minutes when open connections go silent.
+    @Test
+    void silentConnectionIsReplacedAfterOneTimeout() {
+        SilencingProxy proxy = SilencingProxy.listen(mVertx, mServer);
+        TcpPeerNetwork network = network(KEY);
+        PeerMessage gossip = gossip();
+        assertThat(call(network, proxy.address(), gossip, TIMEOUT).await().atMost(TIMEOUT))
+                .isEqualTo(gossip);
+        for (int silence = 0; silence < 2; silence++) {
+            proxy.silenceOpenConnections();
+            Uni<PeerMessage> lost = call(network, proxy.address(), gossip, SHORT_TIMEOUT);
+            assertThatThrownBy(() -> lost.await().atMost(TIMEOUT))
+                    .hasCauseInstanceOf(CallException.class);
+
+            assertThat(call(network, proxy.address(), gossip, TIMEOUT).await().atMost(TIMEOUT))
+                    .isEqualTo(gossip);
+        }
+        assertThat(proxy.opened()).isEqualTo(3);
+    }
+
     private static PeerMessage gossip() {
         return new PeerMessage.Gossip(
                 new GossipDigest(
@@ -102,10 +124,14 @@
 
     /** Calls on one event loop, as the network requires. */
     private Uni<PeerMessage> call(TcpPeerNetwork network, PeerMessage message) {
-        Context context = mVertx.getOrCreateContext();
+        return call(network, mServer, message, TIMEOUT);
+    }
+
+    private Uni<PeerMessage> call(
+            TcpPeerNetwork network, Address peer, PeerMessage message, Duration timeout) {
         return Uni.createFrom()
-                .deferred(() -> network.call(mServer, message, TIMEOUT))
-                .runSubscriptionOn(task -> context.runOnContext(v -> task.run()));
+                .deferred(() -> network.call(peer, message, timeout))
+                .runSubscriptionOn(task -> mContext.runOnContext(v -> task.run()));
     }
 
     private static PeerIdentity identity(String name) {
