Let the daemons that are left act on the crashes that they have seen

Cause: a crash at which requests had only been received counts once all daemons have had time to report, since another may have had one that had begun. While fewer than half of the largest recent fleet are known, completeUntil was the earliest time there is, for ten minutes. Ruled out: crashes that aren't noticed, and an aggregator that doesn't answer; BG7021 stood for each crash, with the request among the waiting.

Change: such crashes count after the time for reports of those in reach. What the others had can't be known; a whole request is blamed as before, after three crashes, since only it comes back to each of them. A part of prompts is blamed for waiting requests after six, and 1.2 s later, in which answers to sound requests clear it.

--- a/core/src/test/java/io/bilberrygrade/core/quarantine/QuarantinePolicyTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/quarantine/QuarantinePolicyTest.java
@@ -16,6 +16,9 @@
 final class QuarantinePolicyTest {
     private static final Instant START = Instant.EPOCH;
 
+    /** Time that few daemons wait for answers that clear sound parts. */
+    private static final long CLEARING_MILLIS = 1_200;
+
     private final CrashEvidence mEvidence = new CrashEvidence();
     private int mCrashes;
 
@@ -42,7 +45,66 @@
     }
 
     private Optional<Quarantine> of(String request, Instant completeUntil) {
-        return QuarantinePolicy.of(parts(request), mEvidence.records(), completeUntil);
+        return QuarantinePolicy.of(
+                parts(request), mEvidence.records(), new Reports(completeUntil, true));
+    }
+
+    /** Decides while most daemons are out of reach. */
+    private Optional<Quarantine> ofFew(String request) {
+        return ofFew(request, Instant.MAX);
+    }
+
+    private Optional<Quarantine> ofFew(String request, Instant completeUntil) {
+        return QuarantinePolicy.of(
+                parts(request), mEvidence.records(), new Reports(completeUntil, false));
+    }
+
+    // Guards against a request that is sent for ever by the daemons that are left of a fleet.
+    @Test
+    void requestThatOnlyWaitedIsQuarantinedByFewDaemonsToo() {
+        crash(0, "", ":dead");
+        crash(300, "", ":dead");
+        assertThat(ofFew(":dead")).isEmpty();
+        crash(600, "", ":dead");
+        assertThat(ofFew(":dead")).isPresent();
+    }
+
+    // Guards against a part that is blamed as early as if all daemons had reported.
+    @Test
+    void partThatOnlyWaitedIsQuarantinedByFewDaemonsAfterTwiceTheCrashes() {
+        for (int i = 0; i < 5; i++) {
+            crash(300L * i, "", "dead");
+        }
+        assertThat(of("dead")).isPresent();
+        assertThat(ofFew("dead")).isEmpty();
+        crash(1_500, "", "dead");
+        assertThat(ofFew("dead")).isPresent();
+    }
+
+    @Test
+    void partThatBeganIsQuarantinedByFewDaemonsAfterTwoCrashes() {
+        crash(0, "dead", "");
+        assertThat(ofFew("dead")).isEmpty();
+        crash(300, "dead", "");
+        assertThat(ofFew("dead")).isPresent();
+    }
+
+    @Test
+    void fewDaemonsAwaitAnswersThatClearParts() {
+        for (int i = 0; i < 6; i++) {
+            crash(300L * i, "", "sound");
+        }
+        assertThat(ofFew("sound", START.plusMillis(1_500 + CLEARING_MILLIS - 1))).isEmpty();
+        assertThat(ofFew("sound", START.plusMillis(1_500 + CLEARING_MILLIS))).isPresent();
+    }
+
+    @Test
+    void fewDaemonsAwaitEachOthersReportsOfRequests() {
+        for (int i = 0; i < 3; i++) {
+            crash(300L * i, "", ":sound");
+        }
+        assertThat(ofFew(":sound", START.plusMillis(599))).isEmpty();
+        assertThat(ofFew(":sound", START.plusMillis(600))).isPresent();
     }
 
     @Test
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/QuarantineController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/QuarantineController.java
@@ -10,6 +10,7 @@
 import io.bilberrygrade.core.quarantine.Quarantine;
 import io.bilberrygrade.core.quarantine.QuarantinePolicy;
 import io.bilberrygrade.core.quarantine.QuarantineTrials;
+import io.bilberrygrade.core.quarantine.Reports;
 import io.bilberrygrade.core.quarantine.Suspect;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.event.ForwardEvent;
@@ -79,7 +80,7 @@
     Optional<Quarantine> of(Supplier<ImmutableSet<Suspect>> suspects, Instant now) {
         return mEvidence.isEmpty()
                 ? Optional.empty()
-                : QuarantinePolicy.of(suspects.get(), mEvidence.records(), completeUntil(now));
+                : QuarantinePolicy.of(suspects.get(), mEvidence.records(), reports(now));
     }
 
     /** Records that this daemon has what the aggregator knows. */
@@ -88,21 +89,21 @@
     }
 
     /**
-     * Returns the time of the last crashes of which this daemon knows what all others had at the
-     * endpoint; none while most of them are out of reach.
+     * Returns how far others have reported what they had at crashed endpoints. Daemons that are out
+     * of reach can't report; what this daemon and those in reach have seen binds them nevertheless.
      */
-    private Instant completeUntil(Instant now) {
+    private Reports reports(Instant now) {
         int peak = mFleet.peakSize(now);
         int size = mFleet.size(now);
         if (peak == 1) {
-            return now;
-        }
-        if (2 * size < peak) {
-            return Instant.MIN;
+            return new Reports(now, true);
         }
+        boolean byMost = 2 * size >= peak;
         Duration rounds = ExchangeInterval.nextInterval(size, true).multipliedBy(2);
         Duration reportTime = rounds.compareTo(MAX_REPORT_TIME) < 0 ? rounds : MAX_REPORT_TIME;
-        return mExchangedAt.equals(Instant.MIN) ? Instant.MIN : mExchangedAt.minus(reportTime);
+        return mExchangedAt.equals(Instant.MIN)
+                ? Reports.none(byMost)
+                : new Reports(mExchangedAt.minus(reportTime), byMost);
     }
 
     /** Starts watching an attempt, which is cancelled if it becomes quarantined. */
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/RequestQuarantinePlays.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/RequestQuarantinePlays.java
@@ -27,6 +27,10 @@
     private static final int REQUESTS_PER_FATAL = 3;
 
     private static final int CLIENTS = 3;
+
+    /** A fatal request each 1.5 s. */
+    private static final int REQUESTS_PER_SECOND_AFTER_LOSS = 2;
+
     private static final Duration PLAYED_TIME = Duration.ofSeconds(6);
 
     /** Attempts of a request whose answer hadn't begun. */
@@ -93,7 +97,7 @@
     /** Returns a member other than the one at which the client was last. */
     private Member memberOfClient(int client) {
         Member member = readyMember();
-        while (member == mLastOfClient.get(client)) {
+        while (member == mLastOfClient.get(client) && mFleet.mMembers.size() > 1) {
             member = readyMember();
         }
         mLastOfClient.put(client, member);
@@ -179,6 +183,58 @@
         checkRule(first, second);
     }
 
+    /** Most members are killed, or can't be reached by those that are left. */
+    void checkRequestAfterLoss(int members, int left, Loss loss, boolean begins) {
+        mModel.start(members);
+        lose(left, loss);
+        Fatal fatal = fatal("fatal", PARTS, begins);
+        play(Duration.ofSeconds(30), REQUESTS_PER_SECOND_AFTER_LOSS, fatal);
+        checkRule(fatal);
+    }
+
+    void checkPartAfterLoss(int members, int left, Loss loss, boolean begins) {
+        mModel.start(members);
+        lose(left, loss);
+        Fatal part = Fatal.part(new PromptPart("dead"), begins);
+        play(Duration.ofSeconds(30), REQUESTS_PER_SECOND_AFTER_LOSS, part);
+        checkRule(part);
+    }
+
+    /** Those that are left have sound requests at endpoints that others' requests crash. */
+    void checkSoundRequestsAfterLoss(int members, int left, Loss loss) {
+        mModel.start(members);
+        lose(left, loss);
+        for (int i = 0; i < 30; i++) {
+            Member member = mModel.anyMember();
+            QuarantineTestRequest bystander = soundRequest(PARTS);
+            recordCrash(member, mRuns++, bystander, false);
+            member.mProcess.schedule(REPEAT_DELAY, () -> mModel.sendSound(member, bystander));
+            for (int k = 0; k < 20; k++) {
+                mFleet.mTime.advance(Duration.ofMillis(40));
+                mRequests++;
+                mModel.sendSound(mModel.anyMember(), soundRequest(PARTS));
+            }
+        }
+        mModel.assertNoSoundOneRefused();
+    }
+
+    private void lose(int left, Loss loss) {
+        List<Member> lost = List.copyOf(mFleet.mMembers.subList(left, mFleet.mMembers.size()));
+        if (loss == Loss.KILLED) {
+            lost.forEach(m -> m.mProcess.kill());
+        } else {
+            mFleet.cut(mFleet.mMembers.subList(0, left), lost);
+        }
+        mFleet.mMembers.removeAll(lost);
+        mFleet.mTime.advance(Duration.ofSeconds(6));
+    }
+
+    /** How members are lost to the others. */
+    enum Loss {
+        KILLED,
+        CUT_OFF
+    }
+
     void checkRequestAndPart(int members, int perSecond, boolean begins) {
         mModel.start(members);
         Fatal request = fatal("fatal", PARTS, begins);
@@ -231,9 +287,13 @@
 
         /** Returns requests that share a fatal part, no two of them alike. */
         static Fatal part(PromptPart part) {
+            return part(part, true);
+        }
+
+        static Fatal part(PromptPart part, boolean begins) {
             return new Fatal(
                     new QuarantineTestRequest("part", ImmutableSet.of(INTRODUCTION, part)),
-                    true,
+                    begins,
                     COUNTED_CRASHES_BY_PART,
                     false);
         }
