Keep the part that is the cause of crashes as evidence among many others

Cause: a crash's record kept the 32 smallest ids and dropped the others as it was made, before answers to sound requests had cleared any; a part that sorts behind 32 others was in no record.

Change: 4,096 parts are kept, BG7027 says if that cuts, and parts answered in the last ten seconds aren't put into a record at all. Answered suspects are forgotten in the order of their last answer.

CrashEvidenceTest#requestsAreKept... has 5,000 parts in place of 500, since it checks what happens beyond the bound, which is 4,096 now; that the number of requests is bounded beside fewer parts is checked by the same case.

--- a/core/src/main/java/io/bilberrygrade/core/quarantine/CrashEvidence.java
+++ b/core/src/main/java/io/bilberrygrade/core/quarantine/CrashEvidence.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
 import io.bilberrygrade.core.forward.EndpointRun;
@@ -13,6 +14,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Crashes of endpoints that the fleet knows of. Daemons exchange their records and merge them; the
@@ -72,12 +74,18 @@
         return records.contains(merged);
     }
 
+    /** Returns all suspects of all crashes. */
+    public ImmutableSet<Suspect> suspects() {
+        return mSuspects;
+    }
+
     /** Clears what a request that was answered holds; returns whether any of it was suspected. */
-    public boolean clear(ImmutableSet<Suspect> suspects) {
+    public boolean clear(Set<Suspect> suspects) {
         if (Collections.disjoint(suspects, mSuspects)) {
             return false;
         }
-        replace(mRecords.stream().map(r -> r.clear(suspects)).toList());
+        ImmutableSet<Suspect> harmless = Sets.intersection(mSuspects, suspects).immutableCopy();
+        replace(mRecords.stream().map(r -> r.clear(harmless)).toList());
         return true;
     }
 
--- a/core/src/main/java/io/bilberrygrade/core/quarantine/CrashRecord.java
+++ b/core/src/main/java/io/bilberrygrade/core/quarantine/CrashRecord.java
@@ -5,6 +5,7 @@
 import io.bilberrygrade.core.forward.EndpointRun;
 import java.time.Instant;
 import java.util.Collections;
+import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 
@@ -24,8 +25,11 @@
         ImmutableSet<Suspect> begun,
         ImmutableSet<Suspect> waiting,
         ImmutableSet<Suspect> cleared) {
-    /** Maximum number of parts of prompts; an endpoint runs some ten requests with a few each. */
-    static final int MAX_PARTS = 32;
+    /**
+     * Maximum number of parts of prompts; an endpoint runs some ten requests, with some hundred
+     * parts each at most.
+     */
+    static final int MAX_PARTS = 4_096;
 
     /** Maximum number of requests, those that an endpoint runs and those that it queues. */
     static final int MAX_REQUESTS = 48;
@@ -38,14 +42,14 @@
     }
 
     private static ImmutableSet<Suspect> without(
-            ImmutableSet<Suspect> suspects, ImmutableSet<Suspect> cleared) {
+            ImmutableSet<Suspect> suspects, Set<Suspect> cleared) {
         return Collections.disjoint(suspects, cleared)
                 ? suspects
                 : Sets.difference(suspects, cleared).immutableCopy();
     }
 
     private static ImmutableSet<Suspect> limited(ImmutableSet<Suspect> suspects, int factor) {
-        if (suspects.size() <= factor * MAX_PARTS) {
+        if (suspects.size() <= factor * MAX_REQUESTS) {
             return suspects;
         }
         return Stream.concat(
@@ -60,6 +64,28 @@
         return suspects.stream().filter(kind).sorted().limit(max);
     }
 
+    /**
+     * Returns whether suspects may have been left out, so that the one that is the cause may be
+     * missing.
+     */
+    public boolean isCut() {
+        return begun.size() >= MAX_PARTS || waiting.size() >= MAX_PARTS;
+    }
+
+    /** Returns whether another record says the same, whenever its daemon got to know of it. */
+    public boolean isEquivalentTo(CrashRecord other) {
+        return run.equals(other.run)
+                && begun.equals(other.begun)
+                && waiting.equals(other.waiting)
+                && cleared.equals(other.cleared);
+    }
+
+    /** Returns this record without suspects that are known to be harmless. */
+    public CrashRecord without(Set<Suspect> harmless) {
+        return new CrashRecord(
+                run, at, without(begun, harmless), without(waiting, harmless), cleared);
+    }
+
     /**
      * Returns what may have caused the crash. Requests that had only been received are considered
      * if none of those that had begun can be the cause.
--- a/core/src/test/java/io/bilberrygrade/core/quarantine/CrashEvidenceTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/quarantine/CrashEvidenceTest.java
@@ -87,7 +87,7 @@
 
     @Test
     void requestsAreKeptBesideManyPartsAndTheirNumberIsBounded() {
-        String parts = String.join(" ", IntStream.range(0, 500).mapToObj(i -> "p" + i).toList());
+        String parts = String.join(" ", IntStream.range(0, 5_000).mapToObj(i -> "p" + i).toList());
         String requests = String.join(" ", IntStream.range(0, 500).mapToObj(i -> ":" + i).toList());
         mEvidence.merge(record("e", 0, parts + " :0", ""));
         assertThat(mEvidence.records().getFirst().begun()).contains(new Suspect(":0"));
@@ -96,6 +96,18 @@
                 .hasSize(CrashRecord.MAX_PARTS + CrashRecord.MAX_REQUESTS);
     }
 
+    // Guards against a part that a bound drops before the others have been cleared.
+    @ParameterizedTest
+    @ValueSource(ints = {8, 40, 64, 150, 2_000})
+    void partBehindManyOthersIsFoundOnceTheseAreCleared(int parts) {
+        String sound = String.join(" ", IntStream.range(0, parts).mapToObj(i -> "p" + i).toList());
+        mEvidence.merge(record("e", 0, sound + " zz", ""));
+        mEvidence.merge(record("f", 900, sound + " zz", ""));
+        mEvidence.clear(parts(sound));
+        assertThat(mEvidence.records()).allMatch(r -> r.suspects().equals(parts("zz")));
+        assertThat(mEvidence.records()).noneMatch(CrashRecord::isCut);
+    }
+
     /** Crashes of other causes, whose parts were answered since, go first. */
     @Test
     void recordsWithSuspectsAreKeptLongest() {
--- a/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
@@ -140,6 +140,13 @@
     record EndpointCrashed(String endpoint, String begunParts, String waitingParts, String source)
             implements ForwardEvent {}
 
+    /**
+     * The requests at a crashed endpoint had more parts than are kept as evidence, so that the part
+     * that is the cause may be missing.
+     */
+    @EventInfo(number = 7027, level = EventLevel.WARN)
+    record CrashEvidenceCut(String endpoint, String source) implements ForwardEvent {}
+
     /**
      * An entry of the store can't be read and is ignored; logged once for each value of a key.
      * {@code length} is that of the encoded value.
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/AcceptFilter.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AcceptFilter.java
@@ -1,12 +1,12 @@
 package io.bilberrygrade.serving.forward;
 
-import com.google.common.base.Joiner;
 import io.bilberrygrade.core.forward.ForwardingConfig;
 import io.bilberrygrade.core.forward.PromptShape;
 import io.bilberrygrade.core.identity.TeamId;
 import io.bilberrygrade.core.request.Outcome;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.event.ForwardEvent;
+import io.bilberrygrade.serving.event.ShortList;
 import io.bilberrygrade.serving.filter.FilterChain;
 import io.bilberrygrade.serving.filter.RequestFilter;
 import io.smallrye.mutiny.Uni;
@@ -28,7 +28,7 @@
                         exchange.route().name(),
                         exchange.team().map(TeamId::value).orElse("none"),
                         exchange.head().prompt().map(PromptShape::promptTokens).orElse(0L),
-                        Joiner.on(',').join(exchange.head().sharedParts()),
+                        ShortList.of(exchange.head().sharedParts()),
                         Duration.between(exchange.arrival(), exchange.deadline()).toMillis(),
                         exchange.config().map(ForwardingConfig::version).orElse(0L)));
         return next.proceed(exchange);
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/CrashCodec.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/CrashCodec.java
@@ -7,51 +7,59 @@
 import io.bilberrygrade.core.quarantine.CrashRecord;
 import io.bilberrygrade.core.quarantine.Suspect;
 import io.bilberrygrade.serving.peer.CrashEntry;
+import io.bilberrygrade.serving.peer.CrashReport;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Collection;
 import java.util.List;
+import java.util.stream.Stream;
 
 /** Converts between messages about crashed endpoints and the domain types. */
 final class CrashCodec {
     private CrashCodec() {}
 
-    /** Encodes records with their age, since the clocks of daemons differ. */
-    static ImmutableList<CrashEntry> entries(Collection<CrashRecord> records, Instant now) {
+    /** Encodes a report with the given crashes. */
+    static CrashReport report(
+            long digest, ImmutableList<CrashRecord> records, List<String> trials, Instant now) {
+        SuspectNumbers numbers = SuspectNumbers.of(suspects(records));
+        ImmutableList<CrashEntry> entries =
+                records.stream()
+                        .map(r -> entry(r, numbers, now))
+                        .collect(ImmutableList.toImmutableList());
+        return new CrashReport(digest, entries, trials, numbers.table());
+    }
+
+    private static ImmutableSet<Suspect> suspects(ImmutableList<CrashRecord> records) {
         return records.stream()
-                .map(
-                        r ->
-                                new CrashEntry(
-                                        r.run().id().value(),
-                                        r.run().startedAtMillis(),
-                                        Duration.between(r.at(), now).toMillis(),
-                                        ids(r.begun()),
-                                        ids(r.waiting()),
-                                        ids(r.cleared())))
-                .collect(ImmutableList.toImmutableList());
+                .flatMap(r -> Stream.of(r.begun(), r.waiting(), r.cleared()))
+                .flatMap(Collection::stream)
+                .collect(ImmutableSet.toImmutableSet());
     }
 
-    static ImmutableList<CrashRecord> records(List<CrashEntry> entries, Instant now) {
-        return entries.stream()
-                .map(
-                        e ->
-                                new CrashRecord(
-                                        new EndpointRun(
-                                                new EndpointId(e.endpoint()), e.startedAtMillis()),
-                                        now.minusMillis(Math.max(0, e.ageMillis())),
-                                        suspects(e.begun()),
-                                        suspects(e.waiting()),
-                                        suspects(e.cleared())))
-                .collect(ImmutableList.toImmutableList());
+    /** Encodes a record with its age, since the clocks of daemons differ. */
+    private static CrashEntry entry(CrashRecord record, SuspectNumbers numbers, Instant now) {
+        return new CrashEntry(
+                record.run().id().value(),
+                record.run().startedAtMillis(),
+                Duration.between(record.at(), now).toMillis(),
+                numbers.encode(record.begun()),
+                numbers.encode(record.waiting()),
+                numbers.encode(record.cleared()));
     }
 
-    static ImmutableList<String> ids(Collection<Suspect> suspects) {
-        return suspects.stream().map(Suspect::id).collect(ImmutableList.toImmutableList());
+    /** Decodes the crashes of a report; none if what they refer to is malformed. */
+    static ImmutableList<CrashRecord> records(CrashReport report, Instant now) {
+        return SuspectNumbers.of(report.suspects()).stream()
+                .flatMap(n -> report.crashes().stream().map(e -> record(e, n, now)))
+                .collect(ImmutableList.toImmutableList());
     }
 
-    static ImmutableSet<Suspect> suspects(List<String> ids) {
-        return ids == null
-                ? ImmutableSet.of()
-                : ids.stream().map(Suspect::new).collect(ImmutableSet.toImmutableSet());
+    private static CrashRecord record(CrashEntry entry, SuspectNumbers numbers, Instant now) {
+        return new CrashRecord(
+                new EndpointRun(new EndpointId(entry.endpoint()), entry.startedAtMillis()),
+                now.minusMillis(Math.max(0, entry.ageMillis())),
+                numbers.decode(entry.begun()),
+                numbers.decode(entry.waiting()),
+                numbers.decode(entry.cleared()));
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/CrashExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/CrashExchange.java
@@ -1,23 +1,24 @@
 package io.bilberrygrade.serving.forward;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
 import io.bilberrygrade.core.exchange.FleetView;
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.quarantine.CrashEvidence;
+import io.bilberrygrade.core.quarantine.CrashRecord;
 import io.bilberrygrade.core.quarantine.QuarantineTrials;
 import io.bilberrygrade.core.quarantine.Suspect;
-import io.bilberrygrade.serving.peer.CrashEntry;
 import io.bilberrygrade.serving.peer.CrashReport;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 
 /**
- * Shares what daemons know of crashed endpoints, as part of the exchange of work. Records are sent
- * only to peers that have stated another digest, so that it costs nothing without crashes and a few
- * bytes while nothing changes.
+ * Shares what daemons know of crashed endpoints, as part of the exchange of work. Records go to and
+ * from the aggregator, and only if the peer has stated another digest, so that it costs nothing
+ * without crashes and a few bytes while nothing changes.
  */
 final class CrashExchange {
     /** Maximum number of peers whose state is kept. */
@@ -56,12 +57,18 @@
         if (evidence().isEmpty()) {
             return null;
         }
-        boolean follows =
-                mFleet.aggregator(now).address().equals(peer) && !mFleet.isAggregator(now);
-        return new CrashReport(
-                evidence().digest(),
-                entriesUnlessKnown(peer, mPeerDigests.getOrDefault(peer, 0L), now),
-                follows ? CrashCodec.ids(mQuarantine.trials().takeWanted()) : ImmutableList.of());
+        if (mFleet.isAggregator(now)) {
+            return reportTo(peer, mPeerDigests.getOrDefault(peer, 0L), ImmutableList.of(), now);
+        }
+        if (!mFleet.aggregator(now).address().equals(peer)) {
+            return digestOnly(null);
+        }
+        ImmutableList<String> wanted = SuspectNumbers.ids(mQuarantine.trials().takeWanted());
+        return reportTo(peer, mPeerDigests.getOrDefault(peer, 0L), wanted, now);
+    }
+
+    private CrashReport digestOnly(ImmutableList<String> trials) {
+        return new CrashReport(evidence().digest(), null, trials, null);
     }
 
     /** Applies a peer's report and returns the reply; null if no crash is known. */
@@ -73,10 +80,14 @@
             merge(report, peer, now);
             granted = grant(report, now);
         }
-        return evidence().isEmpty()
-                ? null
-                : new CrashReport(
-                        evidence().digest(), entriesUnlessKnown(peer, peerDigest, now), granted);
+        if (evidence().isEmpty()) {
+            return null;
+        }
+        // Others get the records from the aggregator, but one that has just started needs them now.
+        boolean follows = report != null && report.trials() != null;
+        return mFleet.isAggregator(now) || follows || peerDigest == 0
+                ? reportTo(peer, peerDigest, granted, now)
+                : digestOnly(granted);
     }
 
     private ImmutableList<String> grant(CrashReport report, Instant now) {
@@ -107,27 +118,67 @@
         }
     }
 
-    /** Returns the records for a peer, or null if it has them or was sent them just now. */
-    private List<CrashEntry> entriesUnlessKnown(Address peer, long peerDigest, Instant now) {
+    /**
+     * Returns a report, with the records that changed since the last one, unless the peer has them
+     * or was sent them just now.
+     */
+    private CrashReport reportTo(
+            Address peer, long peerDigest, ImmutableList<String> trials, Instant now) {
         long own = evidence().digest();
-        Sent last = mSent.get(peer);
-        boolean sentBefore =
-                last != null && last.digest() == own && last.at().plus(RESEND_AFTER).isAfter(now);
-        if (peerDigest == own || (sentBefore && peerDigest != 0)) {
-            return null;
-        }
-        if (mSent.size() >= MAX_PEERS) {
-            mSent.clear();
+        Sent last = mSent.getOrDefault(peer, Sent.NOTHING);
+        boolean fresh = last.at().plus(RESEND_AFTER).isAfter(now);
+        if (peerDigest == own || (fresh && last.digest() == own && peerDigest != 0)) {
+            return digestOnly(trials);
         }
-        mSent.put(peer, new Sent(own, now));
-        return CrashCodec.entries(evidence().records(), now);
+        boolean onlyChanged = fresh && peerDigest != 0;
+        ImmutableSet<CrashRecord> records = ImmutableSet.copyOf(evidence().records());
+        putSent(peer, new Sent(own, records, onlyChanged ? last.at() : now));
+        ImmutableList<CrashRecord> changed =
+                onlyChanged
+                        ? Sets.difference(records, last.records()).immutableCopy().asList()
+                        : records.asList();
+        return CrashCodec.report(own, changed, trials, now);
     }
 
     private void merge(CrashReport report, Address peer, Instant now) {
         if (report.crashes() != null) {
-            mQuarantine.merge(CrashCodec.records(report.crashes(), now), peer.toString(), now);
+            ImmutableList<CrashRecord> received = CrashCodec.records(report, now);
+            mQuarantine.merge(received, peer.toString(), now);
+            recordKnownTo(peer, received, now);
         }
     }
 
-    private record Sent(long digest, Instant at) {}
+    /** Records that a peer needs no records to which this daemon has nothing to add. */
+    private void recordKnownTo(Address peer, ImmutableList<CrashRecord> received, Instant now) {
+        Sent last = mSent.getOrDefault(peer, new Sent(0, ImmutableSet.of(), now));
+        ImmutableSet<CrashRecord> known =
+                evidence().records().stream()
+                        .filter(
+                                own ->
+                                        last.records().contains(own)
+                                                || received.stream().anyMatch(own::isEquivalentTo))
+                        .collect(ImmutableSet.toImmutableSet());
+        putSent(peer, new Sent(last.digest(), known, last.at()));
+    }
+
+    private void putSent(Address peer, Sent sent) {
+        if (mSent.size() >= MAX_PEERS) {
+            mSent.clear();
+        }
+        mSent.put(peer, sent);
+    }
+
+    /** Records that a call failed, so that the peer may lack what it was sent. */
+    void onCallFailed(Address peer) {
+        mSent.remove(peer);
+    }
+
+    /**
+     * What a peer was sent.
+     *
+     * @param at when it was sent all records
+     */
+    private record Sent(long digest, ImmutableSet<CrashRecord> records, Instant at) {
+        static final Sent NOTHING = new Sent(0, ImmutableSet.of(), Instant.MIN);
+    }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/QuarantineController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/QuarantineController.java
@@ -1,6 +1,5 @@
 package io.bilberrygrade.serving.forward;
 
-import com.google.common.base.Joiner;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import io.bilberrygrade.core.exchange.ExchangeInterval;
@@ -14,6 +13,7 @@
 import io.bilberrygrade.core.quarantine.Suspect;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.event.ForwardEvent;
+import io.bilberrygrade.serving.event.ShortList;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.LinkedHashMap;
@@ -36,13 +36,18 @@
     private static final Duration ANSWER_LIFETIME = Duration.ofSeconds(10);
 
     /** Maximum number of answered suspects that are remembered while crashes are known. */
-    private static final int MAX_ANSWERED_SUSPECTS = 1_024;
+    private static final int MAX_ANSWERED_SUSPECTS = 8_192;
+
+    private static final int INITIAL_CAPACITY = 16;
+    private static final float LOAD_FACTOR = 0.75f;
 
     private final CrashEvidence mEvidence = new CrashEvidence();
     private final QuarantineTrials mTrials = new QuarantineTrials();
     private final Set<Quarantinable> mInFlight = new LinkedHashSet<>();
+
+    /** Those that were answered longest ago are forgotten first. */
     private final Map<Suspect, Instant> mAnsweredAt =
-            new LinkedHashMap<>() {
+            new LinkedHashMap<>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
                 private static final long serialVersionUID = 1;
 
                 @Override
@@ -50,6 +55,7 @@
                     return size() > MAX_ANSWERED_SUSPECTS;
                 }
             };
+
     private final FleetView mFleet;
     private final EventLog mEvents;
     private Runnable mOnNews = () -> {};
@@ -118,7 +124,8 @@
 
     /** Records a crash that this daemon has observed. */
     void recordCrash(CrashRecord record, Instant now) {
-        if (add(record, "self")) {
+        forgetOldAnswers(now);
+        if (add(record.without(mAnsweredAt.keySet()), "self")) {
             clearRecentlyAnswered(now);
             cancelQuarantined(now);
             mOnNews.run();
@@ -130,15 +137,20 @@
      */
     void recordAnswered(Supplier<ImmutableSet<Suspect>> suspects, Instant now) {
         if (!mEvidence.isEmpty()) {
-            suspects.get().forEach(s -> mAnsweredAt.put(s, now));
-            mEvidence.clear(suspects.get());
+            ImmutableSet<Suspect> answered = suspects.get();
+            answered.forEach(s -> mAnsweredAt.put(s, now));
+            mEvidence.clear(answered);
         }
     }
 
     /** Clears the suspects of answers that this daemon relayed shortly before a crash. */
     private void clearRecentlyAnswered(Instant now) {
+        forgetOldAnswers(now);
+        mEvidence.clear(mAnsweredAt.keySet());
+    }
+
+    private void forgetOldAnswers(Instant now) {
         mAnsweredAt.values().removeIf(at -> at.plus(ANSWER_LIFETIME).isBefore(now));
-        mEvidence.clear(ImmutableSet.copyOf(mAnsweredAt.keySet()));
     }
 
     /** Adds what a peer knows. */
@@ -161,10 +173,17 @@
             mEvents.record(
                     new ForwardEvent.EndpointCrashed(
                             record.run().id().value(),
-                            Joiner.on(',').join(record.begun()),
-                            Joiner.on(',').join(record.waiting()),
+                            ShortList.of(record.begun()),
+                            ShortList.of(record.waiting()),
                             source));
         }
+        if (changed
+                && mEvidence
+                        .find(record.run(), record.at())
+                        .filter(CrashRecord::isCut)
+                        .isPresent()) {
+            mEvents.record(new ForwardEvent.CrashEvidenceCut(record.run().id().value(), source));
+        }
         return changed;
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
@@ -217,12 +217,17 @@
                             }
                         })
                 .onFailure()
-                .invoke(e -> mFleet.recordFailure(peer, mClocks.now()))
+                .invoke(e -> onCallFailed(peer))
                 .replaceWithVoid()
                 .onFailure()
                 .recoverWithNull();
     }
 
+    private void onCallFailed(Address peer) {
+        mFleet.recordFailure(peer, mClocks.now());
+        mCrashes.onCallFailed(peer);
+    }
+
     /**
      * Returns the version to ask of peers other than the aggregator: their sums are requested only
      * if those at hand are stale.
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/PromptQuarantineFleetTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/PromptQuarantineFleetTest.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -24,7 +25,9 @@
     /** Requests with the part that a daemon without its peers may send. */
     private static final int MAX_ARRIVALS_OF_ONE = 3;
 
-    private static final PromptPart FATAL = new PromptPart("dead");
+    /** Sorts behind all other parts. */
+    private static final PromptPart FATAL = new PromptPart("ffdead00");
+
     private static final Duration READING = QuarantineTestFleet.READING;
 
     private final QuarantineTestFleet mModel = new QuarantineTestFleet();
@@ -32,12 +35,23 @@
     private final List<Instant> mFatalArrivals = new ArrayList<>();
     private final List<Instant> mCrashes = new ArrayList<>();
     private final Map<Integer, Integer> mArrivalsFrom = new HashMap<>();
+    private ImmutableSet<PromptPart> mCommon = ImmutableSet.of();
     private int mRequests;
     private int mIds;
 
     /** Returns a request that no other is equal to. */
     private QuarantineTestRequest request(PromptPart... parts) {
-        return new QuarantineTestRequest("r" + mIds++, ImmutableSet.copyOf(parts));
+        return new QuarantineTestRequest(
+                "r" + mIds++,
+                ImmutableSet.<PromptPart>builder().addAll(mCommon).add(parts).build());
+    }
+
+    /** Adds parts to all requests, so that those that are fatal have the given number of them. */
+    private void setPartsOfFatalRequests(int count) {
+        mCommon =
+                IntStream.range(0, count - 2)
+                        .mapToObj(i -> new PromptPart("%08x".formatted(0x10a3c0 + i * 0x9e3779L)))
+                        .collect(ImmutableSet.toImmutableSet());
     }
 
     private PromptPart introduction() {
@@ -96,6 +110,36 @@
         checkRule();
     }
 
+    // Guards against a bound on the evidence that drops the part that is the cause.
+    @ParameterizedTest
+    @CsvSource({
+        "4, 25, 8",
+        "4, 25, 40",
+        "4, 25, 64",
+        "4, 25, 150",
+        "45, 100, 40",
+        "45, 100, 150",
+        "410, 500, 8",
+        "410, 500, 40",
+        "410, 500, 64",
+        "410, 500, 150"
+    })
+    void partAmongManyIsNoLongerSent(int members, int perSecond, int parts) {
+        setPartsOfFatalRequests(parts);
+        mModel.start(members);
+        play(Duration.ofSeconds(12), perSecond);
+        checkRule();
+    }
+
+    // Guards against evidence with many parts that takes the room of the control traffic.
+    @ParameterizedTest
+    @CsvSource({"45, 100, 150", "410, 500, 40", "410, 500, 150"})
+    void manyPartsLeaveRoomInTheControlTraffic(int members, int perSecond, int parts) {
+        setPartsOfFatalRequests(parts);
+        mModel.start(members);
+        mModel.assertLittleSent(span -> play(span, perSecond));
+    }
+
     @ParameterizedTest
     @CsvSource({"4, 25, true", "4, 25, false", "45, 100, true", "45, 100, false", "410, 100, true"})
     void lossOfTheAggregatorKeepsThePartQuarantined(int members, int perSecond, boolean killed) {
