--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ChangeHistory.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ChangeHistory.java
@@ -33,7 +33,8 @@
      * written again even if they don't differ.
      */
     void recordFullRead(StorePosition position, ImmutableList<Change> differences, Instant now) {
-        boolean continues = position.sameEra(mPosition) && !position.isBefore(mPosition);
+        boolean begun = mOldestRevision != Long.MAX_VALUE;
+        boolean continues = begun && position.sameEra(mPosition) && !position.isBefore(mPosition);
         if (!continues) {
             mEraBeganAt = now;
         }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/QuarantineCheck.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/QuarantineCheck.java
@@ -6,6 +6,7 @@
 import io.bilberrygrade.core.request.Outcome;
 import io.bilberrygrade.core.request.Reason;
 import io.bilberrygrade.core.request.Step;
+import io.bilberrygrade.serving.event.ShortList;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
@@ -42,9 +43,9 @@
                         ? Reason.REQUEST_QUARANTINED
                         : Reason.PROMPT_QUARANTINED;
         String detail =
-                "endpoints crash on requests with "
-                        + quarantine.suspects()
-                        + ", seen "
+                "endpoints crash on requests with ["
+                        + ShortList.of(quarantine.suspects())
+                        + "], seen "
                         + quarantine.crashes()
                         + " times";
         if (mayHaveRun) {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/StateReader.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/StateReader.java
@@ -20,24 +20,6 @@
  * changes that a watch with a dead connection would miss.
  */
 final class StateReader {
-    /**
-     * Maximum age of the last confirmation by any daemon, at which this daemon reads the
-     * configuration itself; the staleness limit of keys of some seconds leaves time for a second
-     * attempt.
-     */
-    private static final Duration CONFIRM_PERIOD = Duration.ofMillis(2_800);
-
-    /**
-     * Fraction of that age at which the aggregator reads, whose confirmation reaches all others.
-     */
-    private static final double AGGREGATOR_FRACTION = 0.4;
-
-    /**
-     * Least fraction of that age at which others read, spread so that partitioned daemons don't
-     * read in step.
-     */
-    private static final double MIN_FRACTION = 0.75;
-
     /** Least pause between two checks of the age. */
     private static final Duration MIN_PAUSE = Duration.ofMillis(50);
 
@@ -73,6 +55,7 @@
     private final Timers mTimers;
     private final UniformRandomProvider mRandom;
     private final BooleanSupplier mIsAggregator;
+    private final ConfirmationAge mConfirmationAge;
     private final ChangeHistory mHistory = new ChangeHistory();
     private Duration mConfirmRetry = INITIAL_RETRY;
     private Duration mWatchRetry = INITIAL_RETRY;
@@ -102,6 +85,7 @@
         mTimers = timers;
         mRandom = random;
         mIsAggregator = isAggregator;
+        mConfirmationAge = new ConfirmationAge(random, isAggregator);
     }
 
     void start() {
@@ -157,19 +141,11 @@
                 .with(
                         v -> {
                             mConfirmRetry = INITIAL_RETRY;
-                            confirmWhenDue(nextAge());
+                            confirmWhenDue(mConfirmationAge.next());
                         },
                         e -> retryConfirm(true));
     }
 
-    private Duration nextAge() {
-        double fraction =
-                mIsAggregator.getAsBoolean()
-                        ? AGGREGATOR_FRACTION
-                        : MIN_FRACTION + (1 - MIN_FRACTION) * mRandom.nextDouble();
-        return Duration.ofMillis(Math.round(CONFIRM_PERIOD.toMillis() * fraction));
-    }
-
     /**
      * Reads once the last confirmation has reached the given age; confirmations by peers postpone
      * it.
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/ChangeHistoryTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/ChangeHistoryTest.java
@@ -71,6 +71,14 @@
         assertThat(mHistory.since(at(10))).contains(ImmutableList.of(gone(2)));
     }
 
+    // Guards against a daemon that relays nothing on a store that states no era.
+    @Test
+    void firstFullReadBeginsTheHistoryWithoutEras() {
+        mHistory.recordFullRead(new StorePosition(0, 10), ImmutableList.of(gone(1)), START);
+        mHistory.add(new StorePosition(0, 12), ImmutableList.of(gone(2)));
+        assertThat(mHistory.since(new StorePosition(0, 10))).contains(ImmutableList.of(gone(2)));
+    }
+
     // Guards against entries that were written again after a restore and look unchanged.
     @Test
     void fullReadShortlyAfterAnEraBeganDiscardsEarlierChanges() {
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/StoreRelayTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/StoreRelayTest.java
@@ -224,7 +224,7 @@
     // Guards against followers that learn of a removal only once they watch for themselves, since
     // the full read of the daemon that relays has emptied its history.
     @Test
-    void removalThatAFullReadHasShownIsRelayed() {
+    void removalFoundByFullReadIsRelayed() {
         start();
         mTime.advance(ChangeHistory.ERA_SETTLE_TIME);
         relayFor(Duration.ofSeconds(1));
@@ -241,7 +241,7 @@
 
     // Guards against a removal that is noticed only by the next full read.
     @Test
-    void silentWatchIsRestartedOnceAConfirmationIsAhead() {
+    void silentWatchIsRestartedOnceConfirmationIsAhead() {
         start();
         mStore.mSilent = true;
         mStore.change(new Change.EndpointGone(new EndpointId("a")));
--- a/serving/src/test/java/io/bilberrygrade/serving/http/ReconnectingCallsTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/http/ReconnectingCallsTest.java
@@ -207,7 +207,7 @@
 
     // Guards against a watch that waits on a dead connection until its time is up.
     @Test
-    void longPollMovesToNewConnectionsWithACall() {
+    void longPollMovesToNewConnectionsWithCall() {
         begin();
         Outcome poll = poll();
         call();
