--- a/core/src/main/java/io/bilberrygrade/core/quarantine/CrashEvidence.java
+++ b/core/src/main/java/io/bilberrygrade/core/quarantine/CrashEvidence.java
@@ -74,17 +74,12 @@
         return records.contains(merged);
     }
 
-    /** Returns all suspects of all crashes. */
-    public ImmutableSet<Suspect> suspects() {
-        return mSuspects;
-    }
-
     /** Clears what a request that was answered holds; returns whether any of it was suspected. */
     public boolean clear(Set<Suspect> suspects) {
-        if (Collections.disjoint(suspects, mSuspects)) {
+        ImmutableSet<Suspect> harmless = Sets.intersection(mSuspects, suspects).immutableCopy();
+        if (harmless.isEmpty()) {
             return false;
         }
-        ImmutableSet<Suspect> harmless = Sets.intersection(mSuspects, suspects).immutableCopy();
         replace(mRecords.stream().map(r -> r.clear(harmless)).toList());
         return true;
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/CrashExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/CrashExchange.java
@@ -63,7 +63,10 @@
         if (!mFleet.aggregator(now).address().equals(peer)) {
             return digestOnly(null);
         }
-        ImmutableList<String> wanted = SuspectNumbers.ids(mQuarantine.trials().takeWanted());
+        ImmutableList<String> wanted =
+                mQuarantine.trials().takeWanted().stream()
+                        .map(Suspect::id)
+                        .collect(ImmutableList.toImmutableList());
         return reportTo(peer, mPeerDigests.getOrDefault(peer, 0L), wanted, now);
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/QuarantineController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/QuarantineController.java
@@ -124,9 +124,9 @@
 
     /** Records a crash that this daemon has observed. */
     void recordCrash(CrashRecord record, Instant now) {
-        forgetOldAnswers(now);
-        if (add(record.without(mAnsweredAt.keySet()), "self")) {
-            clearRecentlyAnswered(now);
+        Set<Suspect> harmless = recentlyAnswered(now);
+        if (add(record.without(harmless), "self")) {
+            mEvidence.clear(harmless);
             cancelQuarantined(now);
             mOnNews.run();
         }
@@ -143,14 +143,10 @@
         }
     }
 
-    /** Clears the suspects of answers that this daemon relayed shortly before a crash. */
-    private void clearRecentlyAnswered(Instant now) {
-        forgetOldAnswers(now);
-        mEvidence.clear(mAnsweredAt.keySet());
-    }
-
-    private void forgetOldAnswers(Instant now) {
+    /** Returns the suspects of answers that this daemon relayed shortly before. */
+    private Set<Suspect> recentlyAnswered(Instant now) {
         mAnsweredAt.values().removeIf(at -> at.plus(ANSWER_LIFETIME).isBefore(now));
+        return mAnsweredAt.keySet();
     }
 
     /** Adds what a peer knows. */
@@ -161,7 +157,7 @@
             changed |= add(record, source);
         }
         if (changed) {
-            clearRecentlyAnswered(now);
+            mEvidence.clear(recentlyAnswered(now));
             cancelQuarantined(now);
         }
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/SuspectNumbers.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/SuspectNumbers.java
@@ -118,9 +118,4 @@
                 .mapToObj(mSuspects::get)
                 .collect(ImmutableSet.toImmutableSet());
     }
-
-    /** Returns the ids of suspects, for messages that name a few. */
-    static ImmutableList<String> ids(Collection<Suspect> suspects) {
-        return suspects.stream().map(Suspect::id).collect(ImmutableList.toImmutableList());
-    }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/http/ReconnectingCalls.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/ReconnectingCalls.java
@@ -17,12 +17,14 @@
  * call is sent again on one, the others are no longer used, and the call fails only if it fails
  * there too. Hence for calls that may be repeated.
  */
-public final class ReconnectingCalls implements AutoCloseable {
+public final class ReconnectingCalls {
     /**
      * Time without an answer after which a connection is doubted; a slow server answers earlier.
      */
     private static final Duration DOUBT_TIME = Duration.ofMillis(400);
 
+    private static final String DOUBT_REASON = "no answer for " + DOUBT_TIME.toMillis() + " ms";
+
     /** Time within which a long poll fails if its connection never worked. */
     private static final Duration BROKEN_FROM_THE_START = Duration.ofSeconds(1);
 
@@ -114,11 +116,6 @@
         return e instanceof CallException c && c.getCause() != null;
     }
 
-    @Override
-    public void close() {
-        mCurrent.close();
-    }
-
     /** Connections that were opened since the last replacement. */
     private static final class Connections {
         private final HttpCalls mCalls;
@@ -185,15 +182,7 @@
             boolean mayRepeat = mFirst.mAnswered;
             send(mFirst);
             if (mayRepeat && !mDone) {
-                mDoubt =
-                        mTimers.after(DOUBT_TIME)
-                                .subscribe()
-                                .with(
-                                        v ->
-                                                repeat(
-                                                        "no answer for "
-                                                                + DOUBT_TIME.toMillis()
-                                                                + " ms"));
+                mDoubt = mTimers.after(DOUBT_TIME).subscribe().with(v -> repeat(DOUBT_REASON));
             }
         }
 
@@ -207,7 +196,7 @@
 
         private void onAnswer(Connections connections, HttpAnswer answer) {
             if (finish()) {
-                if (mRepeated && connections != mFirst) {
+                if (connections != mFirst) {
                     mFirst.close();
                 }
                 mResult.complete(answer);
