Read ranks of routes and teams and order by them under contention

Cause: routes and teams publish `priority`, and the settings list the contract `pressure`, but neither was read, so that engines ordered all requests by their goal alone.

Change: Route and KeyRing hold ranks; a team's rank takes precedence over its route's, and a request of neither has the highest. ForwardSettings.contended is the contract, applied on reload. CombinedTraits joins it with the unevenness of the fleet, which no source states yet, and ForwardContext hands it on.

--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardContext.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardContext.java
@@ -1,7 +1,9 @@
 package io.bilberrygrade.serving.forward;
 
+import io.bilberrygrade.core.room.FleetTraits;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.time.Timers;
+import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
 
 /** Collaborators of a {@link ForwardOperation} and its attempts. */
@@ -19,4 +21,5 @@
         Clocks clocks,
         Timers timers,
         UniformRandomProvider random,
-        EventLog events) {}
+        EventLog events,
+        Supplier<FleetTraits> traits) {}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -19,6 +19,7 @@
 import io.bilberrygrade.serving.peer.PeerIdentity;
 import io.bilberrygrade.serving.peer.PeerServer;
 import io.bilberrygrade.serving.peer.TcpPeerNetwork;
+import io.bilberrygrade.serving.room.CombinedTraits;
 import io.bilberrygrade.serving.time.Timers;
 import io.bilberrygrade.serving.time.VertxTimers;
 import io.smallrye.mutiny.Uni;
@@ -201,7 +202,8 @@
                         mClocks,
                         mTimers,
                         mRandom,
-                        mEvents);
+                        mEvents,
+                        new CombinedTraits(() -> mSettings.get().contended(), () -> false));
         return new FilterChain<>(
                 ImmutableList.of(
                         new DrainFilter(mDrain, mRunning),
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardExchange.java
@@ -1,6 +1,7 @@
 package io.bilberrygrade.serving.forward;
 
 import com.google.common.collect.ImmutableSet;
+import io.bilberrygrade.core.contention.Rank;
 import io.bilberrygrade.core.forward.ForwardingConfig;
 import io.bilberrygrade.core.forward.Route;
 import io.bilberrygrade.core.identity.RequestId;
@@ -91,6 +92,11 @@
         mTeam = Optional.of(team);
     }
 
+    /** Returns the rank of the request by the configuration at arrival. */
+    Rank rank() {
+        return Rank.of(mTeam.flatMap(t -> mConfig.flatMap(c -> c.keys().rank(t))), route().rank());
+    }
+
     /** Registers how to end the request if the process ends first; replaces the action before. */
     void onAbandoned(Runnable action) {
         mOnAbandoned = action;
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/room/package-info.java
@@ -0,0 +1,2 @@
+/** Combines what the settings and the exchange tell about the deployment. */
+package io.bilberrygrade.serving.room;
