Ask for the sums of work before a placement in large uneven fleets

Cause: at 134 daemons the periodic exchange takes 402 ms, so that the sums a daemon places by are 0.4 to 0.8 s old. Change: where the fleet is uneven and its interval is over 150 ms, a request with a prompt waits for a tenth of its goal at most for the aggregator's answer, if the sums are older than a fifth of its goal, and its placement is reported at once. Requests at one daemon share a call; all daemons together make 600 calls a second at most. Other fleets take the same path as before.

--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -6,6 +6,7 @@
 import io.bilberrygrade.core.exchange.FleetView;
 import io.bilberrygrade.core.exchange.WorkLedger;
 import io.bilberrygrade.core.identity.Incarnation;
+import io.bilberrygrade.core.room.FleetTraits;
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.entry.PeriodicTasks;
 import io.bilberrygrade.serving.event.EventLog;
@@ -20,6 +21,7 @@
 import io.bilberrygrade.serving.peer.PeerServer;
 import io.bilberrygrade.serving.peer.TcpPeerNetwork;
 import io.bilberrygrade.serving.room.CombinedTraits;
+import io.bilberrygrade.serving.room.RecentSumsFilter;
 import io.bilberrygrade.serving.time.Timers;
 import io.bilberrygrade.serving.time.VertxTimers;
 import io.smallrye.mutiny.Uni;
@@ -29,6 +31,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 
@@ -183,6 +186,8 @@
         mQuarantine.onNews(() -> mExchange.reportNow());
         EndpointStatusUpdater endpointStatus =
                 new EndpointStatusUpdater(mState, mTracker, mRandom, mEvents);
+        Supplier<FleetTraits> traits =
+                new CombinedTraits(() -> mSettings.get().contended(), () -> false);
         ForwardContext forwardContext =
                 new ForwardContext(
                         mState,
@@ -203,7 +208,7 @@
                         mTimers,
                         mRandom,
                         mEvents,
-                        new CombinedTraits(() -> mSettings.get().contended(), () -> false));
+                        traits);
         return new FilterChain<>(
                 ImmutableList.of(
                         new DrainFilter(mDrain, mRunning),
@@ -211,9 +216,25 @@
                         new FindRouteFilter(mState),
                         new FindTeamFilter(mState),
                         new AcceptFilter(mEvents),
+                        recentSums(traits),
                         new DispatchFilter(forwardContext)));
     }
 
+    private RecentSumsFilter<ForwardExchange> recentSums(Supplier<FleetTraits> traits) {
+        RecentSumsFilter<ForwardExchange> filter =
+                new RecentSumsFilter<>(
+                        e -> e.head().prompt().map(p -> e.route().goal()),
+                        traits,
+                        () -> mFleet.size(mClocks.now()),
+                        () -> mExchange,
+                        mClocks::now,
+                        mTimers);
+        mEvents.registerGauge("sums_on_demand_calls_total", filter::calls);
+        mEvents.registerGauge("sums_on_demand_late_total", filter::lateAnswers);
+        mEvents.registerGauge("sums_on_demand_over_budget_total", filter::overBudget);
+        return filter;
+    }
+
     private MemoryReservations memory(EndpointStatusUpdater endpointStatus) {
         EngineMemory memory =
                 mPlatform.memory(
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
@@ -19,6 +19,7 @@
 import io.bilberrygrade.serving.peer.PeerIdentity;
 import io.bilberrygrade.serving.peer.PeerMessage;
 import io.bilberrygrade.serving.peer.PeerNetwork;
+import io.bilberrygrade.serving.room.RecentSumsFilter;
 import io.bilberrygrade.serving.time.Timers;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
@@ -32,7 +33,7 @@
  * second, whatever the size of the fleet. Answers also carry confirmations of the configuration and
  * endpoints that are leaving, permits for rate-limited endpoints, and crashes of endpoints.
  */
-final class WorkExchange {
+final class WorkExchange implements RecentSumsFilter.SumsSource {
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(400);
 
     /** Interval of reports to the standby. */
@@ -147,11 +148,29 @@
         return call(mFleet.aggregator(now).address(), mWork.ownWork());
     }
 
+    @Override
+    public Optional<Duration> age(Instant now) {
+        return mWork.receivedSums().age(now);
+    }
+
+    @Override
+    public Uni<Void> refresh() {
+        Instant now = mClocks.now();
+        ImmutableMap<EndpointId, EndpointWork> own = mWork.ownWork();
+        if (!mFleet.isAggregator(now)) {
+            return call(mFleet.aggregator(now).address(), own);
+        }
+        mSums.recordReport(mSelf.address(), own, now);
+        applyOwnSums(own, now);
+        return Uni.createFrom().voidItem();
+    }
+
     /**
      * Reports to the aggregator without waiting for the next report. What becomes known during such
      * a call follows with the periodic one.
      */
-    void reportNow() {
+    @Override
+    public void reportNow() {
         Instant now = mClocks.now();
         if (!mUrgentCallInFlight && !mFleet.isAggregator(now)) {
             mUrgentCallInFlight = true;
--- a/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedNetwork.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedNetwork.java
@@ -30,6 +30,7 @@
     private final UniformRandomProvider mRandom;
     private final Map<Address, SimulatedPeer> mDaemons = new HashMap<>();
     private final Set<Link> mCutLinks = new HashSet<>();
+    private int mMaxDelayMillis = MAX_DELAY_MILLIS;
     private boolean mDuplicatesMessages;
     private long mTotalSentBytes;
 
@@ -53,6 +54,11 @@
         mDuplicatesMessages = true;
     }
 
+    /** Delays each message by a random time up to the given one from now on. */
+    public void delayUpTo(Duration max) {
+        mMaxDelayMillis = (int) max.toMillis();
+    }
+
     /** Ends all cuts and the duplication of messages. */
     public void heal() {
         mCutLinks.clear();
@@ -66,7 +72,7 @@
 
     /** Returns a random delay for a message. */
     public Duration delay() {
-        return Duration.ofMillis(1 + mRandom.nextInt(MAX_DELAY_MILLIS));
+        return Duration.ofMillis(1 + mRandom.nextInt(mMaxDelayMillis));
     }
 
     /** Returns the client through which a daemon calls its peers. */
