--- a/core/src/main/java/io/bilberrygrade/core/forward/EndpointDirectory.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/EndpointDirectory.java
@@ -192,6 +192,12 @@
         return Optional.ofNullable(mEntries.get(id)).map(e -> e.mEndpoint);
     }
 
+    /** Returns the endpoint if it is registered and its entry hasn't expired. */
+    public Optional<RegisteredEndpoint> find(EndpointId id, Instant now) {
+        removeExpired(now);
+        return find(id);
+    }
+
     /** Returns the ids of all registered endpoints, whether or not they are eligible for work. */
     public ImmutableSet<EndpointId> ids() {
         return ImmutableSet.copyOf(mEntries.keySet());
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptProgress.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptProgress.java
@@ -1,5 +1,6 @@
 package io.bilberrygrade.serving.forward;
 
+import io.bilberrygrade.serving.error.Delivery;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
@@ -50,6 +51,11 @@
         return mFirstEventAt.filter(t -> !now.isBefore(t.plus(BEGINNING))).isPresent();
     }
 
+    /** Returns what a failure means now: a request that was sent may have run. */
+    Delivery delivery() {
+        return mSent ? Delivery.MAY_HAVE_RUN : Delivery.NOT_DELIVERED;
+    }
+
     AnswerStage stage() {
         if (isWriting()) {
             return AnswerStage.WRITING;
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointTracker.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointTracker.java
@@ -8,6 +8,7 @@
 import io.bilberrygrade.core.forward.EndpointBackoffs;
 import io.bilberrygrade.core.forward.EndpointDirectory;
 import io.bilberrygrade.core.forward.EndpointRun;
+import io.bilberrygrade.core.forward.LostRequestDetector;
 import io.bilberrygrade.core.forward.LostRequestDetector.EndpointActivity;
 import io.bilberrygrade.core.forward.RegisteredEndpoint;
 import io.bilberrygrade.core.identity.EndpointId;
@@ -15,6 +16,7 @@
 import io.bilberrygrade.core.ratelimit.EndpointRateLimits;
 import io.bilberrygrade.core.ratelimit.RateLimit;
 import io.bilberrygrade.core.ratelimit.RateLimitPermits;
+import io.bilberrygrade.core.room.EngineEnd;
 import io.bilberrygrade.core.routing.EjectionBound;
 import io.bilberrygrade.core.routing.EndpointHealth;
 import java.time.Duration;
@@ -30,6 +32,9 @@
  * Tracks what this daemon observes of the endpoints: health, activity, backoff and work in flight.
  */
 final class EndpointTracker {
+    /** Time for which data of an unregistered endpoint shows that it still runs. */
+    private static final Duration ACTIVITY_RETENTION = Duration.ofSeconds(10);
+
     private final EndpointDirectory mDirectory;
     private final WorkLedger mWork;
     private final Map<EndpointRun, EndpointHealth> mHealth = new HashMap<>();
@@ -239,17 +244,40 @@
                 (old, n) -> old.withFirstByte(sentAt, now));
     }
 
-    /** Returns when an endpoint last sent bytes and how it answered. */
-    EndpointActivity activityOf(EndpointId id) {
+    /** Returns whether a request that was sent at the given time must be considered lost. */
+    boolean isLost(EndpointId id, Instant sentAt, Duration patience, Instant now) {
+        return LostRequestDetector.isLost(sentAt, patience, activityOf(id), now);
+    }
+
+    private EndpointActivity activityOf(EndpointId id) {
         return mActivity.getOrDefault(id, EndpointActivity.NOTHING);
     }
 
+    /** Returns whether the run that got a request at the given time has ended. */
+    boolean hasEnded(RegisteredEndpoint run, Instant sentAt, Instant now) {
+        return EngineEnd.hasEnded(
+                run,
+                mDirectory.find(run.id(), now),
+                mDirectory.leaving().contains(run.run()),
+                activityOf(run.id()).lastDataAt().filter(sentAt::isBefore).orElse(sentAt),
+                now);
+    }
+
     /** Removes the state of endpoints that are no longer registered, and backoffs that are over. */
     void removeUnknown(Instant now) {
         mBackoffs.removeExpired(now);
         mRateLimits.removeOld(this::isRegistered, now);
         mPermits.retain(mRateLimits);
-        mActivity.keySet().removeIf(id -> mDirectory.find(id).isEmpty());
+        Instant recent = now.minus(ACTIVITY_RETENTION);
+        mActivity
+                .entrySet()
+                .removeIf(
+                        e ->
+                                mDirectory.find(e.getKey()).isEmpty()
+                                        && e.getValue()
+                                                .lastDataAt()
+                                                .filter(recent::isBefore)
+                                                .isEmpty());
         mHealth.keySet().removeIf(run -> !isRegistered(run));
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
@@ -2,10 +2,10 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
-import io.bilberrygrade.core.forward.LostRequestDetector;
 import io.bilberrygrade.core.forward.RouteKind;
 import io.bilberrygrade.core.quarantine.Suspect;
 import io.bilberrygrade.serving.error.Delivery;
+import io.bilberrygrade.serving.room.EndWatch;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
@@ -31,6 +31,7 @@
     private final EventStreamParser mParser = new EventStreamParser();
     private final AttemptProgress mProgress = new AttemptProgress();
     private final SilenceWatch mSilence;
+    private final EndWatch mEngineEnd;
     private final RecordedWork mWork;
     private final Instant mStartedAt;
     private Buffer mBufferedBody = Buffer.buffer();
@@ -56,6 +57,11 @@
         mRelay = relay;
         mOwner = owner;
         mSilence = new SilenceWatch(context.timers(), this::onSilence);
+        mEngineEnd =
+                new EndWatch(
+                        context.timers(),
+                        this::hasEngineEnded,
+                        () -> fail(mProgress.delivery(), "its engine has ended", true));
         mWork = new RecordedWork(context, attemptPlan);
         mStartedAt = context.clocks().now();
     }
@@ -74,6 +80,9 @@
         if (!mTrial) {
             mContext.quarantine().watch(this);
         }
+        if (!mMemory.isEmpty()) {
+            mEngineEnd.start();
+        }
         mCall = mContext.client().send(mExchange.head(), mExchange.body(), attemptRequest, this);
     }
 
@@ -89,10 +98,11 @@
 
     @Override
     public void cancelQuarantined() {
-        fail(
-                mProgress.isSent() ? Delivery.MAY_HAVE_RUN : Delivery.NOT_DELIVERED,
-                "it was quarantined meanwhile",
-                false);
+        fail(mProgress.delivery(), "it was quarantined meanwhile", false);
+    }
+
+    private boolean hasEngineEnded() {
+        return mContext.tracker().hasEnded(mPlan.endpoint(), mStartedAt, mContext.clocks().now());
     }
 
     /** Returns whether the endpoint may have started to run the request. */
@@ -133,7 +143,8 @@
     private boolean onSilence(Duration span) {
         Instant now = mContext.clocks().now();
         boolean beforeContent = !mProgress.isWriting();
-        if (beforeContent && !isLost(span, now)) {
+        if (beforeContent
+                && !mContext.tracker().isLost(mPlan.endpoint().id(), mStartedAt, span, now)) {
             return false;
         }
         boolean sentElsewhere = mOwner.trySendElsewhere(now);
@@ -145,11 +156,6 @@
         return sentElsewhere;
     }
 
-    private boolean isLost(Duration span, Instant now) {
-        return LostRequestDetector.isLost(
-                mStartedAt, span, mContext.tracker().activityOf(mPlan.endpoint().id()), now);
-    }
-
     @Override
     public void onHead(AnswerHead head) {
         mHead = Optional.of(head);
@@ -362,6 +368,7 @@
         mFinished = true;
         mContext.quarantine().unwatch(this);
         mSilence.stop();
+        mEngineEnd.stop();
         mMemory.forEach(MemoryReservation::release);
         mWork.end();
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/MemoryReservation.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/MemoryReservation.java
@@ -38,8 +38,12 @@
     private final Clocks mClocks;
     private final EventLog mEvents;
     private boolean mReleased;
+    private boolean mReleaseScheduled;
     private Instant mLastUnansweredAt = Instant.MIN;
 
+    /** Time until which the engine may hold the memory if no release reaches it. */
+    private Instant mHeldUntil = Instant.MIN;
+
     MemoryReservation(
             EngineMemory memory,
             RegisteredEndpoint engine,
@@ -79,13 +83,33 @@
 
     private Uni<Boolean> sendReserve() {
         return mMemory.reserve(mEngine, mId, mTokens, HOLD_TIME)
+                .invoke(
+                        held -> {
+                            if (held) {
+                                extendHold(HOLD_TIME);
+                            }
+                        })
                 .onFailure()
                 .recoverWithItem(
                         e -> {
                             mLastUnansweredAt = mClocks.now();
+                            extendHold(MAX_ORDER_DELAY.plus(HOLD_TIME));
                             log("unanswered: " + e.getMessage());
                             return false;
-                        });
+                        })
+                .invoke(held -> releaseIfOvertaken());
+    }
+
+    private void extendHold(Duration span) {
+        Instant end = mClocks.now().plus(span);
+        mHeldUntil = end.isAfter(mHeldUntil) ? end : mHeldUntil;
+    }
+
+    /** Releases again after a renewal that was in flight at the release and may undo it. */
+    private void releaseIfOvertaken() {
+        if (mReleased) {
+            sendRelease();
+        }
     }
 
     private void scheduleRenewal() {
@@ -113,17 +137,21 @@
                 .with(
                         v -> {
                             log("released");
-                            repeatReleaseIfNeeded();
+                            repeatReleaseUntil(mLastUnansweredAt.plus(MAX_ORDER_DELAY));
                         },
-                        e -> {
-                            mLastUnansweredAt = mClocks.now();
-                            repeatReleaseIfNeeded();
-                        });
+                        e -> repeatReleaseUntil(mHeldUntil));
     }
 
-    private void repeatReleaseIfNeeded() {
-        if (mLastUnansweredAt.plus(MAX_ORDER_DELAY).isAfter(mClocks.now())) {
-            mTimers.after(RELEASE_RETRY_INTERVAL).subscribe().with(v -> sendRelease());
+    private void repeatReleaseUntil(Instant end) {
+        if (!mReleaseScheduled && end.isAfter(mClocks.now())) {
+            mReleaseScheduled = true;
+            mTimers.after(RELEASE_RETRY_INTERVAL)
+                    .subscribe()
+                    .with(
+                            v -> {
+                                mReleaseScheduled = false;
+                                sendRelease();
+                            });
         }
     }
 
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/MemoryReservationTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/MemoryReservationTest.java
@@ -117,11 +117,57 @@
         assertThat(mEngine.mReleased).isLessThanOrEqualTo(released + 2);
     }
 
+    // Guards against a renewal that overtakes the release and holds the memory again.
+    @Test
+    void memoryIsReleasedAgainAfterRenewalInFlightIsAnsweredLate() {
+        acquire();
+        mEngine.mDelaysAnswers = true;
+        pass(Duration.ofMillis(1_200));
+        mReservation.release();
+        assertThat(mEngine.mReleased).isEqualTo(1);
+        mEngine.answer(true);
+        assertThat(mEngine.mReleased).isEqualTo(2);
+    }
+
+    // Guards against a renewal that was in flight at the release, got no answer and is executed
+    // seconds later.
+    @Test
+    void releaseIsRepeatedAfterRenewalInFlightGetsNoAnswer() {
+        acquire();
+        mEngine.mDelaysAnswers = true;
+        pass(Duration.ofMillis(1_200));
+        mReservation.release();
+        pass(Duration.ofMillis(700));
+        mEngine.answer(false);
+        pass(Duration.ofSeconds(12));
+        assertThat(mEngine.mReleased).isGreaterThanOrEqualTo(8);
+        int released = mEngine.mReleased;
+        pass(Duration.ofSeconds(20));
+        assertThat(mEngine.mReleased).isLessThanOrEqualTo(released + 2);
+    }
+
+    // Guards against calls to a stopped engine for as long as the daemon lives.
+    @Test
+    void releaseAtUnreachableEngineIsRepeatedUntilNothingCanBeHeld() {
+        acquire();
+        mEngine.mReachable = false;
+        mReservation.release();
+        pass(Duration.ofSeconds(3));
+        assertThat(mEngine.mReleased).isGreaterThanOrEqualTo(2);
+        pass(Duration.ofSeconds(20));
+        int released = mEngine.mReleased;
+        pass(Duration.ofSeconds(60));
+        assertThat(mEngine.mReleased).isEqualTo(released);
+    }
+
     private record Alarm(Instant at, UniEmitter<? super Void> emitter) {}
 
     private static final class FakeEngine implements EngineMemory {
         private boolean mHolds = true;
         private boolean mAnswers = true;
+        private boolean mDelaysAnswers;
+        private boolean mReachable = true;
+        private Optional<UniEmitter<? super Boolean>> mDelayed = Optional.empty();
         private int mReserved;
         private int mReleased;
         private Duration mHold = Duration.ZERO;
@@ -131,13 +177,26 @@
                 RegisteredEndpoint engine, String id, long tokens, Duration hold) {
             mReserved++;
             mHold = hold;
+            if (mDelaysAnswers) {
+                return Uni.createFrom().emitter(e -> mDelayed = Optional.of(e));
+            }
             return mAnswers ? Uni.createFrom().item(mHolds) : Uni.createFrom().failure(lost());
         }
 
         @Override
         public Uni<Void> release(RegisteredEndpoint engine, String id) {
             mReleased++;
-            return Uni.createFrom().voidItem();
+            return mReachable ? Uni.createFrom().voidItem() : Uni.createFrom().failure(lost());
+        }
+
+        /** Answers the delayed order, or lets it time out. */
+        private void answer(boolean granted) {
+            UniEmitter<? super Boolean> delayed = mDelayed.orElseThrow();
+            if (granted) {
+                delayed.complete(true);
+            } else {
+                delayed.fail(lost());
+            }
         }
 
         private static CallException lost() {
