Choose the aggregator of an uneven fleet by stated capacity

The aggregator of the work exchange was the oldest instance. In a fleet most of whose instances have a quarter of a core and 14 Mbit/s it was nearly always one of these, although it answers some 330 calls a second.

Settings may state limits.cores, limits.cpuShare and limits.linkMbps. Calls of the exchange carry the sender's capacity, answers those of the answering instance and the aggregators that it names, and the range that it knows from direct contact. Where processor times differ by over a factor of 3, the class of capacity (a factor of 3 each) comes before the age; otherwise age alone decides, as before. Instances that state nothing come last in an uneven fleet and change nothing in any other. A malformed figure states nothing, rather than keep the instance from starting.

FleetTraits.uneven is filled from this in ForwardDaemon (gauge uneven_fleet). BG7040 logs a change of the aggregator where capacities are stated.

--- a/core/src/main/java/io/bilberrygrade/core/exchange/FleetView.java
+++ b/core/src/main/java/io/bilberrygrade/core/exchange/FleetView.java
@@ -3,8 +3,10 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import io.bilberrygrade.core.identity.Address;
+import io.bilberrygrade.core.room.FleetCapacities;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -15,8 +17,9 @@
 /**
  * One daemon's view of the fleet's members and of the aggregator among them, which sums up the work
  * of all daemons. The oldest member is the aggregator; the second oldest, the standby, keeps the
- * same sums and takes over on failure. Every peer that a daemon calls names both, so a daemon needs
- * to know only a few members.
+ * same sums and takes over on failure. In a fleet whose members' capacities differ widely, those of
+ * the highest class come first, and age decides within a class. Every peer that a daemon calls
+ * names both, so a daemon needs to know only a few members.
  */
 public final class FleetView {
     /** Maximum number of members named to peers: the aggregator and those next in line. */
@@ -32,6 +35,7 @@
     private static final Duration RETRY = Duration.ofSeconds(2);
 
     private final FleetMember mSelf;
+    private final FleetCapacities mCapacities;
     private ImmutableSet<Address> mSeeds;
     private final Map<Address, MemberRecord> mSeen = new HashMap<>();
     private final Map<Address, Instant> mRetryAt = new HashMap<>();
@@ -43,10 +47,21 @@
 
     /** Creates the view of a daemon that has had no contact with peers yet. */
     public FleetView(FleetMember self, ImmutableList<Address> seeds) {
+        this(self, seeds, new FleetCapacities(self.address(), Optional.empty()));
+    }
+
+    /** Creates the view of a daemon that may state its capacity. */
+    public FleetView(FleetMember self, ImmutableList<Address> seeds, FleetCapacities capacities) {
         mSelf = self;
+        mCapacities = capacities;
         setSeeds(seeds);
     }
 
+    /** Returns the capacities that the members state. */
+    public FleetCapacities capacities() {
+        return mCapacities;
+    }
+
     /** Replaces the seeds; members that were found through the earlier ones stay. */
     public void setSeeds(ImmutableList<Address> seeds) {
         mSeeds =
@@ -93,7 +108,7 @@
         return aggregator(now).equals(mSelf);
     }
 
-    /** Returns the aggregator, which is this daemon if it knows no older reachable member. */
+    /** Returns the aggregator, which is this daemon if no reachable member comes before it. */
     public FleetMember aggregator(Instant now) {
         return aggregators(now).getFirst();
     }
@@ -103,18 +118,26 @@
         return aggregators(now).stream().skip(1).findFirst();
     }
 
-    /** Returns the aggregator and the members next in line, oldest first. */
+    /** Returns the aggregator and the members next in line, in order. */
     public ImmutableList<FleetMember> aggregators(Instant now) {
-        return oldestWithSelf(reachable(now));
+        return firstWithSelf(reachable(now), now);
     }
 
-    private ImmutableList<FleetMember> oldestWithSelf(Stream<FleetMember> others) {
+    private ImmutableList<FleetMember> firstWithSelf(Stream<FleetMember> others, Instant now) {
         return Stream.concat(Stream.of(mSelf), others)
-                .sorted()
+                .sorted(order(now))
                 .limit(MAX_NAMED_MEMBERS)
                 .collect(ImmutableList.toImmutableList());
     }
 
+    private Comparator<FleetMember> order(Instant now) {
+        return mCapacities.isUneven(now)
+                ? Comparator.comparingInt(
+                                (FleetMember m) -> -mCapacities.capacityClass(m.address()))
+                        .thenComparing(Comparator.naturalOrder())
+                : Comparator.naturalOrder();
+    }
+
     /**
      * Returns the aggregator and the members next in line to name to a peer: besides this daemon,
      * only members that it was in direct contact with. If members were passed on by hearsay, a
@@ -122,10 +145,11 @@
      */
     public ImmutableList<FleetMember> contactedAggregators(Instant now) {
         Instant since = now.minus(LIFETIME);
-        return oldestWithSelf(
+        return firstWithSelf(
                 mSeen.values().stream()
                         .filter(s -> s.contactAt().isAfter(since))
-                        .map(MemberRecord::member));
+                        .map(MemberRecord::member),
+                now);
     }
 
     /** Returns the seeds in rotation, one a call; empty if there is none but this daemon. */
--- a/core/src/test/java/io/bilberrygrade/core/exchange/FleetViewTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/exchange/FleetViewTest.java
@@ -4,7 +4,10 @@
 
 import com.google.common.collect.ImmutableList;
 import io.bilberrygrade.core.identity.Address;
+import io.bilberrygrade.core.room.Capacity;
+import io.bilberrygrade.core.room.FleetCapacities;
 import java.time.Instant;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -113,6 +116,36 @@
         assertThat(mView.hasMetPeers()).isTrue();
     }
 
+    private static FleetView viewWithCapacity(long own, long oldest, long older) {
+        FleetCapacities capacities = new FleetCapacities(SELF.address(), millis(own));
+        FleetView view = new FleetView(SELF, ImmutableList.of(SEED), capacities);
+        view.recordContact(OLDEST, T0);
+        view.recordContact(OLDER, T0);
+        view.recordContact(YOUNGER, T0);
+        capacities.recordOwnStatement(OLDEST.address(), millis(oldest), T0);
+        capacities.recordOwnStatement(OLDER.address(), millis(older), T0);
+        return view;
+    }
+
+    private static Optional<Capacity> millis(long millis) {
+        return Optional.of(millis).filter(m -> m > 0).map(m -> new Capacity(m, 0));
+    }
+
+    @Test
+    void unevenFleetIsOrderedByClassAndThenByAge() {
+        FleetView view = viewWithCapacity(4_000, 250, 4_000);
+        assertThat(view.aggregators(T0)).containsExactly(OLDER, SELF, OLDEST, YOUNGER);
+        assertThat(view.contactedAggregators(T0)).containsExactly(OLDER, SELF, OLDEST, YOUNGER);
+    }
+
+    /** Fleets that state nothing, or capacities that are alike, decide as before. */
+    @ParameterizedTest
+    @CsvSource({"0, 0, 0", "700, 250, 0", "500, 250, 700", "0, 4000, 0"})
+    void evenFleetIsOrderedByAge(long own, long oldest, long older) {
+        FleetView view = viewWithCapacity(own, oldest, older);
+        assertThat(view.aggregators(T0)).containsExactly(OLDEST, OLDER, SELF, YOUNGER);
+    }
+
     @Test
     void daemonWithoutSeedsIsMeantToBeAlone() {
         FleetView alone = new FleetView(SELF, ImmutableList.of());
--- a/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
@@ -154,6 +154,20 @@
     @EventInfo(number = 7025, level = EventLevel.WARN)
     record EntryUnreadable(String key, int length) implements ForwardEvent {}
 
+    /**
+     * The daemon follows another aggregator, in a fleet whose daemons state capacities. {@code
+     * uneven} is whether these differ so widely that the class of capacity decides before the age.
+     */
+    @EventInfo(number = 7040, level = EventLevel.INFO)
+    record AggregatorChanged(
+            String aggregator,
+            long processorMillis,
+            long ageMillis,
+            boolean uneven,
+            long minProcessorMillis,
+            long maxProcessorMillis)
+            implements ForwardEvent {}
+
     /** The store could not be read. */
     @EventInfo(number = 7012, level = EventLevel.WARN)
     record StoreLost(String call, String error) implements ForwardEvent {}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -6,6 +6,8 @@
 import io.bilberrygrade.core.exchange.FleetView;
 import io.bilberrygrade.core.exchange.WorkLedger;
 import io.bilberrygrade.core.identity.Incarnation;
+import io.bilberrygrade.core.room.FleetCapacities;
+import io.bilberrygrade.core.room.FleetTraits;
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.entry.PeriodicTasks;
 import io.bilberrygrade.serving.event.EventLog;
@@ -84,7 +86,11 @@
         mDroppedLines = droppedLines;
         mSelf = new PeerIdentity(settings.instance(), new Incarnation(clocks.now().toEpochMilli()));
         mSelfMember = new FleetMember(settings.peers(), mSelf.incarnation().value());
-        mFleet = new FleetView(mSelfMember, settings.seeds());
+        mFleet =
+                new FleetView(
+                        mSelfMember,
+                        settings.seeds(),
+                        new FleetCapacities(settings.peers(), settings.capacity()));
     }
 
     /** Returns the log of this daemon's events. */
@@ -239,10 +245,16 @@
                 () -> Math.round(PERCENT * mRateLimits.fraction(mClocks.now())));
         mEvents.registerGauge(
                 "endpoint_crashes_known", () -> mQuarantine.evidence().records().size());
+        mEvents.registerGauge("uneven_fleet", () -> traits().uneven() ? 1 : 0);
         mEvents.registerGauge("peers", () -> mFleet.size(mClocks.now()) - 1);
         mEvents.registerGauge("log_lines_dropped_total", mDroppedLines);
     }
 
+    private FleetTraits traits() {
+        return new FleetTraits(
+                FleetTraits.NONE.contended(), mFleet.capacities().isUneven(mClocks.now()));
+    }
+
     private void onListening(Promise<Void> started) {
         mEvents.record(
                 new LifecycleEvent.Started(
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardSettings.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardSettings.java
@@ -5,8 +5,10 @@
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.identity.DataCentreId;
 import io.bilberrygrade.core.identity.InstanceId;
+import io.bilberrygrade.core.room.Capacity;
 import io.bilberrygrade.serving.settings.PeerKey;
 import java.time.Duration;
+import java.util.Optional;
 
 /**
  * Settings of a forwarding daemon.
@@ -21,6 +23,7 @@
  * @param repeatRatio retries that the fleet may send, as a fraction of the requests
  * @param repeatWindow time window of that ratio
  * @param repeatSlack retries beyond the ratio that the whole fleet may send in a window
+ * @param capacity capacity of the daemon, if stated
  */
 public record ForwardSettings(
         InstanceId instance,
@@ -35,7 +38,39 @@
         Duration stopGrace,
         double repeatRatio,
         Duration repeatWindow,
-        double repeatSlack) {
+        double repeatSlack,
+        Optional<Capacity> capacity) {
+    /** Creates settings that state no capacity. */
+    public ForwardSettings(
+            InstanceId instance,
+            DataCentreId dataCentre,
+            Address callers,
+            Address readiness,
+            Address peers,
+            ImmutableList<Address> seeds,
+            PeerKey peerKey,
+            Address store,
+            Duration keyStaleness,
+            Duration stopGrace,
+            double repeatRatio,
+            Duration repeatWindow,
+            double repeatSlack) {
+        this(
+                instance,
+                dataCentre,
+                callers,
+                readiness,
+                peers,
+                seeds,
+                peerKey,
+                store,
+                keyStaleness,
+                stopGrace,
+                repeatRatio,
+                repeatWindow,
+                repeatSlack,
+                Optional.empty());
+    }
 
     /**
      * Returns these settings with the ones of {@code newer} that may change in a running daemon.
@@ -54,7 +89,8 @@
                 newer.stopGrace,
                 repeatRatio,
                 repeatWindow,
-                repeatSlack);
+                repeatSlack,
+                capacity);
     }
 
     /** Returns the names of the settings that differ. */
@@ -72,6 +108,7 @@
         addIf(names, "repeat window", !repeatWindow.equals(other.repeatWindow));
         addIf(names, "repeat slack", Double.compare(repeatSlack, other.repeatSlack) != 0);
         addIf(names, "repeat ratio", Double.compare(repeatRatio, other.repeatRatio) != 0);
+        addIf(names, "capacity", !capacity.equals(other.capacity));
         return names.build();
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/RateLimitExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/RateLimitExchange.java
@@ -19,6 +19,7 @@
 import io.bilberrygrade.serving.peer.PermitRequestEntry;
 import io.bilberrygrade.serving.peer.RateLimitReply;
 import io.bilberrygrade.serving.peer.RateLimitReport;
+import io.bilberrygrade.serving.room.CapacityLog;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
@@ -51,6 +52,7 @@
     void update(Instant now) {
         FleetMember aggregator = mFleet.aggregator(now);
         if (!mFollowed.equals(Optional.of(aggregator))) {
+            CapacityLog.recordAggregator(mEvents, mFleet, now);
             mFollowed = Optional.of(aggregator);
             mFollowedSince = now;
         }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
@@ -19,6 +19,7 @@
 import io.bilberrygrade.serving.peer.PeerIdentity;
 import io.bilberrygrade.serving.peer.PeerMessage;
 import io.bilberrygrade.serving.peer.PeerNetwork;
+import io.bilberrygrade.serving.room.CapacityCodec;
 import io.bilberrygrade.serving.time.Timers;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
@@ -205,7 +206,8 @@
                         store.era(),
                         store.revision(),
                         mRateLimits.report(peer, now),
-                        mCrashes.report(peer, now));
+                        mCrashes.report(peer, now),
+                        CapacityCodec.own(mFleet.capacities()));
         return mNetwork.call(peer, statement, CALL_TIMEOUT)
                 .onTermination()
                 .invoke(() -> mCallInFlight &= !primary)
@@ -250,6 +252,7 @@
     private void onAnswer(Address peer, PeerMessage.WorkHeard h, CallContext asked) {
         Instant now = mClocks.now();
         FleetMember source = new FleetMember(peer, h.startedAtMillis());
+        CapacityCodec.apply(mFleet.capacities(), peer, h.capacities(), h.aggregators(), now);
         mFleet.recordContact(source, now);
         mFleet.recordNamed(WorkCodec.members(h.aggregators()), h.fleet(), now);
         ImmutableList<FleetMember> aggregators = mFleet.aggregators(now);
@@ -299,6 +302,9 @@
         }
         Instant now = mClocks.now();
         mFleet.recordContact(member.get(), now);
+        mFleet.capacities()
+                .recordOwnStatement(
+                        member.get().address(), CapacityCodec.capacity(work.capacity()), now);
         mSums.recordReport(member.get().address(), WorkCodec.work(work.entries()), now);
         applyLeaving(work.leaving(), work.address());
         mRelay.onPeerPosition(new StorePosition(work.storeEra(), work.storeRevision()));
@@ -317,18 +323,20 @@
         LeavingRuns runs = mState.endpoints().leaving();
         ImmutableList<EndpointRun> leaving =
                 work.version() == 0 ? runs.latestRuns() : runs.recentRuns(now);
+        ImmutableList<FleetMember> aggregators = mFleet.contactedAggregators(now);
         return new PeerMessage.WorkHeard(
                 mSelf.startedAtMillis(),
                 update.version(),
                 update.whole(),
                 WorkCodec.entries(update.sums()),
-                WorkCodec.fleet(mFleet.contactedAggregators(now)),
+                WorkCodec.fleet(aggregators),
                 mFleet.knownSize(now),
                 mConfirmations.ownConfirmation(),
                 WorkCodec.leaving(leaving),
                 mRelay.changesSince(new StorePosition(work.storeEra(), work.storeRevision())),
                 mRateLimits.answer(from, work.rateLimits(), now),
-                mCrashes.answer(from, work.crashes(), now));
+                mCrashes.answer(from, work.crashes(), now),
+                CapacityCodec.reply(mFleet.capacities(), aggregators, now));
     }
 
     /** State of a call: what it reported and asked for, and when. */
--- a/serving/src/main/java/io/bilberrygrade/serving/peer/PeerMessage.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/PeerMessage.java
@@ -115,6 +115,7 @@
      * @param storeRevision the store's revision up to which the sender has the endpoints
      * @param rateLimits what the sender reports of rate-limited endpoints; null if it knows of none
      * @param crashes crashes of endpoints that prompts may have caused; null if it knows of none
+     * @param capacity the sender's own capacity; null if it states none
      */
     record Work(
             String address,
@@ -124,7 +125,8 @@
             long storeEra,
             long storeRevision,
             @JsonInclude(JsonInclude.Include.NON_NULL) RateLimitReport rateLimits,
-            @JsonInclude(JsonInclude.Include.NON_NULL) CrashReport crashes)
+            @JsonInclude(JsonInclude.Include.NON_NULL) CrashReport crashes,
+            @JsonInclude(JsonInclude.Include.NON_NULL) CapacityEntry capacity)
             implements PeerMessage {
         /** Version from a sender that reports its own work and requests no sums. */
         public static final long NO_SUMS = -1;
@@ -149,6 +151,7 @@
      * @param rateLimits rate-limited endpoints and granted permits; null if the answering daemon
      *     knows of no rate limit
      * @param crashes crashes of endpoints that prompts may have caused; null if it knows of none
+     * @param capacities capacities of daemons; null if it knows of none
      */
     record WorkHeard(
             long startedAtMillis,
@@ -161,7 +164,8 @@
             List<LeavingRunEntry> leaving,
             StoreChanges store,
             @JsonInclude(JsonInclude.Include.NON_NULL) RateLimitReply rateLimits,
-            @JsonInclude(JsonInclude.Include.NON_NULL) CrashReport crashes)
+            @JsonInclude(JsonInclude.Include.NON_NULL) CrashReport crashes,
+            @JsonInclude(JsonInclude.Include.NON_NULL) CapacityReply capacities)
             implements PeerMessage {}
 
     /** Requests the configuration in force if it is newer than the given version. */
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/ExchangeTestFleet.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/ExchangeTestFleet.java
@@ -8,6 +8,8 @@
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.identity.InstanceId;
+import io.bilberrygrade.core.room.Capacity;
+import io.bilberrygrade.core.room.FleetCapacities;
 import io.bilberrygrade.serving.fuzz.SimulatedNetwork;
 import io.bilberrygrade.serving.fuzz.SimulatedPeer;
 import io.bilberrygrade.serving.fuzz.SimulatedProcess;
@@ -19,6 +21,8 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.function.IntFunction;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 
@@ -33,6 +37,9 @@
     final List<Member> mMembers = new ArrayList<>();
     long mCalls;
 
+    /** Capacity that a member states, by its number. */
+    IntFunction<Optional<Capacity>> mCapacity = number -> Optional.empty();
+
     ExchangeTestFleet(long seed) {
         mRandom = RandomSource.SPLIT_MIX_64.create(seed);
         mNetwork = new SimulatedNetwork(mRandom);
@@ -106,7 +113,9 @@
                             new InstanceId("i" + number),
                             new Incarnation(mTime.now().toEpochMilli()));
             FleetMember self = new FleetMember(address(), mIdentity.incarnation().value());
-            mFleet = new FleetView(self, seeds());
+            mFleet =
+                    new FleetView(
+                            self, seeds(), new FleetCapacities(address(), mCapacity.apply(number)));
             mQuarantine = new QuarantineController(mFleet, e -> {});
             Clocks clocks = new Clocks(mProcess, mProcess);
             mState = new StateController(STALENESS, clocks, mProcess, e -> {});
