--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -6,6 +6,7 @@
 import io.bilberrygrade.core.exchange.FleetView;
 import io.bilberrygrade.core.exchange.WorkLedger;
 import io.bilberrygrade.core.identity.Incarnation;
+import io.bilberrygrade.core.room.FleetCapacities;
 import io.bilberrygrade.core.room.FleetTraits;
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.entry.PeriodicTasks;
@@ -20,7 +21,6 @@
 import io.bilberrygrade.serving.peer.PeerIdentity;
 import io.bilberrygrade.serving.peer.PeerServer;
 import io.bilberrygrade.serving.peer.TcpPeerNetwork;
-import io.bilberrygrade.serving.room.CombinedTraits;
 import io.bilberrygrade.serving.room.RecentSumsFilter;
 import io.bilberrygrade.serving.time.Timers;
 import io.bilberrygrade.serving.time.VertxTimers;
@@ -31,7 +31,6 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 
@@ -88,7 +87,11 @@
         mDroppedLines = droppedLines;
         mSelf = new PeerIdentity(settings.instance(), new Incarnation(clocks.now().toEpochMilli()));
         mSelfMember = new FleetMember(settings.peers(), mSelf.incarnation().value());
-        mFleet = new FleetView(mSelfMember, settings.seeds());
+        mFleet =
+                new FleetView(
+                        mSelfMember,
+                        settings.seeds(),
+                        new FleetCapacities(settings.peers(), settings.options().capacity()));
     }
 
     /** Returns the log of this daemon's events. */
@@ -186,8 +189,6 @@
         mQuarantine.onNews(() -> mExchange.reportNow());
         EndpointStatusUpdater endpointStatus =
                 new EndpointStatusUpdater(mState, mTracker, mRandom, mEvents);
-        Supplier<FleetTraits> traits =
-                new CombinedTraits(() -> mSettings.get().contended(), () -> false);
         ForwardContext forwardContext =
                 new ForwardContext(
                         mState,
@@ -208,7 +209,7 @@
                         mTimers,
                         mRandom,
                         mEvents,
-                        traits);
+                        this::traits);
         return new FilterChain<>(
                 ImmutableList.of(
                         new DrainFilter(mDrain, mRunning),
@@ -216,15 +217,15 @@
                         new FindRouteFilter(mState),
                         new FindTeamFilter(mState),
                         new AcceptFilter(mEvents),
-                        recentSums(traits),
+                        recentSums(),
                         new DispatchFilter(forwardContext)));
     }
 
-    private RecentSumsFilter<ForwardExchange> recentSums(Supplier<FleetTraits> traits) {
+    private RecentSumsFilter<ForwardExchange> recentSums() {
         RecentSumsFilter<ForwardExchange> filter =
                 new RecentSumsFilter<>(
                         e -> e.head().prompt().map(p -> e.route().goal()),
-                        traits,
+                        this::traits,
                         () -> mFleet.size(mClocks.now()),
                         () -> mExchange,
                         mClocks::now,
@@ -262,10 +263,16 @@
                 () -> Math.round(PERCENT * mRateLimits.fraction(mClocks.now())));
         mEvents.registerGauge(
                 "endpoint_crashes_known", () -> mQuarantine.evidence().records().size());
+        mEvents.registerGauge("uneven_fleet", () -> traits().uneven() ? 1 : 0);
         mEvents.registerGauge("peers", () -> mFleet.size(mClocks.now()) - 1);
         mEvents.registerGauge("log_lines_dropped_total", mDroppedLines);
     }
 
+    private FleetTraits traits() {
+        return new FleetTraits(
+                mSettings.get().options().contended(), mFleet.capacities().isUneven(mClocks.now()));
+    }
+
     private void onListening(Promise<Void> started) {
         mEvents.record(
                 new LifecycleEvent.Started(
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardSettings.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardSettings.java
@@ -5,6 +5,7 @@
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.identity.DataCentreId;
 import io.bilberrygrade.core.identity.InstanceId;
+import io.bilberrygrade.core.room.DeploymentOptions;
 import io.bilberrygrade.serving.settings.PeerKey;
 import java.time.Duration;
 
@@ -21,7 +22,7 @@
  * @param repeatRatio retries that the fleet may send, as a fraction of the requests
  * @param repeatWindow time window of that ratio
  * @param repeatSlack retries beyond the ratio that the whole fleet may send in a window
- * @param contended whether callers compete for too little capacity at times
+ * @param options what only some deployments state
  */
 public record ForwardSettings(
         InstanceId instance,
@@ -37,9 +38,9 @@
         double repeatRatio,
         Duration repeatWindow,
         double repeatSlack,
-        boolean contended) {
+        DeploymentOptions options) {
 
-    /** Creates the settings of a deployment without contention. */
+    /** Creates the settings of a deployment that states no options. */
     public ForwardSettings(
             InstanceId instance,
             DataCentreId dataCentre,
@@ -68,7 +69,7 @@
                 repeatRatio,
                 repeatWindow,
                 repeatSlack,
-                false);
+                DeploymentOptions.NONE);
     }
 
     /**
@@ -89,7 +90,7 @@
                 repeatRatio,
                 repeatWindow,
                 repeatSlack,
-                newer.contended);
+                new DeploymentOptions(newer.options.contended(), options.capacity()));
     }
 
     /** Returns the names of the settings that differ. */
@@ -107,7 +108,8 @@
         addIf(names, "repeat window", !repeatWindow.equals(other.repeatWindow));
         addIf(names, "repeat slack", Double.compare(repeatSlack, other.repeatSlack) != 0);
         addIf(names, "repeat ratio", Double.compare(repeatRatio, other.repeatRatio) != 0);
-        addIf(names, "contention", contended != other.contended);
+        addIf(names, "contention", options.contended() != other.options.contended());
+        addIf(names, "capacity", !options.capacity().equals(other.options.capacity()));
         return names.build();
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/room/package-info.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/room/package-info.java
@@ -1,2 +1,2 @@
-/** Combines what the settings and the exchange tell about the deployment. */
+/** What instances know and do about the room that the deployment has for requests. */
 package io.bilberrygrade.serving.room;
