Send nothing to evacuated data centres

Cause: an operator empties a data centre with the store key op/evacuate/ZONE; daemons didn't read it and went on sending there.

Change: marks and withdrawals are kept with their position in the store (EvacuatedDataCentres), so that the watch, complete reads and peers can report them in any order. EndpointDirectory excludes endpoints of marked data centres; an attempt asks again once its connection is open. If only evacuated endpoints are left, requests get 503 EVACUATED at once. Active only with bounds.evacuateMs. A request that is given up while it connects now closes its connection, which stayed open.

--- a/core/src/main/java/io/bilberrygrade/core/forward/EndpointDirectory.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/EndpointDirectory.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableSet;
 import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.core.identity.ServiceId;
+import io.bilberrygrade.core.room.EvacuatedDataCentres;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Iterator;
@@ -27,6 +28,7 @@
     private final Map<EndpointId, Entry> mEntries = new LinkedHashMap<>();
     private final LeavingRuns mLeaving = new LeavingRuns();
     private final RemovedRuns mRemovedRuns = new RemovedRuns();
+    private final EvacuatedDataCentres mEvacuated = new EvacuatedDataCentres();
     private boolean mStoreUnreachable;
     private Instant mStoreReturnedAt = Instant.MIN;
     private boolean mLoaded;
@@ -76,6 +78,11 @@
                 : Optional.of(Duration.between(mStoreReturnedAt, now));
     }
 
+    /** Returns when the store last returned from an outage; {@link Instant#MIN} if never. */
+    public Instant storeReturnedAt() {
+        return mStoreReturnedAt;
+    }
+
     /** Records when the store returned from an outage, as observed by a daemon that reads it. */
     public void onStoreReturned(Instant at) {
         if (at.isAfter(mStoreReturnedAt)) {
@@ -142,11 +149,35 @@
         return mLeaving;
     }
 
+    /** Returns the data centres whose endpoints get no work. */
+    public EvacuatedDataCentres evacuated() {
+        return mEvacuated;
+    }
+
+    /** Returns whether an endpoint is in an evacuated data centre. */
+    public boolean isEvacuated(RegisteredEndpoint endpoint) {
+        return mEvacuated.contains(endpoint.dataCentre());
+    }
+
+    /**
+     * Returns whether a service's endpoints would be eligible for work if their data centres
+     * weren't evacuated, and no others are.
+     */
+    public boolean isEvacuated(ServiceId service, Instant now) {
+        return mEvacuated.size() > 0
+                && usable(service, now).isEmpty()
+                && mEntries.values().stream()
+                        .map(e -> e.mEndpoint)
+                        .anyMatch(e -> e.service().equals(service) && isEligible(e.run(), now));
+    }
+
     /** Returns whether an endpoint that was chosen earlier is still eligible for work. */
     public boolean isEligible(RegisteredEndpoint endpoint, Instant now) {
         removeExpired(now);
         return isEligible(endpoint.run(), now)
-                && find(endpoint.id()).filter(endpoint::sameRun).isPresent();
+                && find(endpoint.id())
+                        .filter(e -> endpoint.sameRun(e) && !isEvacuated(e))
+                        .isPresent();
     }
 
     private boolean isEligible(EndpointRun run, Instant now) {
@@ -202,7 +233,11 @@
         removeExpired(now);
         return mEntries.values().stream()
                 .map(e -> e.mEndpoint)
-                .filter(e -> e.service().equals(service) && isEligible(e.run(), now))
+                .filter(
+                        e ->
+                                e.service().equals(service)
+                                        && !isEvacuated(e)
+                                        && isEligible(e.run(), now))
                 .collect(ImmutableList.toImmutableList());
     }
 
--- a/core/src/test/java/io/bilberrygrade/core/forward/EndpointDirectoryTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/forward/EndpointDirectoryTest.java
@@ -40,6 +40,21 @@
         assertThat(usable(T0)).isEmpty();
     }
 
+    /** Guards against helpers and reservations at an engine that was chosen before the mark. */
+    @Test
+    void endpointOfAnEvacuatedDataCentreIsNotEligibleAlthoughItWasChosenBefore() {
+        RegisteredEndpoint chosen = endpoint("e", 1, false);
+        mDirectory.put(chosen, T0);
+        assertThat(mDirectory.isEligible(chosen, T0)).isTrue();
+        assertThat(mDirectory.isEvacuated(SERVICE, T0)).isFalse();
+        mDirectory.evacuated().record(chosen.dataCentre(), new StorePosition(1, 1), true, T0);
+        assertThat(mDirectory.isEligible(chosen, T0)).isFalse();
+        assertThat(mDirectory.isEvacuated(SERVICE, T0)).isTrue();
+        assertThat(mDirectory.isEvacuated(new ServiceId("other"), T0)).isFalse();
+        mDirectory.evacuated().record(chosen.dataCentre(), new StorePosition(1, 2), false, T0);
+        assertThat(mDirectory.isEligible(chosen, T0)).isTrue();
+    }
+
     @Test
     void restartedEndpointWithSameIdIsUsable() {
         mDirectory.put(endpoint("e", 1, true), T0);
--- a/serving/src/main/java/io/bilberrygrade/serving/event/Event.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/Event.java
@@ -8,4 +8,5 @@
                 MembershipEvent,
                 OrderEvent,
                 RequestEvent,
+                RoomEvent,
                 ShareEvent {}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptLog.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptLog.java
@@ -1,10 +1,13 @@
 package io.bilberrygrade.serving.forward;
 
 import io.bilberrygrade.core.forward.ForwardingConfig;
+import io.bilberrygrade.core.forward.RegisteredEndpoint;
 import io.bilberrygrade.core.identity.RequestId;
 import io.bilberrygrade.serving.error.Delivery;
 import io.bilberrygrade.serving.event.ForwardEvent;
+import io.bilberrygrade.serving.event.RoomEvent;
 import java.time.Duration;
+import java.time.Instant;
 
 /** Logs the attempts of requests together with the state that their placement was based on. */
 final class AttemptLog {
@@ -39,6 +42,23 @@
                                         .orElse(-1L)));
     }
 
+    /** Logs that an attempt was stopped before it reached an evacuated endpoint. */
+    static void recordStopped(
+            ForwardContext context,
+            RequestId request,
+            int attemptNumber,
+            RegisteredEndpoint endpoint,
+            Instant startedAt) {
+        context.events()
+                .record(
+                        new RoomEvent.SendStopped(
+                                request.value(),
+                                attemptNumber,
+                                endpoint.id().value(),
+                                endpoint.dataCentre().value(),
+                                Duration.between(startedAt, context.clocks().now()).toMillis()));
+    }
+
     /** Logs that an endpoint has sent nothing for the given time. */
     static void recordSilent(
             ForwardContext context,
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptPlan.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptPlan.java
@@ -3,11 +3,13 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import io.bilberrygrade.core.forward.AttemptWork;
+import io.bilberrygrade.core.forward.EndpointDirectory;
 import io.bilberrygrade.core.forward.EndpointWork;
 import io.bilberrygrade.core.forward.RegisteredEndpoint;
 import io.bilberrygrade.core.identity.EndpointId;
 import java.util.Optional;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * Endpoints chosen for one attempt, and the work that it adds to each.
@@ -26,6 +28,13 @@
         long prefillEndMillis,
         EndpointWork known,
         int candidates) {
+    /** Returns the endpoint or a helper that is in an evacuated data centre. */
+    Optional<RegisteredEndpoint> findEvacuated(EndpointDirectory directory) {
+        return Stream.concat(Stream.of(endpoint), helpers.stream())
+                .filter(directory::isEvacuated)
+                .findFirst();
+    }
+
     /** Returns the ids of the helpers, comma-separated, for the log. */
     String helperNames() {
         return helpers.stream().map(h -> h.id().value()).collect(Collectors.joining(","));
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointClient.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointClient.java
@@ -133,11 +133,15 @@
             mRequest = request;
             request.exceptionHandler(this::failSent);
             if (mDone) {
-                request.reset();
+                closeUnused();
                 return;
             }
             request.response().onSuccess(this::onResponse).onFailure(this::failSent);
             mListener.onConnected();
+            if (mDone) {
+                closeUnused();
+                return;
+            }
             if (body.length() == 0) {
                 request.end();
             } else {
@@ -145,6 +149,11 @@
             }
         }
 
+        /** Closes the connection; resetting a request of which nothing was sent leaves it open. */
+        private void closeUnused() {
+            mRequest.connection().close();
+        }
+
         private void onResponse(HttpClientResponse response) {
             if (mDone) {
                 return;
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointTracker.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointTracker.java
@@ -194,6 +194,11 @@
                 .min(Instant::compareTo);
     }
 
+    /** Returns whether only evacuated data centres have eligible endpoints of a service. */
+    boolean isEvacuated(ServiceId service, Instant now) {
+        return mDirectory.isEvacuated(service, now);
+    }
+
     /** Returns whether all endpoints of a plan may still get work. */
     boolean isEligible(AttemptPlan attemptPlan, Instant now) {
         RegisteredEndpoint first = attemptPlan.endpoint();
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import io.bilberrygrade.core.forward.LostRequestDetector;
+import io.bilberrygrade.core.forward.RegisteredEndpoint;
 import io.bilberrygrade.core.forward.RouteKind;
 import io.bilberrygrade.core.quarantine.Suspect;
 import io.bilberrygrade.serving.error.Delivery;
@@ -110,6 +111,13 @@
 
     @Override
     public void onConnected() {
+        Optional<RegisteredEndpoint> evacuated = mPlan.findEvacuated(mContext.state().endpoints());
+        if (evacuated.isPresent()) {
+            AttemptLog.recordStopped(
+                    mContext, mExchange.id(), mAttemptNumber, evacuated.get(), mStartedAt);
+            fail(Delivery.NOT_DELIVERED, "the data centre was evacuated meanwhile", false);
+            return;
+        }
         mProgress.recordSent();
         if (mExchange.route().repeatable()) {
             mSilence.start(ResponseTimeouts.firstByte(mExchange.route()));
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -99,6 +99,9 @@
         mClient = new EndpointClient(vertx, mPlatform.protocol());
         mState = new StateController(mSettings.get().keyStaleness(), mClocks, mTimers, mEvents);
         mReader = reader();
+        if (mSettings.get().room().evacuation().isPresent()) {
+            mState.evacuations().enable(mReader::readAgain);
+        }
         mReadiness = new ReadinessController(mState, mEvents);
         RequestJournal journal =
                 new RequestJournal(mSettings.get().instance(), mClocks, mRandom, mEvents);
@@ -237,6 +240,8 @@
         mEvents.registerGauge(
                 "rate_limit_share_percent",
                 () -> Math.round(PERCENT * mRateLimits.fraction(mClocks.now())));
+        mEvents.registerGauge(
+                "evacuated_data_centres", () -> mState.endpoints().evacuated().size());
         mEvents.registerGauge(
                 "endpoint_crashes_known", () -> mQuarantine.evidence().records().size());
         mEvents.registerGauge("peers", () -> mFleet.size(mClocks.now()) - 1);
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardMetrics.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardMetrics.java
@@ -5,6 +5,7 @@
 import io.bilberrygrade.serving.event.Event;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.event.ForwardEvent;
+import io.bilberrygrade.serving.event.RoomEvent;
 import java.util.Locale;
 import java.util.function.LongSupplier;
 
@@ -23,8 +24,13 @@
 
     @Override
     public void record(Event event) {
-        if (event instanceof ForwardEvent forward) {
-            count(forward);
+        switch (event) {
+            case ForwardEvent forward -> count(forward);
+            case RoomEvent.DataCentreEvacuation e ->
+                    mRegistry.counter("evacuations." + e.change()).inc();
+            case RoomEvent.SendStopped s ->
+                    mRegistry.counter("daemon.evacuated_sends_stopped_total").inc();
+            default -> {}
         }
         mNext.record(event);
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOperation.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOperation.java
@@ -122,16 +122,17 @@
         mAwaitedPermit = true;
         Duration minRetryAfter = RetryDelay.of(Reason.NO_ENDPOINT, mContext.random().nextDouble());
         switch (NoEndpointDecision.decide(
-                mContext.tracker(), mService, mHistory.tried(), mayWait, minRetryAfter, now)) {
+                mContext.tracker(),
+                mService,
+                mHistory.tried(),
+                mayWait,
+                minRetryAfter,
+                Duration.between(now, mExchange.deadline()),
+                now)) {
             case NoEndpointDecision.AwaitPermit w ->
                     mContext.permits().request().subscribe().with(v -> continueUnlessEnded());
             case NoEndpointDecision.RefuseUntil r when mLastFailure.isEmpty() && !mMayHaveRun ->
-                    endWithoutAnswer(
-                            Outcome.notRun(
-                                    Step.ROUTE,
-                                    Reason.OVERLOADED,
-                                    "all endpoints of the service back off or are at their limits",
-                                    r.retryAfter()));
+                    endWithoutAnswer(r.outcome());
             default -> giveUp(Reason.NO_ENDPOINT, "no endpoint of the service may get it");
         }
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardSettings.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardSettings.java
@@ -5,6 +5,7 @@
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.identity.DataCentreId;
 import io.bilberrygrade.core.identity.InstanceId;
+import io.bilberrygrade.core.room.RoomBounds;
 import io.bilberrygrade.serving.settings.PeerKey;
 import java.time.Duration;
 
@@ -21,6 +22,7 @@
  * @param repeatRatio retries that the fleet may send, as a fraction of the requests
  * @param repeatWindow time window of that ratio
  * @param repeatSlack retries beyond the ratio that the whole fleet may send in a window
+ * @param room bounds that call for mechanisms which other deployments don't need
  */
 public record ForwardSettings(
         InstanceId instance,
@@ -35,7 +37,39 @@
         Duration stopGrace,
         double repeatRatio,
         Duration repeatWindow,
-        double repeatSlack) {
+        double repeatSlack,
+        RoomBounds room) {
+    /** Creates the settings of a deployment without optional bounds. */
+    public ForwardSettings(
+            InstanceId instance,
+            DataCentreId dataCentre,
+            Address callers,
+            Address readiness,
+            Address peers,
+            ImmutableList<Address> seeds,
+            PeerKey peerKey,
+            Address store,
+            Duration keyStaleness,
+            Duration stopGrace,
+            double repeatRatio,
+            Duration repeatWindow,
+            double repeatSlack) {
+        this(
+                instance,
+                dataCentre,
+                callers,
+                readiness,
+                peers,
+                seeds,
+                peerKey,
+                store,
+                keyStaleness,
+                stopGrace,
+                repeatRatio,
+                repeatWindow,
+                repeatSlack,
+                RoomBounds.NONE);
+    }
 
     /**
      * Returns these settings with the ones of {@code newer} that may change in a running daemon.
@@ -54,7 +88,8 @@
                 newer.stopGrace,
                 repeatRatio,
                 repeatWindow,
-                repeatSlack);
+                repeatSlack,
+                room);
     }
 
     /** Returns the names of the settings that differ. */
@@ -72,6 +107,7 @@
         addIf(names, "repeat window", !repeatWindow.equals(other.repeatWindow));
         addIf(names, "repeat slack", Double.compare(repeatSlack, other.repeatSlack) != 0);
         addIf(names, "repeat ratio", Double.compare(repeatRatio, other.repeatRatio) != 0);
+        addIf(names, "room bounds", !room.equals(other.room));
         return names.build();
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/NoEndpointDecision.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/NoEndpointDecision.java
@@ -3,6 +3,9 @@
 import com.google.common.collect.ImmutableSet;
 import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.core.identity.ServiceId;
+import io.bilberrygrade.core.request.Outcome;
+import io.bilberrygrade.core.request.Reason;
+import io.bilberrygrade.core.request.Step;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
@@ -15,11 +18,27 @@
  * is expected to accept requests again.
  */
 sealed interface NoEndpointDecision {
+    /**
+     * Part of a caller's remaining time after which it may return to evacuated endpoints. It
+     * returns once, so late is best; callers wait at most a third of their time, and a refusal
+     * doubles the delay at most.
+     */
+    int EVACUATED_RETRY_PARTS = 8;
+
     /** The request waits for a permit of a rate-limited endpoint. */
     record AwaitPermit() implements NoEndpointDecision {}
 
-    /** All endpoints back off or have used up their rate limits. */
-    record RefuseUntil(Duration retryAfter) implements NoEndpointDecision {}
+    /**
+     * The service's endpoints can't get requests now, but are expected to: they back off, have used
+     * up their rate limits or are in evacuated data centres.
+     */
+    record RefuseUntil(Reason reason, String detail, Duration retryAfter)
+            implements NoEndpointDecision {
+        /** Returns the outcome of a request that hasn't run. */
+        Outcome outcome() {
+            return Outcome.notRun(Step.ROUTE, reason, detail, retryAfter);
+        }
+    }
 
     /** The service has no endpoints, or the request has tried all. */
     record Refuse() implements NoEndpointDecision {}
@@ -29,6 +48,7 @@
      *
      * @param mayWait whether it hasn't waited for a permit yet
      * @param minRetryAfter shortest time after which a refused caller may return
+     * @param remaining time left until the request's deadline
      */
     static NoEndpointDecision decide(
             EndpointTracker tracker,
@@ -36,7 +56,14 @@
             ImmutableSet<EndpointId> tried,
             boolean mayWait,
             Duration minRetryAfter,
+            Duration remaining,
             Instant now) {
+        if (tracker.isEvacuated(service, now)) {
+            return new RefuseUntil(
+                    Reason.EVACUATED,
+                    "the data centres of all endpoints of the service are evacuated",
+                    remaining.dividedBy(EVACUATED_RETRY_PARTS));
+        }
         if (mayWait) {
             tracker.recordStarved(service, tried, now);
             if (tracker.mayHaveRoom(service, tried, now)) {
@@ -45,7 +72,12 @@
         }
         Optional<Instant> returnAt = tracker.earliestReturn(service, now);
         return returnAt.<NoEndpointDecision>map(
-                        at -> new RefuseUntil(longer(Duration.between(now, at), minRetryAfter)))
+                        at ->
+                                new RefuseUntil(
+                                        Reason.OVERLOADED,
+                                        "all endpoints of the service back off or are at their"
+                                                + " limits",
+                                        longer(Duration.between(now, at), minRetryAfter)))
                 .orElseGet(Refuse::new);
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/PublishedState.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/PublishedState.java
@@ -1,8 +1,10 @@
 package io.bilberrygrade.serving.forward;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import io.bilberrygrade.core.forward.RegisteredEndpoint;
 import io.bilberrygrade.core.forward.StorePosition;
+import io.bilberrygrade.core.identity.DataCentreId;
 import io.bilberrygrade.core.identity.EndpointId;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
@@ -16,7 +18,10 @@
      */
     Uni<ConfigReading> config(StorePosition known);
 
-    /** Reads the entries of all endpoints. */
+    /**
+     * Reads the entries of all endpoints, and all marks of evacuated data centres where the
+     * deployment has them.
+     */
     Uni<EndpointsReading> endpoints();
 
     /** Waits for changes after a revision, at most for the given time. */
@@ -49,14 +54,20 @@
         }
     }
 
-    /** All entries, those that can't be read, and the position from which to watch. */
+    /**
+     * All entries, those that can't be read, and the position from which to watch.
+     *
+     * @param evacuated evacuated data centres with the positions of their marks; empty if the marks
+     *     weren't read
+     */
     record EndpointsReading(
             StorePosition store,
             ImmutableList<RegisteredEndpoint> entries,
-            ImmutableList<UnreadableEntry> unreadable) {
+            ImmutableList<UnreadableEntry> unreadable,
+            Optional<ImmutableMap<DataCentreId, StorePosition>> evacuated) {
         /** Creates a reading in which all entries could be read. */
         public EndpointsReading(StorePosition store, ImmutableList<RegisteredEndpoint> entries) {
-            this(store, entries, ImmutableList.of());
+            this(store, entries, ImmutableList.of(), Optional.empty());
         }
     }
 
@@ -85,5 +96,9 @@
 
         /** An endpoint's entry was removed or can no longer be parsed. */
         record EndpointGone(EndpointId id) implements Change {}
+
+        /** A data centre was marked as evacuated, or its mark was withdrawn. */
+        record Evacuation(DataCentreId dataCentre, StorePosition at, boolean marked)
+                implements Change {}
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/StateController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/StateController.java
@@ -20,6 +20,7 @@
 import io.bilberrygrade.serving.event.ConfigEvent;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.event.ForwardEvent;
+import io.bilberrygrade.serving.room.EvacuationController;
 import io.bilberrygrade.serving.time.Timers;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
@@ -52,6 +53,7 @@
     private final EndpointDirectory mDirectory = new EndpointDirectory();
     private final StoreEra mEra = new StoreEra();
     private final StartGate mStartGate;
+    private final EvacuationController mEvacuations;
     private final UnreadableEntryLog mUnreadable;
     private Optional<PublishedConfig> mPublished = Optional.empty();
     private StorePosition mConfigPosition = StorePosition.NONE;
@@ -67,6 +69,9 @@
         mLease = new FreshnessLease(keyStaleness);
         mUnreadable = new UnreadableEntryLog(events);
         mStartGate = new StartGate(clocks.now());
+        mEvacuations =
+                new EvacuationController(
+                        mDirectory, clocks.steady(), mEra::current, timers, events);
     }
 
     /** Returns the configuration in force. */
@@ -119,6 +124,11 @@
         return mDirectory;
     }
 
+    /** Returns the controller of the marks of evacuated data centres. */
+    EvacuationController evacuations() {
+        return mEvacuations;
+    }
+
     /** Returns whether a configuration and the endpoints are known, and peers were asked. */
     boolean isComplete() {
         return mPublished.isPresent() && mDirectory.isLoaded() && hasAskedPeers();
@@ -246,6 +256,7 @@
     ImmutableList<PublishedState.Change> onEndpointsRead(PublishedState.EndpointsReading reading) {
         onStoreAnswer("endpoints");
         onUnreadable(reading.unreadable());
+        mEvacuations.onRead(reading.evacuated(), reading.store());
         ImmutableList<RegisteredEndpoint> entries = reading.entries();
         ImmutableList<PublishedState.Change> differences = differences(entries);
         entries.forEach(e -> recordIfChanged(e, "list"));
@@ -301,6 +312,8 @@
                     recordRemoval(g.id(), source);
                     gone.accept(g.id());
                 }
+                case PublishedState.Change.Evacuation e ->
+                        mEvacuations.onChange(e.dataCentre(), e.at(), e.marked());
             }
         }
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/StateReader.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/StateReader.java
@@ -108,9 +108,7 @@
         }
     }
 
-    /**
-     * Schedules a retry with exponential backoff; at most one is pending, regardless of the caller.
-     */
+    /** Schedules a retry with exponential backoff; at most one is pending. */
     private void retryConfirm(boolean resumePeriodic) {
         mResumePeriodicConfirm |= resumePeriodic;
         if (mConfirmRetryScheduled) {
@@ -240,6 +238,13 @@
         watch(mHistory.position().revision());
     }
 
+    /** Reads all endpoints again, unless a read is in flight or will be repeated anyway. */
+    void readAgain() {
+        if (canReadEndpoints() && (mWatching || isRelayed())) {
+            readEndpoints();
+        }
+    }
+
     private boolean canReadEndpoints() {
         return mState.endpoints().isLoaded() && !mReading;
     }
@@ -285,9 +290,7 @@
         return mLastRelayAt.plus(RELAY_TIMEOUT).isAfter(mClocks.now());
     }
 
-    /**
-     * Returns whether this daemon watches the store itself, so that it can relay changes to peers.
-     */
+    /** Returns whether this daemon watches the store itself, so that it can relay changes. */
     boolean isWatching() {
         return mWatching && !isRelayed();
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/StoreRelay.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/StoreRelay.java
@@ -20,6 +20,7 @@
 /**
  * Relays changes of the endpoints to peers, so that a fleet watches the store about as often as two
  * daemons would. Configurations aren't relayed: a peer that learns of a newer one reads it itself.
+ * Marks of evacuated data centres are relayed by {@code EvacuationController}.
  */
 final class StoreRelay {
     private final StateController mState;
@@ -69,6 +70,7 @@
                         c ->
                                 switch (c) {
                                     case Change.Config config -> Stream.empty();
+                                    case Change.Evacuation e -> Stream.empty();
                                     case Change.Endpoint e -> Stream.of(encode(e.entry()));
                                     case Change.EndpointGone g -> Stream.of(encodeRemoved(g.id()));
                                 })
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
@@ -258,6 +258,7 @@
             applySums(source, h, asked, now);
         }
         applyLeaving(h.leaving(), peer.toString());
+        mState.evacuations().onPeerEntries(h.evacuations(), peer.toString());
         mRateLimits.apply(peer, h.rateLimits(), asked.at().steady(), now);
         mCrashes.apply(peer, h.crashes(), now);
         mConfirmations.onPeerConfirmation(Optional.ofNullable(h.confirmation()), peer, asked.at());
@@ -268,7 +269,9 @@
         // both, since either may be cut off from the store without having noticed it.
         ImmutableList<FleetMember> watching =
                 aggregators.subList(0, Math.min(STORE_WATCHERS, aggregators.size()));
-        if (watching.contains(source) && h.store() != null) {
+        if (watching.contains(source)
+                && h.store() != null
+                && mState.evacuations().isRelayedWith(h.evacuations())) {
             mRelay.applyPeerChanges(h.store(), asked.store(), !watching.contains(mSelf));
         }
     }
@@ -314,6 +317,7 @@
                 work.version() == PeerMessage.Work.NO_SUMS
                         ? new WorkSums.Update(0, false, ImmutableMap.of())
                         : mSums.since(work.version(), now);
+        StorePosition asked = new StorePosition(work.storeEra(), work.storeRevision());
         LeavingRuns runs = mState.endpoints().leaving();
         ImmutableList<EndpointRun> leaving =
                 work.version() == 0 ? runs.latestRuns() : runs.recentRuns(now);
@@ -326,9 +330,10 @@
                 mFleet.knownSize(now),
                 mConfirmations.ownConfirmation(),
                 WorkCodec.leaving(leaving),
-                mRelay.changesSince(new StorePosition(work.storeEra(), work.storeRevision())),
+                mRelay.changesSince(asked),
                 mRateLimits.answer(from, work.rateLimits(), now),
-                mCrashes.answer(from, work.crashes(), now));
+                mCrashes.answer(from, work.crashes(), now),
+                mState.evacuations().entriesAfter(asked));
     }
 
     /** State of a call: what it reported and asked for, and when. */
--- a/serving/src/main/java/io/bilberrygrade/serving/http/StatusCodes.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/StatusCodes.java
@@ -25,6 +25,7 @@
             case PROMPT_QUARANTINED,
                     REQUEST_QUARANTINED,
                     NO_ENDPOINT,
+                    EVACUATED,
                     ENDPOINT_REFUSED,
                     ENDPOINT_FAILED,
                     CALLER_GONE ->
@@ -54,6 +55,7 @@
             case NOT_READY,
                     DRAINING,
                     NO_ENDPOINT,
+                    EVACUATED,
                     PROMPT_QUARANTINED,
                     REQUEST_QUARANTINED,
                     ENDPOINT_REFUSED,
--- a/serving/src/main/java/io/bilberrygrade/serving/metrics/PrometheusPage.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/metrics/PrometheusPage.java
@@ -31,6 +31,10 @@
                             "outcomes_total",
                             ImmutableMap.of("class", "${0}", "outcome", "${1}")),
                     mapping("refusals.*", "refusals_total", ImmutableMap.of("reason", "${0}")),
+                    mapping(
+                            "evacuations.*",
+                            "evacuations_total",
+                            ImmutableMap.of("change", "${0}")),
                     mapping(
                             "answers_cut.*",
                             "answers_cut_total",
--- a/serving/src/main/java/io/bilberrygrade/serving/peer/PeerMessage.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/PeerMessage.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import io.bilberrygrade.serving.report.DaemonReport;
+import io.bilberrygrade.serving.room.EvacuationEntry;
 import io.bilberrygrade.serving.wire.PartReference;
 import java.util.List;
 
@@ -149,6 +150,8 @@
      * @param rateLimits rate-limited endpoints and granted permits; null if the answering daemon
      *     knows of no rate limit
      * @param crashes crashes of endpoints that prompts may have caused; null if it knows of none
+     * @param evacuations marks of data centres and their withdrawals after the requesting daemon's
+     *     revision; null if the answering daemon doesn't read such marks
      */
     record WorkHeard(
             long startedAtMillis,
@@ -161,7 +164,8 @@
             List<LeavingRunEntry> leaving,
             StoreChanges store,
             @JsonInclude(JsonInclude.Include.NON_NULL) RateLimitReply rateLimits,
-            @JsonInclude(JsonInclude.Include.NON_NULL) CrashReport crashes)
+            @JsonInclude(JsonInclude.Include.NON_NULL) CrashReport crashes,
+            @JsonInclude(JsonInclude.Include.NON_NULL) List<EvacuationEntry> evacuations)
             implements PeerMessage {}
 
     /** Requests the configuration in force if it is newer than the given version. */
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/RestoreTestDaemon.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/RestoreTestDaemon.java
@@ -8,6 +8,7 @@
 import io.bilberrygrade.core.forward.EndpointRun;
 import io.bilberrygrade.core.forward.ForwardingConfig;
 import io.bilberrygrade.core.forward.RegisteredEndpoint;
+import io.bilberrygrade.core.forward.StorePosition;
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.identity.InstanceId;
@@ -61,6 +62,7 @@
                         process,
                         random,
                         () -> fleet.isAggregator(time.now()));
+        mState.evacuations().enable(mReader::readAgain);
         ConfigExchange configExchange =
                 new ConfigExchange(mState, network.of(this), decoder, process, e -> {});
         WorkLedger ledger = new WorkLedger();
@@ -95,6 +97,11 @@
                 });
     }
 
+    /** Returns the position up to which the daemon has read the store. */
+    StorePosition position() {
+        return mReader.history().position();
+    }
+
     long version() {
         return mState.version();
     }
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/RestoredStore.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/RestoredStore.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Maps;
 import io.bilberrygrade.core.forward.EndpointRun;
 import io.bilberrygrade.core.forward.RegisteredEndpoint;
 import io.bilberrygrade.core.forward.StorePosition;
@@ -57,7 +58,7 @@
     RestoredStore(VirtualTime time) {
         mTime = time;
         mProcess = new SimulatedProcess(time, Duration.ZERO);
-        mContent = new Content(10, 10, Optional.empty(), ImmutableMap.of());
+        mContent = new Content(10, 10, Optional.empty(), ImmutableMap.of(), ImmutableMap.of());
         mHistoryFrom = 10;
     }
 
@@ -88,7 +89,12 @@
         PublishedConfig config = Configs.of(version, keys);
         long revision = mContent.revision() + 1;
         applyWrite(
-                new Content(revision, revision, Optional.of(config), mContent.endpoints()),
+                new Content(
+                        revision,
+                        revision,
+                        Optional.of(config),
+                        mContent.endpoints(),
+                        mContent.marks()),
                 new PublishedState.Change.Config(new StorePosition(mEra, revision), config));
     }
 
@@ -105,6 +111,47 @@
         }
     }
 
+    /** Writes the mark of an evacuated data centre. */
+    void evacuate(String dataCentre) {
+        writeMark(new DataCentreId(dataCentre), true);
+    }
+
+    /** Removes the mark of a data centre. */
+    void withdraw(String dataCentre) {
+        writeMark(new DataCentreId(dataCentre), false);
+    }
+
+    private void writeMark(DataCentreId dataCentre, boolean marked) {
+        StorePosition at = position().at(mContent.revision() + 1);
+        Map<DataCentreId, Long> marks = new HashMap<>(mContent.marks());
+        marks.remove(dataCentre);
+        if (marked) {
+            marks.put(dataCentre, at.revision());
+        }
+        applyWrite(
+                new Content(
+                        at.revision(),
+                        mContent.configRevision(),
+                        mContent.config(),
+                        mContent.endpoints(),
+                        ImmutableMap.copyOf(marks)),
+                new PublishedState.Change.Evacuation(dataCentre, at, marked));
+    }
+
+    /** Drops the history, so that watches have to start again after a complete read. */
+    void compact() {
+        mContent =
+                new Content(
+                        mContent.revision() + 1,
+                        mContent.configRevision(),
+                        mContent.config(),
+                        mContent.endpoints(),
+                        mContent.marks());
+        mChanges.clear();
+        mHistoryFrom = mContent.revision();
+        List.copyOf(mWatchers).forEach(this::answer);
+    }
+
     private void applyWrite(Content content, PublishedState.Change change) {
         mContent = content;
         mSnapshots.put(mTime.now(), content);
@@ -174,6 +221,10 @@
         return new View(process);
     }
 
+    private ImmutableMap<DataCentreId, StorePosition> marks() {
+        return ImmutableMap.copyOf(Maps.transformValues(mContent.marks(), r -> position().at(r)));
+    }
+
     private StorePosition position() {
         return new StorePosition(mEra, mContent.revision());
     }
@@ -216,9 +267,11 @@
             long revision,
             long configRevision,
             Optional<PublishedConfig> config,
-            ImmutableMap<EndpointId, RegisteredEndpoint> endpoints) {
+            ImmutableMap<EndpointId, RegisteredEndpoint> endpoints,
+            ImmutableMap<DataCentreId, Long> marks) {
         Content with(Map<EndpointId, RegisteredEndpoint> newer) {
-            return new Content(revision + 1, configRevision, config, ImmutableMap.copyOf(newer));
+            return new Content(
+                    revision + 1, configRevision, config, ImmutableMap.copyOf(newer), marks);
         }
     }
 
@@ -282,7 +335,9 @@
                     () ->
                             new EndpointsReading(
                                     position(),
-                                    ImmutableList.copyOf(mContent.endpoints().values())));
+                                    ImmutableList.copyOf(mContent.endpoints().values()),
+                                    ImmutableList.of(),
+                                    Optional.of(marks())));
         }
 
         @Override
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/StoreRelayTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/StoreRelayTest.java
@@ -279,6 +279,7 @@
                                         .add(e.entry())
                                         .build();
                 case Change.Config c -> {}
+                case Change.Evacuation e -> {}
             }
             if (mSilent) {
                 return;
