--- a/core/src/main/java/io/bilberrygrade/core/room/DeploymentOptions.java
+++ b/core/src/main/java/io/bilberrygrade/core/room/DeploymentOptions.java
@@ -8,8 +8,10 @@
  *
  * @param contended whether callers compete for too little capacity at times
  * @param capacity capacity of the daemon, if stated
+ * @param room bounds that restrict which endpoints get requests
  */
-public record DeploymentOptions(boolean contended, Optional<Capacity> capacity) {
+public record DeploymentOptions(boolean contended, Optional<Capacity> capacity, RoomBounds room) {
     /** Options of a deployment that states none. */
-    public static final DeploymentOptions NONE = new DeploymentOptions(false, Optional.empty());
+    public static final DeploymentOptions NONE =
+            new DeploymentOptions(false, Optional.empty(), RoomBounds.NONE);
 }
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptOwner.java
@@ -0,0 +1,29 @@
+package io.bilberrygrade.serving.forward;
+
+import io.bilberrygrade.serving.error.Delivery;
+import io.vertx.core.buffer.Buffer;
+import java.time.Instant;
+
+/** Receives the result of an attempt. */
+interface AttemptOwner {
+    /** The attempt ended without a usable answer. */
+    void onFailed(ForwardAttempt attempt, Delivery delivery, String detail);
+
+    /** The endpoint crashed just as it began to answer. */
+    void onCrashedEndpoint(ForwardAttempt attempt, String detail);
+
+    /** Sends the request to another endpoint as well; returns whether that is possible. */
+    boolean trySendElsewhere(Instant now);
+
+    /** Returns whether no other attempt of the request is in flight. */
+    boolean isOnlyAttempt();
+
+    /** Content that the endpoint sent was relayed. */
+    void onRelayed(ForwardAttempt attempt);
+
+    /** The endpoint ran the request and answered with an error status. */
+    void onErrorAnswer(ForwardAttempt attempt, AnswerHead head, Buffer body);
+
+    /** The complete answer was relayed to the caller. */
+    void onAnswered(long eventCount, Instant firstEventAt);
+}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
@@ -2,10 +2,12 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import io.bilberrygrade.core.forward.RegisteredEndpoint;
 import io.bilberrygrade.core.forward.RouteKind;
 import io.bilberrygrade.core.quarantine.Suspect;
 import io.bilberrygrade.serving.error.Delivery;
 import io.bilberrygrade.serving.room.EndWatch;
+import io.bilberrygrade.serving.room.SilenceWatch;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
@@ -27,7 +29,7 @@
     private final int mAttemptNumber;
     private final boolean mTrial;
     private final AnswerRelay mRelay;
-    private final Owner mOwner;
+    private final AttemptOwner mOwner;
     private final EventStreamParser mParser = new EventStreamParser();
     private final AttemptProgress mProgress = new AttemptProgress();
     private final SilenceWatch mSilence;
@@ -47,7 +49,7 @@
             int attemptNumber,
             boolean trial,
             AnswerRelay relay,
-            Owner owner) {
+            AttemptOwner owner) {
         mContext = context;
         mExchange = exchange;
         mPlan = attemptPlan;
@@ -120,6 +122,13 @@
 
     @Override
     public void onConnected() {
+        Optional<RegisteredEndpoint> evacuated = mPlan.findEvacuated(mContext.state().endpoints());
+        if (evacuated.isPresent()) {
+            AttemptLog.recordStopped(
+                    mContext, mExchange.id(), mAttemptNumber, evacuated.get(), mStartedAt);
+            fail(Delivery.NOT_DELIVERED, "the data centre was evacuated meanwhile", false);
+            return;
+        }
         mProgress.recordSent();
         if (mExchange.route().repeatable()) {
             mSilence.start(ResponseTimeouts.firstByte(mExchange.route()));
@@ -372,28 +381,4 @@
         mMemory.forEach(MemoryReservation::release);
         mWork.end();
     }
-
-    /** Receives the result of an attempt. */
-    interface Owner {
-        /** The attempt ended without a usable answer. */
-        void onFailed(ForwardAttempt attempt, Delivery delivery, String detail);
-
-        /** The endpoint crashed just as it began to answer. */
-        void onCrashedEndpoint(ForwardAttempt attempt, String detail);
-
-        /** Sends the request to another endpoint as well; returns whether that is possible. */
-        boolean trySendElsewhere(Instant now);
-
-        /** Returns whether no other attempt of the request is in flight. */
-        boolean isOnlyAttempt();
-
-        /** Content that the endpoint sent was relayed. */
-        void onRelayed(ForwardAttempt attempt);
-
-        /** The endpoint ran the request and answered with an error status. */
-        void onErrorAnswer(ForwardAttempt attempt, AnswerHead head, Buffer body);
-
-        /** The complete answer was relayed to the caller. */
-        void onAnswered(long eventCount, Instant firstEventAt);
-    }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardSettings.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardSettings.java
@@ -90,7 +90,8 @@
                 repeatRatio,
                 repeatWindow,
                 repeatSlack,
-                new DeploymentOptions(newer.options.contended(), options.capacity()));
+                new DeploymentOptions(
+                        newer.options.contended(), options.capacity(), options.room()));
     }
 
     /** Returns the names of the settings that differ. */
@@ -110,6 +111,7 @@
         addIf(names, "repeat ratio", Double.compare(repeatRatio, other.repeatRatio) != 0);
         addIf(names, "contention", options.contended() != other.options.contended());
         addIf(names, "capacity", !options.capacity().equals(other.options.capacity()));
+        addIf(names, "room bounds", !options.room().equals(other.options.room()));
         return names.build();
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
@@ -280,6 +280,7 @@
             applySums(source, h, asked, now);
         }
         applyLeaving(h.leaving(), peer.toString());
+        mState.evacuations().onPeerEntries(h.evacuations(), peer.toString());
         mRateLimits.apply(peer, h.rateLimits(), asked.at().steady(), now);
         mCrashes.apply(peer, h.crashes(), now);
         mConfirmations.onPeerConfirmation(Optional.ofNullable(h.confirmation()), peer, asked.at());
@@ -290,7 +291,9 @@
         // both, since either may be cut off from the store without having noticed it.
         ImmutableList<FleetMember> watching =
                 aggregators.subList(0, Math.min(STORE_WATCHERS, aggregators.size()));
-        if (watching.contains(source) && h.store() != null) {
+        if (watching.contains(source)
+                && h.store() != null
+                && mState.evacuations().isRelayedWith(h.evacuations())) {
             mRelay.applyPeerChanges(h.store(), asked.store(), !watching.contains(mSelf));
         }
     }
@@ -339,6 +342,7 @@
                 work.version() == PeerMessage.Work.NO_SUMS
                         ? new WorkSums.Update(0, false, ImmutableMap.of())
                         : mSums.since(work.version(), now);
+        StorePosition asked = new StorePosition(work.storeEra(), work.storeRevision());
         LeavingRuns runs = mState.endpoints().leaving();
         ImmutableList<EndpointRun> leaving =
                 work.version() == 0 ? runs.latestRuns() : runs.recentRuns(now);
@@ -352,10 +356,11 @@
                 mFleet.knownSize(now),
                 mConfirmations.ownConfirmation(),
                 WorkCodec.leaving(leaving),
-                mRelay.changesSince(new StorePosition(work.storeEra(), work.storeRevision())),
+                mRelay.changesSince(asked),
                 mRateLimits.answer(from, work.rateLimits(), now),
                 mCrashes.answer(from, work.crashes(), now),
-                CapacityCodec.reply(mFleet.capacities(), aggregators, now));
+                CapacityCodec.reply(mFleet.capacities(), aggregators, now),
+                mState.evacuations().entriesAfter(asked));
     }
 
     /** State of a call: what it reported and asked for, and when. */
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/SilenceWatch.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/room/SilenceWatch.java
@@ -1,4 +1,4 @@
-package io.bilberrygrade.serving.forward;
+package io.bilberrygrade.serving.room;
 
 import io.bilberrygrade.serving.time.Timers;
 import io.smallrye.mutiny.subscription.Cancellable;
@@ -7,7 +7,7 @@
 import java.util.function.Predicate;
 
 /** Notices when an endpoint has sent nothing of an answer for too long. */
-final class SilenceWatch {
+public final class SilenceWatch {
     private final Timers mTimers;
     private final Predicate<Duration> mOnSilence;
     private Optional<Duration> mLimit = Optional.empty();
@@ -19,13 +19,13 @@
      *
      * @param onSilence gets the limit that has passed; returns whether the watch ends
      */
-    SilenceWatch(Timers timers, Predicate<Duration> onSilence) {
+    public SilenceWatch(Timers timers, Predicate<Duration> onSilence) {
         mTimers = timers;
         mOnSilence = onSilence;
     }
 
     /** Starts to wait for the endpoint for at most the given time, instead of the time before. */
-    void start(Duration limit) {
+    public void start(Duration limit) {
         cancelTimer();
         mLimit = Optional.of(limit);
         if (!mSuspended) {
@@ -34,24 +34,24 @@
     }
 
     /** Starts again with the last limit, if the watch was started before. */
-    void restart() {
+    public void restart() {
         mLimit.ifPresent(this::start);
     }
 
     /** Stops counting while the endpoint isn't read from, which would look like a silence. */
-    void suspend() {
+    public void suspend() {
         mSuspended = true;
         cancelTimer();
     }
 
     /** Counts again, from now on. */
-    void resume() {
+    public void resume() {
         mSuspended = false;
         restart();
     }
 
     /** Ends the watch. */
-    void stop() {
+    public void stop() {
         cancelTimer();
         mLimit = Optional.empty();
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/room/package-info.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/room/package-info.java
@@ -1,2 +1,2 @@
-/** What instances know and do about the room that the deployment has for requests. */
+/** Applies what restricts the room that a deployment has for requests. */
 package io.bilberrygrade.serving.room;
