Let an aggregator that has become slow hand over its role

An aggregator whose processor or link is used up still answers some calls within 400 ms and so kept its role while all sums grew old.

An instance whose settings state a capacity judges itself by the median lateness of its last nine exchange timers and, as the aggregator, by the fastest of its last nine calls; 200 ms is slow, half of the time after which calls to it fail. It states that in its calls and answers, and others rank it behind all that aren't slow. It is sound again after 30 s without delays, twice as long after each relapse, and isn't judged in its first 10 s as the aggregator, so that the role doesn't flap and permits settle in between. BG7041 and counters tell of it. Instances that state no capacity neither judge themselves nor state anything.

UnevenFleetTest: a slow aggregator of 36 and 134 members hands over once and takes its role back once; a fleet of slow members keeps its aggregator (red at first, since slow members were ordered by age alone: mended), 16 green. EndpointRateLimitFleetTest with three hand-overs at 4, 45 and 134 members, 63 green.

--- a/core/src/main/java/io/bilberrygrade/core/exchange/FleetView.java
+++ b/core/src/main/java/io/bilberrygrade/core/exchange/FleetView.java
@@ -12,14 +12,16 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.ToIntFunction;
 import java.util.stream.Stream;
 
 /**
  * One daemon's view of the fleet's members and of the aggregator among them, which sums up the work
  * of all daemons. The oldest member is the aggregator; the second oldest, the standby, keeps the
  * same sums and takes over on failure. In a fleet whose members' capacities differ widely, those of
- * the highest class come first, and age decides within a class. Every peer that a daemon calls
- * names both, so a daemon needs to know only a few members.
+ * the highest class come first, and age decides within a class; members that state that they are
+ * slow come last. Every peer that a daemon calls names both, so a daemon needs to know only a few
+ * members.
  */
 public final class FleetView {
     /** Maximum number of members named to peers: the aggregator and those next in line. */
@@ -131,11 +133,9 @@
     }
 
     private Comparator<FleetMember> order(Instant now) {
-        return mCapacities.isUneven(now)
-                ? Comparator.comparingInt(
-                                (FleetMember m) -> -mCapacities.capacityClass(m.address()))
-                        .thenComparing(Comparator.naturalOrder())
-                : Comparator.naturalOrder();
+        ToIntFunction<Address> ranking = mCapacities.ranking(now);
+        return Comparator.comparingInt((FleetMember m) -> -ranking.applyAsInt(m.address()))
+                .thenComparing(Comparator.naturalOrder());
     }
 
     /**
--- a/core/src/main/java/io/bilberrygrade/core/room/FleetCapacities.java
+++ b/core/src/main/java/io/bilberrygrade/core/room/FleetCapacities.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.ToIntFunction;
 import java.util.stream.Stream;
 
 /**
@@ -27,8 +28,11 @@
     /** Interval at which the range is determined, since that takes time for each instance. */
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(500);
 
+    /** Ranks by which slow instances come behind others; more than there are classes. */
+    private static final int SLOW_PENALTY = 64;
+
     private final Address mSelf;
-    private final Optional<Capacity> mOwn;
+    private Optional<CapacityStatement> mOwn;
     private final Map<Address, Stated> mStated = new HashMap<>();
     private Instant mUnevenUntil = Instant.MIN;
     private Instant mCheckedAt = Instant.MIN;
@@ -36,44 +40,52 @@
     /** Creates the capacities as known to an instance that has met no others. */
     public FleetCapacities(Address self, Optional<Capacity> own) {
         mSelf = self;
-        mOwn = own;
+        mOwn = own.map(c -> new CapacityStatement(c, false));
     }
 
-    /** Returns the capacity of this instance. */
-    public Optional<Capacity> own() {
+    /** Returns what this instance states. */
+    public Optional<CapacityStatement> own() {
         return mOwn;
     }
 
-    /** Returns the capacity of an instance, if it is known. */
-    public Optional<Capacity> of(Address member) {
+    /** Records whether this instance is slow; returns whether it states that anew. */
+    public boolean recordOwnSlowness(boolean slow) {
+        boolean changed = mOwn.filter(s -> s.slow() != slow).isPresent();
+        mOwn = mOwn.map(s -> new CapacityStatement(s.capacity(), slow));
+        return changed;
+    }
+
+    /** Returns what an instance states, if that is known. */
+    public Optional<CapacityStatement> of(Address member) {
         return member.equals(mSelf)
                 ? mOwn
-                : Optional.ofNullable(mStated.get(member)).map(Stated::capacity);
+                : Optional.ofNullable(mStated.get(member)).map(Stated::statement);
     }
 
     /** Records what an instance states about itself; nothing if it is of an older version. */
-    public void recordOwnStatement(Address member, Optional<Capacity> stated, Instant now) {
+    public void recordOwnStatement(
+            Address member, Optional<CapacityStatement> stated, Instant now) {
         if (stated.isEmpty()) {
             mStated.remove(member);
         } else {
             Stated before = mStated.put(member, new Stated(stated.get(), now, now));
-            if (before == null || !before.capacity().equals(stated.get())) {
+            if (before == null || !before.statement().equals(stated.get())) {
                 mCheckedAt = Instant.MIN;
             }
         }
     }
 
-    /** Records the capacity of an instance that a peer named. */
-    public void recordNamed(Address member, Capacity capacity, Instant now) {
+    /** Records what an instance stated that a peer named. */
+    public void recordNamed(Address member, CapacityStatement stated, Instant now) {
         if (!mStated.containsKey(member)) {
             mCheckedAt = Instant.MIN;
         }
         mStated.merge(
                 member,
-                new Stated(capacity, Instant.MIN, now),
+                new Stated(stated, Instant.MIN, now),
                 (old, n) ->
                         new Stated(
-                                old.isContacted(now) ? old.capacity() : capacity,
+                                old.isContacted(now) ? old.statement() : stated,
                                 old.contactAt(),
                                 now));
     }
@@ -94,8 +106,9 @@
     }
 
     private Optional<CapacityRange> range(Stream<Stated> stated) {
-        return Stream.concat(mOwn.stream(), stated.map(Stated::capacity))
-                .map(c -> new CapacityRange(c.processorMillis(), c.processorMillis()))
+        return Stream.concat(mOwn.stream(), stated.map(Stated::statement))
+                .map(s -> s.capacity().processorMillis())
+                .map(p -> new CapacityRange(p, p))
                 .reduce(CapacityRange::union);
     }
 
@@ -112,14 +125,20 @@
     }
 
     /**
-     * Returns the class of an instance; in an uneven fleet those of a higher one take the roles
-     * first. It is 0 for those that state nothing.
+     * Returns the ranks in which instances take the roles, highest first: by class in an uneven
+     * fleet, otherwise all alike. Those that state that they are slow come last.
      */
-    public int capacityClass(Address member) {
-        return of(member).map(Capacity::processorClass).orElse(0);
+    public ToIntFunction<Address> ranking(Instant now) {
+        boolean uneven = isUneven(now);
+        return member -> of(member).map(s -> rank(s, uneven)).orElse(0);
+    }
+
+    private static int rank(CapacityStatement stated, boolean uneven) {
+        int rank = uneven ? stated.capacity().processorClass() : 0;
+        return stated.slow() ? rank - SLOW_PENALTY : rank;
     }
 
-    private record Stated(Capacity capacity, Instant contactAt, Instant namedAt) {
+    private record Stated(CapacityStatement statement, Instant contactAt, Instant namedAt) {
         boolean isContacted(Instant now) {
             return contactAt.isAfter(now.minus(LIFETIME));
         }
--- a/core/src/test/java/io/bilberrygrade/core/exchange/FleetViewTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/exchange/FleetViewTest.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableList;
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.room.Capacity;
+import io.bilberrygrade.core.room.CapacityStatement;
 import io.bilberrygrade.core.room.FleetCapacities;
 import java.time.Instant;
 import java.util.Optional;
@@ -122,8 +123,8 @@
         view.recordContact(OLDEST, T0);
         view.recordContact(OLDER, T0);
         view.recordContact(YOUNGER, T0);
-        capacities.recordOwnStatement(OLDEST.address(), millis(oldest), T0);
-        capacities.recordOwnStatement(OLDER.address(), millis(older), T0);
+        capacities.recordOwnStatement(OLDEST.address(), states(oldest), T0);
+        capacities.recordOwnStatement(OLDER.address(), states(older), T0);
         return view;
     }
 
@@ -131,6 +132,10 @@
         return Optional.of(millis).filter(m -> m > 0).map(m -> new Capacity(m, 0));
     }
 
+    private static Optional<CapacityStatement> states(long millis) {
+        return millis(millis).map(c -> new CapacityStatement(c, false));
+    }
+
     @Test
     void unevenFleetIsOrderedByClassAndThenByAge() {
         FleetView view = viewWithCapacity(4_000, 250, 4_000);
--- a/core/src/test/java/io/bilberrygrade/core/room/FleetCapacitiesTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/room/FleetCapacitiesTest.java
@@ -5,6 +5,7 @@
 import io.bilberrygrade.core.identity.Address;
 import java.time.Instant;
 import java.util.Optional;
+import java.util.function.ToIntFunction;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -24,6 +25,14 @@
                 : Optional.of(new Capacity(processorMillis, 14));
     }
 
+    private static Optional<CapacityStatement> states(long processorMillis) {
+        return millis(processorMillis).map(c -> new CapacityStatement(c, false));
+    }
+
+    private static CapacityStatement named(long processorMillis) {
+        return states(processorMillis).orElseThrow();
+    }
+
     @ParameterizedTest
     @CsvSource({
         "250, 250, false",
@@ -35,7 +44,7 @@
     })
     void fleetIsUnevenBeyondFactorOfThree(long own, long other, boolean expected) {
         FleetCapacities capacities = new FleetCapacities(SELF, millis(own));
-        capacities.recordOwnStatement(OTHER, millis(other), T0);
+        capacities.recordOwnStatement(OTHER, states(other), T0);
         assertThat(capacities.isUneven(T0)).isEqualTo(expected);
     }
 
@@ -58,7 +67,7 @@
     @Test
     void fleetStaysUnevenWhileItsSmallInstancesRestart() {
         FleetCapacities capacities = new FleetCapacities(SELF, millis(4_000));
-        capacities.recordOwnStatement(OTHER, millis(250), T0);
+        capacities.recordOwnStatement(OTHER, states(250), T0);
         assertThat(capacities.isUneven(T0)).isTrue();
         assertThat(capacities.isUneven(T0.plusSeconds(20))).isTrue();
         assertThat(capacities.isUneven(T0.plusSeconds(60))).isFalse();
@@ -68,9 +77,9 @@
     @Test
     void reportedRangeHasOnlyInstancesInDirectContact() {
         FleetCapacities capacities = new FleetCapacities(SELF, millis(4_000));
-        capacities.recordNamed(THIRD, new Capacity(100, 0), T0);
+        capacities.recordNamed(THIRD, named(100), T0);
         capacities.recordRange(new CapacityRange(50, 9_000), T0);
-        capacities.recordOwnStatement(OTHER, millis(250), T0);
+        capacities.recordOwnStatement(OTHER, states(250), T0);
         assertThat(capacities.contactedRange(T0)).contains(new CapacityRange(250, 4_000));
         assertThat(capacities.contactedRange(T0.plusSeconds(3)))
                 .contains(new CapacityRange(4_000, 4_000));
@@ -79,19 +88,41 @@
     @Test
     void statementOfTheInstanceItselfCountsBeforeNaming() {
         FleetCapacities capacities = new FleetCapacities(SELF, millis(250));
-        capacities.recordOwnStatement(OTHER, millis(4_000), T0);
-        capacities.recordNamed(OTHER, new Capacity(100, 0), T0.plusSeconds(1));
-        assertThat(capacities.of(OTHER)).isEqualTo(millis(4_000));
-        capacities.recordNamed(OTHER, new Capacity(100, 0), T0.plusSeconds(4));
-        assertThat(capacities.of(OTHER)).contains(new Capacity(100, 0));
+        capacities.recordOwnStatement(OTHER, states(4_000), T0);
+        capacities.recordNamed(OTHER, named(100), T0.plusSeconds(1));
+        assertThat(capacities.of(OTHER)).isEqualTo(states(4_000));
+        capacities.recordNamed(OTHER, named(100), T0.plusSeconds(4));
+        assertThat(capacities.of(OTHER)).contains(named(100));
     }
 
     @Test
-    void higherClassIsOneOfMoreProcessorTime() {
+    void higherClassComesFirstAndSlowOnesLast() {
         FleetCapacities capacities = new FleetCapacities(SELF, millis(250));
-        capacities.recordOwnStatement(OTHER, millis(4_000), T0);
-        assertThat(capacities.capacityClass(OTHER)).isGreaterThan(capacities.capacityClass(SELF));
-        assertThat(capacities.capacityClass(SELF)).isGreaterThan(capacities.capacityClass(THIRD));
-        assertThat(capacities.capacityClass(THIRD)).isZero();
+        capacities.recordOwnStatement(OTHER, states(4_000), T0);
+        ToIntFunction<Address> ranking = capacities.ranking(T0);
+        assertThat(ranking.applyAsInt(OTHER)).isGreaterThan(ranking.applyAsInt(SELF));
+        assertThat(ranking.applyAsInt(SELF)).isGreaterThan(ranking.applyAsInt(THIRD));
+        Capacity large = millis(4_000).orElseThrow();
+        capacities.recordOwnStatement(OTHER, Optional.of(new CapacityStatement(large, true)), T0);
+        assertThat(capacities.ranking(T0).applyAsInt(OTHER)).isNegative();
+    }
+
+    @Test
+    void evenInstancesRankAlikeUnlessOneIsSlow() {
+        FleetCapacities capacities = new FleetCapacities(SELF, millis(250));
+        capacities.recordOwnStatement(OTHER, states(500), T0);
+        assertThat(capacities.ranking(T0).applyAsInt(OTHER)).isZero();
+        assertThat(capacities.ranking(T0).applyAsInt(SELF)).isZero();
+        assertThat(capacities.recordOwnSlowness(true)).isTrue();
+        assertThat(capacities.recordOwnSlowness(true)).isFalse();
+        assertThat(capacities.ranking(T0).applyAsInt(SELF)).isNegative();
+    }
+
+    // Guards against a hand-over by instances whose settings state nothing.
+    @Test
+    void instanceThatStatesNothingIsNeverSlow() {
+        FleetCapacities capacities = new FleetCapacities(SELF, Optional.empty());
+        assertThat(capacities.recordOwnSlowness(true)).isFalse();
+        assertThat(capacities.ranking(T0).applyAsInt(SELF)).isZero();
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
@@ -168,6 +168,16 @@
             long maxProcessorMillis)
             implements ForwardEvent {}
 
+    /**
+     * This daemon has become too slow for the role of aggregator and states so, or has recovered:
+     * the median lateness of its timers, the fastest response to its calls as the aggregator, and
+     * the time without delays that it then needs.
+     */
+    @EventInfo(number = 7041, level = EventLevel.WARN)
+    record InstanceSlow(
+            boolean slow, long timerLateMillis, long fastestResponseMillis, long holdMillis)
+            implements ForwardEvent {}
+
     /** The store could not be read. */
     @EventInfo(number = 7012, level = EventLevel.WARN)
     record StoreLost(String call, String error) implements ForwardEvent {}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -21,6 +21,7 @@
 import io.bilberrygrade.serving.peer.PeerIdentity;
 import io.bilberrygrade.serving.peer.PeerServer;
 import io.bilberrygrade.serving.peer.TcpPeerNetwork;
+import io.bilberrygrade.serving.room.SlownessWatch;
 import io.bilberrygrade.serving.time.Timers;
 import io.bilberrygrade.serving.time.VertxTimers;
 import io.smallrye.mutiny.Uni;
@@ -178,6 +179,7 @@
                 new StoreRelay(mState, mReader, mClocks),
                 mRateLimits,
                 new CrashExchange(mFleet, mQuarantine),
+                new SlownessWatch(mFleet, mEvents),
                 mClocks,
                 mTimers);
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardMetrics.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardMetrics.java
@@ -43,6 +43,12 @@
             case ForwardEvent.AnswerCut c ->
                     mRegistry.counter("answers_cut." + metricName(c.reason())).inc();
             case ForwardEvent.CallerGone g -> mRegistry.counter("daemon.callers_gone_total").inc();
+            case ForwardEvent.AggregatorChanged a ->
+                    mRegistry.counter("daemon.aggregator_changes_total").inc();
+            case ForwardEvent.InstanceSlow s ->
+                    mRegistry
+                            .counter(s.slow() ? "daemon.slow_total" : "daemon.slow_ended_total")
+                            .inc();
             case ForwardEvent.StoreLost l -> mRegistry.counter("daemon.store_lost_total").inc();
             default -> {}
         }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
@@ -20,6 +20,7 @@
 import io.bilberrygrade.serving.peer.PeerMessage;
 import io.bilberrygrade.serving.peer.PeerNetwork;
 import io.bilberrygrade.serving.room.CapacityCodec;
+import io.bilberrygrade.serving.room.SlownessWatch;
 import io.bilberrygrade.serving.time.Timers;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
@@ -57,6 +58,7 @@
     private final StoreRelay mRelay;
     private final RateLimitExchange mRateLimits;
     private final CrashExchange mCrashes;
+    private final SlownessWatch mSlowness;
     private final Clocks mClocks;
     private final Timers mTimers;
     private final WorkSums mSums = new WorkSums();
@@ -78,6 +80,7 @@
             StoreRelay relay,
             RateLimitExchange rateLimits,
             CrashExchange crashes,
+            SlownessWatch slowness,
             Clocks clocks,
             Timers timers) {
         mNetwork = network;
@@ -89,6 +92,7 @@
         mRelay = relay;
         mRateLimits = rateLimits;
         mCrashes = crashes;
+        mSlowness = slowness;
         mClocks = clocks;
         mTimers = timers;
     }
@@ -120,6 +124,7 @@
         ImmutableMap<EndpointId, EndpointWork> own = mWork.ownWork();
         boolean quiet = mNoNewSums && own.equals(mLastStated);
         mLastStated = own;
+        mSlowness.onExchange(now);
         mSums.recordReport(mSelf.address(), own, now);
         mRateLimits.update(now);
         mCrashes.update(now);
@@ -130,9 +135,9 @@
             call(mFleet.aggregator(now).address(), own).subscribe().with(v -> {});
         }
         callOthers(own, now);
-        mTimers.after(ExchangeInterval.nextInterval(mFleet.size(now), quiet))
-                .subscribe()
-                .with(v -> exchange());
+        Duration interval = ExchangeInterval.nextInterval(mFleet.size(now), quiet);
+        mSlowness.onScheduled(now.plus(interval));
+        mTimers.after(interval).subscribe().with(v -> exchange());
     }
 
     /**
@@ -214,6 +219,7 @@
                 .onItem()
                 .invoke(
                         reply -> {
+                            mSlowness.onResponse(now, mClocks.now());
                             if (reply instanceof PeerMessage.WorkHeard h && isWellFormed(h)) {
                                 onAnswer(peer, h, new CallContext(version, own, askedAt, store));
                             }
@@ -304,7 +310,7 @@
         mFleet.recordContact(member.get(), now);
         mFleet.capacities()
                 .recordOwnStatement(
-                        member.get().address(), CapacityCodec.capacity(work.capacity()), now);
+                        member.get().address(), CapacityCodec.statement(work.capacity()), now);
         mSums.recordReport(member.get().address(), WorkCodec.work(work.entries()), now);
         applyLeaving(work.leaving(), work.address());
         mRelay.onPeerPosition(new StorePosition(work.storeEra(), work.storeRevision()));
--- a/serving/src/main/java/io/bilberrygrade/serving/peer/CapacityEntry.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/CapacityEntry.java
@@ -8,7 +8,8 @@
  *
  * @param processorMillis processor time in thousandths of a core
  * @param linkMbps rate of its network link in Mbit/s; 0 if not stated
+ * @param slow whether the daemon is too slow for the role of aggregator
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-@JsonPropertyOrder({"processorMillis", "linkMbps"})
-public record CapacityEntry(long processorMillis, long linkMbps) {}
+@JsonPropertyOrder({"processorMillis", "linkMbps", "slow"})
+public record CapacityEntry(long processorMillis, long linkMbps, boolean slow) {}
--- a/serving/src/main/java/io/bilberrygrade/serving/room/CapacityCodec.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/room/CapacityCodec.java
@@ -5,6 +5,7 @@
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.room.Capacity;
 import io.bilberrygrade.core.room.CapacityRange;
+import io.bilberrygrade.core.room.CapacityStatement;
 import io.bilberrygrade.core.room.FleetCapacities;
 import io.bilberrygrade.serving.peer.AggregatorEntry;
 import io.bilberrygrade.serving.peer.CapacityEntry;
@@ -25,15 +26,24 @@
         return entry(capacities.own());
     }
 
-    private static CapacityEntry entry(Optional<Capacity> capacity) {
-        return capacity.map(c -> new CapacityEntry(c.processorMillis(), c.linkMbps())).orElse(null);
+    private static CapacityEntry entry(Optional<CapacityStatement> stated) {
+        return stated.map(
+                        s ->
+                                new CapacityEntry(
+                                        s.capacity().processorMillis(),
+                                        s.capacity().linkMbps(),
+                                        s.slow()))
+                .orElse(null);
     }
 
-    /** Returns the capacity that an entry states. */
-    public static Optional<Capacity> capacity(CapacityEntry entry) {
+    /** Returns what an entry states. */
+    public static Optional<CapacityStatement> statement(CapacityEntry entry) {
         return Optional.ofNullable(entry)
                 .filter(e -> e.processorMillis() > 0 && e.linkMbps() >= 0)
-                .map(e -> new Capacity(e.processorMillis(), e.linkMbps()));
+                .map(
+                        e ->
+                                new CapacityStatement(
+                                        new Capacity(e.processorMillis(), e.linkMbps()), e.slow()));
     }
 
     /** Returns what to tell a peer beside the given aggregators; null if none state anything. */
@@ -61,7 +71,7 @@
             List<AggregatorEntry> aggregators,
             Instant now) {
         capacities.recordOwnStatement(
-                peer, Optional.ofNullable(reply).flatMap(r -> capacity(r.own())), now);
+                peer, Optional.ofNullable(reply).flatMap(r -> statement(r.own())), now);
         if (reply == null) {
             return;
         }
@@ -78,7 +88,7 @@
         Optional<Address> address =
                 Optional.ofNullable(member).flatMap(m -> Address.tryParse(m.address()));
         if (address.isPresent()) {
-            capacity(entry).ifPresent(c -> capacities.recordNamed(address.get(), c, now));
+            statement(entry).ifPresent(c -> capacities.recordNamed(address.get(), c, now));
         }
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/room/CapacityLog.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/room/CapacityLog.java
@@ -2,7 +2,6 @@
 
 import io.bilberrygrade.core.exchange.FleetMember;
 import io.bilberrygrade.core.exchange.FleetView;
-import io.bilberrygrade.core.room.Capacity;
 import io.bilberrygrade.core.room.CapacityRange;
 import io.bilberrygrade.core.room.FleetCapacities;
 import io.bilberrygrade.serving.event.EventLog;
@@ -24,7 +23,7 @@
                             aggregator.address().toString(),
                             capacities
                                     .of(aggregator.address())
-                                    .map(Capacity::processorMillis)
+                                    .map(s -> s.capacity().processorMillis())
                                     .orElse(0L),
                             now.toEpochMilli() - aggregator.startedAtMillis(),
                             capacities.isUneven(now),
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/EndpointRateLimitFleetTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/EndpointRateLimitFleetTest.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.Lists;
 import io.bilberrygrade.core.ratelimit.RateLimit;
+import io.bilberrygrade.core.room.Capacity;
 import io.bilberrygrade.serving.forward.ExchangeTestFleet.Member;
 import java.time.Duration;
 import java.time.Instant;
@@ -124,6 +125,28 @@
         checkWithinRule(endpoint, perSecond, binding);
     }
 
+    // Guards against permits of two aggregators at once when one hands over because it is slow.
+    @ParameterizedTest
+    @CsvSource({"4, 1", "45, 1", "45, 14", "134, 14"})
+    void handOverBySlowAggregatorKeepsTheSum(int members, double perSecond) {
+        Optional<Capacity> small = Optional.of(new Capacity(250, 14));
+        mFleet.mCapacity = n -> n % 8 == 3 ? Optional.of(new Capacity(2_000, 1_000)) : small;
+        LimitedEndpoint endpoint = fleetWithLimit(members, perSecond);
+        Instant binding = mFleet.now().plus(STABILITY_WINDOW);
+        advance(10);
+        for (int i = 0; i < 3; i++) {
+            Member slow = aggregator();
+            slow.mProcess.setTimerLateness(Duration.ofMillis(500));
+            advance(20);
+            assertThat(aggregator()).isNotEqualTo(slow);
+            slow.mProcess.setTimerLateness(Duration.ZERO);
+        }
+        advance(40);
+        checkWithinRule(endpoint, perSecond, binding);
+        assertThat((double) endpoint.arrivals(mFleet.now().minusSeconds(10)))
+                .isGreaterThan(0.5 * perSecond * 10);
+    }
+
     private Member aggregator() {
         Member any =
                 mFleet.mMembers.stream()
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/ExchangeTestFleet.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/ExchangeTestFleet.java
@@ -10,12 +10,14 @@
 import io.bilberrygrade.core.identity.InstanceId;
 import io.bilberrygrade.core.room.Capacity;
 import io.bilberrygrade.core.room.FleetCapacities;
+import io.bilberrygrade.serving.event.Event;
 import io.bilberrygrade.serving.fuzz.SimulatedNetwork;
 import io.bilberrygrade.serving.fuzz.SimulatedPeer;
 import io.bilberrygrade.serving.fuzz.SimulatedProcess;
 import io.bilberrygrade.serving.fuzz.VirtualTime;
 import io.bilberrygrade.serving.peer.PeerIdentity;
 import io.bilberrygrade.serving.peer.PeerMessage;
+import io.bilberrygrade.serving.room.SlownessWatch;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
 import java.time.Instant;
@@ -103,6 +105,7 @@
         final EndpointTracker mTracker;
         final QuarantineController mQuarantine;
         final WorkExchange mExchange;
+        final List<Event> mEvents = new ArrayList<>();
         long mHandled;
         private final PeerIdentity mIdentity;
 
@@ -148,6 +151,7 @@
                     new StoreRelay(mState, reader, clocks),
                     new RateLimitExchange(mFleet, self, mTracker, e -> {}),
                     new CrashExchange(mFleet, mQuarantine),
+                    new SlownessWatch(mFleet, mEvents::add),
                     clocks,
                     mProcess);
         }
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/RestoreTestDaemon.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/RestoreTestDaemon.java
@@ -17,6 +17,7 @@
 import io.bilberrygrade.serving.fuzz.VirtualTime;
 import io.bilberrygrade.serving.peer.PeerIdentity;
 import io.bilberrygrade.serving.peer.PeerMessage;
+import io.bilberrygrade.serving.room.SlownessWatch;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -76,6 +77,7 @@
                         new StoreRelay(mState, mReader, clocks),
                         new RateLimitExchange(fleet, self, tracker, e -> {}),
                         new CrashExchange(fleet, new QuarantineController(fleet, e -> {})),
+                        new SlownessWatch(fleet, e -> {}),
                         clocks,
                         process);
         mCalls = new PeerCallDispatcher(mExchange, configExchange);
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/UnevenFleetTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/UnevenFleetTest.java
@@ -13,6 +13,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Fleets on virtual time most of whose members state a quarter of a core. */
@@ -103,6 +104,39 @@
         checkAllCountWorkOfAll();
     }
 
+    // Guards against an aggregator that keeps its role although its processor is used up, and
+    // against a role that goes to and fro.
+    @ParameterizedTest
+    @CsvSource({"36, 300", "36, 2000", "134, 300"})
+    void slowAggregatorHandsOverUntilItHasRecovered(int members, long lateMillis) {
+        fleet(members);
+        mFleet.mTime.advance(Duration.ofSeconds(10));
+        Member slow = mFleet.mMembers.get(members - 3);
+        slow.mProcess.setTimerLateness(Duration.ofMillis(lateMillis));
+        mFleet.mTime.advance(Duration.ofSeconds(25));
+        checkRolesAreOf(members - 2, members - 1);
+        slow.mProcess.setTimerLateness(Duration.ZERO);
+        for (int i = 0; i < 5; i++) {
+            mFleet.mTime.advance(Duration.ofSeconds(5));
+            checkRolesAreOf(members - 2, members - 1);
+        }
+        mFleet.mTime.advance(Duration.ofSeconds(20));
+        checkRolesAreOf(members - 3, members - 2);
+        checkAllCountWorkOfAll();
+        assertThat(slow.mEvents).hasSize(2);
+    }
+
+    /** Where all are slow, as on an overloaded machine, the role stays where it was. */
+    @Test
+    void fleetOfSlowMembersKeepsItsAggregator() {
+        fleet(36);
+        mFleet.mTime.advance(Duration.ofSeconds(10));
+        alive().forEach(m -> m.mProcess.setTimerLateness(Duration.ofMillis(300)));
+        mFleet.mTime.advance(Duration.ofSeconds(30));
+        checkRolesAreOf(33, 34);
+        checkAllCountWorkOfAll();
+    }
+
     @Test
     void fleetWithoutLargeMembersGoesOnByAge() {
         fleet(36);
--- a/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedProcess.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/fuzz/SimulatedProcess.java
@@ -16,6 +16,7 @@
     private Instant mPausedUntil = Instant.MIN;
     private boolean mAlive = true;
     private int mPauseCount;
+    private Duration mTimerLateness = Duration.ZERO;
 
     /** Creates a process whose clock is ahead by the given offset. */
     public SimulatedProcess(VirtualTime time, Duration clockOffset) {
@@ -44,6 +45,11 @@
         mPausedUntil = mTime.now().plus(duration);
     }
 
+    /** Lets timers fire late by the given time from now on, as on an overloaded processor. */
+    public void setTimerLateness(Duration lateness) {
+        mTimerLateness = lateness;
+    }
+
     /** Kills the process permanently. */
     public void kill() {
         mAlive = false;
@@ -72,7 +78,8 @@
                 .emitter(
                         e ->
                                 schedule(
-                                        delay.isNegative() ? Duration.ZERO : delay,
+                                        (delay.isNegative() ? Duration.ZERO : delay)
+                                                .plus(mTimerLateness),
                                         () -> e.complete(null)));
     }
 }
