--- a/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
@@ -21,6 +21,7 @@
 import io.bilberrygrade.serving.peer.PeerNetwork;
 import io.bilberrygrade.serving.room.CapacityCodec;
 import io.bilberrygrade.serving.room.RecentSumsFilter;
+import io.bilberrygrade.serving.room.SlownessWatch;
 import io.bilberrygrade.serving.time.Timers;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
@@ -58,6 +59,7 @@
     private final StoreRelay mRelay;
     private final RateLimitExchange mRateLimits;
     private final CrashExchange mCrashes;
+    private final SlownessWatch mSlowness;
     private final Clocks mClocks;
     private final Timers mTimers;
     private final WorkSums mSums = new WorkSums();
@@ -79,6 +81,7 @@
             StoreRelay relay,
             RateLimitExchange rateLimits,
             CrashExchange crashes,
+            SlownessWatch slowness,
             Clocks clocks,
             Timers timers) {
         mNetwork = network;
@@ -90,6 +93,7 @@
         mRelay = relay;
         mRateLimits = rateLimits;
         mCrashes = crashes;
+        mSlowness = slowness;
         mClocks = clocks;
         mTimers = timers;
     }
@@ -121,6 +125,7 @@
         ImmutableMap<EndpointId, EndpointWork> own = mWork.ownWork();
         boolean quiet = mNoNewSums && own.equals(mLastStated);
         mLastStated = own;
+        mSlowness.onExchange(now);
         mSums.recordReport(mSelf.address(), own, now);
         mRateLimits.update(now);
         mCrashes.update(now);
@@ -131,9 +136,9 @@
             call(mFleet.aggregator(now).address(), own).subscribe().with(v -> {});
         }
         callOthers(own, now);
-        mTimers.after(ExchangeInterval.nextInterval(mFleet.size(now), quiet))
-                .subscribe()
-                .with(v -> exchange());
+        Duration interval = ExchangeInterval.nextInterval(mFleet.size(now), quiet);
+        mSlowness.onScheduled(now.plus(interval));
+        mTimers.after(interval).subscribe().with(v -> exchange());
     }
 
     /**
@@ -233,6 +238,7 @@
                 .onItem()
                 .invoke(
                         reply -> {
+                            mSlowness.onResponse(now, mClocks.now());
                             if (reply instanceof PeerMessage.WorkHeard h && isWellFormed(h)) {
                                 onAnswer(peer, h, new CallContext(version, own, askedAt, store));
                             }
@@ -326,7 +332,7 @@
         mFleet.recordContact(member.get(), now);
         mFleet.capacities()
                 .recordOwnStatement(
-                        member.get().address(), CapacityCodec.capacity(work.capacity()), now);
+                        member.get().address(), CapacityCodec.statement(work.capacity()), now);
         mSums.recordReport(member.get().address(), WorkCodec.work(work.entries()), now);
         applyLeaving(work.leaving(), work.address());
         mRelay.onPeerPosition(new StorePosition(work.storeEra(), work.storeRevision()));
