Refuse what would make others late under contention

Cause: only long prompts were refused when callers asked for more than can be in time. In a burst all queues grew until the highest rank was late too, and engines refused whatever came last.

Change: ContentionPolicy predicts from the fleet's sums when a request would be served and refuses it at once if it can't be served before its deadline, would be late in a crowded rank, or takes far more time than others there. Floors hold for teams and classes of length. AdmissionController feeds it and learns slot times; Refusals.onArrival calls it before the first attempt. Without a trait the request path is as before.

--- a/core/src/main/java/io/bilberrygrade/core/request/Reason.java
+++ b/core/src/main/java/io/bilberrygrade/core/request/Reason.java
@@ -22,6 +22,7 @@
     KEY_HOME_CHANGED,
     CLASS_OVER_SHARE,
     OVERLOADED,
+    OUTRANKED,
     NOT_READY,
     DRAINING,
     NO_ENDPOINT,
--- /dev/null
+++ b/core/src/test/java/io/bilberrygrade/core/contention/ContentionPolicyTest.java
@@ -0,0 +1,146 @@
+package io.bilberrygrade.core.contention;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.bilberrygrade.core.identity.TeamId;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+final class ContentionPolicyTest {
+    private static final Instant NOW = Instant.ofEpochSecond(1_000);
+    private static final Duration SPAN = Duration.ofSeconds(30);
+    private static final double NO_FLOOR = 0.999;
+
+    private static double burst(double second) {
+        return second >= 10 && second < 20 ? 200 : 60;
+    }
+
+    private static SharedEngines engines(long seed, boolean admitsAll) {
+        SharedEngines engines = new SharedEngines(seed, admitsAll);
+        engines.run(SPAN, ContentionPolicyTest::burst);
+        return engines;
+    }
+
+    // Guards against refusals of requests that are served in time anyway.
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void refusesNothingWhileSlotsSuffice(long seed) {
+        SharedEngines engines = new SharedEngines(seed, false);
+        engines.run(SPAN, t -> 60);
+        assertThat(engines.refusals()).isZero();
+    }
+
+    // Guards against a burst of low ranks that makes the highest rank late, whose own load fits.
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void highestRankIsInTimeInBurst(long seed) {
+        assertThat(engines(seed, false).inTime(r -> r.rank().equals(Rank.HIGHEST)))
+                .isGreaterThan(0.95);
+    }
+
+    // Guards against a policy that serves fewer in time than admitting all, as before.
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void servesMoreInTimeThanAdmittingAll(long seed) {
+        assertThat(engines(seed, false).inTime()).isGreaterThan(engines(seed, true).inTime());
+    }
+
+    // Guards against a team or a class of length that a burst shuts out; floors as stated.
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void floorsHoldUnderLastingOverload(long seed) {
+        SharedEngines engines = new SharedEngines(seed, false);
+        engines.run(Duration.ofSeconds(60), t -> 200);
+        double all = engines.served(r -> true);
+        for (String team : new String[] {"a", "b", "c", "d"}) {
+            assertThat(engines.served(r -> r.team().equals(Optional.of(new TeamId(team)))))
+                    .as(team)
+                    .isGreaterThan(all / 4);
+        }
+        assertThat(engines.served(r -> r.length() >= 4_000)).isGreaterThan(all / 2);
+    }
+
+    // Guards against decisions that flap while the load swings about the capacity.
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void swingChangesStateTwiceInPeriodAtMost(long seed) {
+        SharedEngines engines = new SharedEngines(seed, false);
+        engines.run(Duration.ofSeconds(60), t -> 100 * (1 + Math.sin(2 * Math.PI * t / 10)));
+        int instancesAndRanks = 12 * 3;
+        int periods = 6;
+        assertThat(engines.stateChanges()).isLessThanOrEqualTo(2 * periods * instancesAndRanks);
+    }
+
+    private static ServiceRequest request(int rank, long goalMillis, long leftMillis) {
+        return new ServiceRequest(
+                new Rank(rank),
+                "k",
+                Optional.empty(),
+                100,
+                50,
+                1_000,
+                Duration.ofMillis(goalMillis),
+                Duration.ofMillis(leftMillis));
+    }
+
+    private static ServiceLoad load(int calls, long ageMillis) {
+        return new ServiceLoad(100, calls, 0, 0, 0, Duration.ofMillis(ageMillis));
+    }
+
+    /** Returns a policy that has many requests of rank 1 in flight. */
+    private static ContentionPolicy busyPolicy() {
+        ContentionPolicy policy = new ContentionPolicy();
+        for (int i = 0; i < 99; i++) {
+            policy.decide(request(1, 4_000, 9_000), load(0, 0), NO_FLOOR, NOW);
+        }
+        return policy;
+    }
+
+    // Guards against a wait that counts lower ranks, work that has ended since the sums were sent,
+    // or a late request that is refused although it makes no other late.
+    @ParameterizedTest
+    @CsvSource({
+        "0, 400, 9000, 199, 0, IN_TIME",
+        "1, 1100, 9000, 199, 0, IN_TIME",
+        "1, 900, 9000, 199, 0, LATE_IN_FREE_TIME",
+        "1, 4000, 900, 199, 0, PAST_DEADLINE",
+        "1, 4000, 900, 199, 300, IN_TIME",
+        "1, 4000, 9000, 249, 0, IN_TIME",
+        "1, 4000, 9000, 699, 0, MAKES_OTHERS_LATE",
+        "1, 9000, 9000, 999, 0, TOO_COSTLY"
+    })
+    void decidesByPredictedTime(
+            int rank, long goal, long left, int calls, long age, AdmissionCause cause) {
+        assertThat(
+                        busyPolicy()
+                                .decide(request(rank, goal, left), load(calls, age), NO_FLOOR, NOW)
+                                .cause())
+                .isEqualTo(cause);
+    }
+
+    // Guards against low ranks that fill the engines' queues, so that engines refuse a high one.
+    @Test
+    void queueIsKeptForHigherRanks() {
+        ContentionPolicy policy = busyPolicy();
+        policy.decide(request(0, 400, 9_000), load(0, 0), NO_FLOOR, NOW);
+        ServiceLoad half = load(255, 0);
+        assertThat(policy.decide(request(1, 4_000, 9_000), half, NO_FLOOR, NOW).cause())
+                .isEqualTo(AdmissionCause.QUEUE_FOR_HIGHER_RANKS);
+        assertThat(policy.decide(request(0, 400, 9_000), half, NO_FLOOR, NOW).cause())
+                .isEqualTo(AdmissionCause.IN_TIME);
+    }
+
+    // Guards against a refusal on a guess: neither the load nor the times are known at first.
+    @Test
+    void admitsWhatItKnowsNothingOf() {
+        assertThat(
+                        new ContentionPolicy()
+                                .decide(request(0, 1, 60), load(100_000, 0), NO_FLOOR, NOW))
+                .isInstanceOf(AdmissionDecision.Admit.class);
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/contention/Arrival.java
@@ -0,0 +1,36 @@
+package io.bilberrygrade.serving.contention;
+
+import io.bilberrygrade.core.contention.Rank;
+import io.bilberrygrade.core.forward.ForwardService;
+import io.bilberrygrade.core.forward.PromptShape;
+import io.bilberrygrade.core.forward.Route;
+import io.bilberrygrade.core.forward.StreamNeed;
+import io.bilberrygrade.core.identity.TeamId;
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * A request that arrived and hasn't been sent.
+ *
+ * @param bodyBytes its length where it states no prompt
+ */
+public record Arrival(
+        String id,
+        Route route,
+        ForwardService service,
+        Rank rank,
+        Optional<TeamId> team,
+        Optional<PromptShape> prompt,
+        long bodyBytes,
+        Duration timeLeft) {
+    /** Returns the needs of a stream; empty for a plain service. */
+    Optional<StreamNeed> need() {
+        return service.engine()
+                .flatMap(c -> prompt)
+                .map(p -> StreamNeed.of(p, route.goal(), route.gapGoal()));
+    }
+
+    long length() {
+        return need().map(n -> n.prompt().promptTokens()).orElse(bodyBytes);
+    }
+}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/AnswerEnd.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AnswerEnd.java
@@ -9,6 +9,8 @@
 
 /** Ends the answer to one request, and logs how it ended. */
 final class AnswerEnd {
+    private static final int SUCCESS = 200;
+
     private final ForwardContext mContext;
     private final ForwardExchange mExchange;
     private final AnswerRelay mRelay;
@@ -21,6 +23,16 @@
 
     /** Logs that the caller has an endpoint's whole answer. */
     void recordAnswered(int status, int attempts, Instant firstEventAt) {
+        if (status == SUCCESS && attempts == 1) {
+            Instant now = mContext.clocks().now();
+            mExchange
+                    .admission()
+                    .ifPresent(
+                            a ->
+                                    mContext.admission()
+                                            .recordAnswered(
+                                                    a, mRelay.eventCount(), firstEventAt, now));
+        }
         mContext.events()
                 .record(
                         new ForwardEvent.Answered(
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
@@ -70,7 +70,7 @@
                         remaining,
                         mRelay.lastId(),
                         mPlan.helpers(mMemory),
-                        Urgency.of(mExchange.route(), mExchange.rank(), mContext.traits().get()));
+                        Urgency.of(mExchange.route(), mExchange.runAs(), mContext.traits().get()));
         if (!mTrial) {
             mContext.quarantine().watch(this);
         }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardContext.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardContext.java
@@ -1,6 +1,7 @@
 package io.bilberrygrade.serving.forward;
 
 import io.bilberrygrade.core.room.FleetTraits;
+import io.bilberrygrade.serving.contention.AdmissionController;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.time.Timers;
 import java.util.function.Supplier;
@@ -22,4 +23,5 @@
         Timers timers,
         UniformRandomProvider random,
         EventLog events,
-        Supplier<FleetTraits> traits) {}
+        Supplier<FleetTraits> traits,
+        AdmissionController admission) {}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -6,6 +6,7 @@
 import io.bilberrygrade.core.exchange.FleetView;
 import io.bilberrygrade.core.exchange.WorkLedger;
 import io.bilberrygrade.core.identity.Incarnation;
+import io.bilberrygrade.serving.contention.AdmissionController;
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.entry.PeriodicTasks;
 import io.bilberrygrade.serving.event.EventLog;
@@ -183,6 +184,7 @@
         mQuarantine.onNews(() -> mExchange.reportNow());
         EndpointStatusUpdater endpointStatus =
                 new EndpointStatusUpdater(mState, mTracker, mRandom, mEvents);
+        CombinedTraits traits = new CombinedTraits(() -> mSettings.get().contended(), () -> false);
         ForwardContext forwardContext =
                 new ForwardContext(
                         mState,
@@ -203,7 +205,8 @@
                         mTimers,
                         mRandom,
                         mEvents,
-                        new CombinedTraits(() -> mSettings.get().contended(), () -> false));
+                        traits,
+                        new AdmissionController(traits, mRandom, mEvents));
         return new FilterChain<>(
                 ImmutableList.of(
                         new DrainFilter(mDrain, mRunning),
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardExchange.java
@@ -7,6 +7,7 @@
 import io.bilberrygrade.core.identity.RequestId;
 import io.bilberrygrade.core.identity.TeamId;
 import io.bilberrygrade.core.quarantine.Suspect;
+import io.bilberrygrade.serving.contention.Admission;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
 import java.time.Instant;
@@ -26,6 +27,7 @@
     private final CallerAnswer mAnswer;
     private Optional<Route> mRoute = Optional.empty();
     private Optional<TeamId> mTeam = Optional.empty();
+    private Optional<Admission> mAdmission = Optional.empty();
     private ImmutableSet<Suspect> mSuspects = ImmutableSet.of();
     private Runnable mOnAbandoned = () -> {};
     private boolean mAbandoned;
@@ -92,6 +94,20 @@
         mTeam = Optional.of(team);
     }
 
+    /** Returns the decision on the request; empty if none was called for. */
+    Optional<Admission> admission() {
+        return mAdmission;
+    }
+
+    void setAdmission(Optional<Admission> admission) {
+        mAdmission = admission;
+    }
+
+    /** Returns the rank at which the request is queued at engines. */
+    Rank runAs() {
+        return mAdmission.map(Admission::runAs).orElseGet(this::rank);
+    }
+
     /** Returns the rank of the request by the configuration at arrival. */
     Rank rank() {
         return Rank.of(mTeam.flatMap(t -> mConfig.flatMap(c -> c.keys().rank(t))), route().rank());
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardMetrics.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardMetrics.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import io.bilberrygrade.serving.event.ContentionEvent;
 import io.bilberrygrade.serving.event.Event;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.event.ForwardEvent;
@@ -23,12 +24,19 @@
 
     @Override
     public void record(Event event) {
-        if (event instanceof ForwardEvent forward) {
-            count(forward);
+        switch (event) {
+            case ForwardEvent forward -> count(forward);
+            case ContentionEvent.RequestRefused r -> countAdmission(r.cause());
+            case ContentionEvent.RequestAdmitted a -> countAdmission(a.cause());
+            default -> {}
         }
         mNext.record(event);
     }
 
+    private void countAdmission(String cause) {
+        mRegistry.counter("admissions." + metricName(cause)).inc();
+    }
+
     private void count(ForwardEvent event) {
         switch (event) {
             case ForwardEvent.Accepted a -> mRegistry.counter("daemon.accepted_total").inc();
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOperation.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOperation.java
@@ -81,14 +81,10 @@
         sendUnlessRefused();
     }
 
-    /** Sends the request unless long-prompt admission refuses it. */
     private void sendUnlessRefused() {
-        Instant now = mContext.clocks().now();
-        if (mContext.planner().shouldRefuse(mRoute, service(), mExchange.head().prompt(), now)) {
-            giveUp(Reason.OVERLOADED, "engines could not read it in time beside what they read");
-        } else {
-            sendNext();
-        }
+        Optional<Outcome> refusal =
+                service().flatMap(s -> Refusals.onArrival(mContext, mExchange, s));
+        refusal.ifPresentOrElse(this::endWithoutAnswer, this::sendNext);
     }
 
     /** Starts the next attempt. */
@@ -389,6 +385,8 @@
         mEnded = true;
         mInFlight.cancelAll();
         mDeadlineTimer.ifPresent(Cancellable::cancel);
+        mExchange.admission().ifPresent(mContext.admission()::recordEnded);
+        mExchange.setAdmission(Optional.empty());
         mOnOutcome.accept(outcome);
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/http/StatusCodes.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/StatusCodes.java
@@ -50,7 +50,7 @@
             case BODY_STALLED -> 408;
             case TOO_LARGE -> 413;
             case HEADERS_TOO_LARGE -> 431;
-            case CLASS_OVER_SHARE, OVERLOADED, DEADLINE_UNREACHABLE -> 429;
+            case CLASS_OVER_SHARE, OVERLOADED, OUTRANKED, DEADLINE_UNREACHABLE -> 429;
             case NOT_READY,
                     DRAINING,
                     NO_ENDPOINT,
--- a/serving/src/main/java/io/bilberrygrade/serving/metrics/PrometheusPage.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/metrics/PrometheusPage.java
@@ -40,6 +40,7 @@
                             "attempts.*",
                             "failed_attempts_total",
                             ImmutableMap.of("delivery", "${0}")),
+                    mapping("admissions.*", "admissions_total", ImmutableMap.of("cause", "${0}")),
                     mapping("control.*.*", "control_${0}_total", ImmutableMap.of("step", "${1}")),
                     mapping("daemon.*", "${0}", ImmutableMap.of()));
 
