Give refused callers a time with capacity of its own

Cause: a refusal named a constant delay by its reason, spread up to twice, so that the callers of a burst returned together and were refused again.

Change: ReturnSchedule promises stretches of this instance's share of the slots that become free, without overlap, earlier ones to higher ranks. A caller that returns in its time is admitted; one that returns early gets the same time and no other chance. Retry-After of OUTRANKED is written as scheduled; other reasons keep their delays. BG7201 says whether capacity is kept.

--- a/core/src/main/java/io/bilberrygrade/core/contention/AdmissionCause.java
+++ b/core/src/main/java/io/bilberrygrade/core/contention/AdmissionCause.java
@@ -6,6 +6,8 @@
     IN_TIME,
     /** It will be late, but makes no other late. */
     LATE_IN_FREE_TIME,
+    /** It was refused before and has come at the time that it was given. */
+    RETURNED,
     /** Its team was served less than a quarter as often as all. */
     TEAM_FLOOR,
     /** Requests of its length were served less than half as often as those of its kind. */
--- a/core/src/main/java/io/bilberrygrade/core/contention/AdmissionDecision.java
+++ b/core/src/main/java/io/bilberrygrade/core/contention/AdmissionDecision.java
@@ -18,7 +18,12 @@
     record Admit(Rank runAs, AdmissionCause cause, Prediction prediction)
             implements AdmissionDecision {}
 
-    /** The request is refused; its caller may return after the given time. */
-    record Refuse(Duration retryAfter, AdmissionCause cause, Prediction prediction)
+    /**
+     * The request is refused; its caller may return after the given time.
+     *
+     * @param promised whether capacity is kept for it then
+     */
+    record Refuse(
+            Duration retryAfter, boolean promised, AdmissionCause cause, Prediction prediction)
             implements AdmissionDecision {}
 }
--- a/core/src/main/java/io/bilberrygrade/core/contention/ContentionPolicy.java
+++ b/core/src/main/java/io/bilberrygrade/core/contention/ContentionPolicy.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 
 /**
  * Decides which requests of a service are sent while callers ask for more than its endpoints can
@@ -39,26 +40,51 @@
     /** Largest part of its goal that a request is spared for work that the sums don't show yet. */
     private static final double MAX_GROWTH = 0.5;
 
+    /** Slots become free as requests end, each after some hundred ms to seconds. */
     private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(250);
 
+    /** Least time of a slot that a promise takes, where the time isn't known. */
+    private static final double MIN_SLOT_MILLIS = 100;
+
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private final ReturnSchedule mReturns = new ReturnSchedule();
+
     private final RecentRequests mRecent = new RecentRequests();
     private final RunningRanks mRunning = new RunningRanks();
     private final Crowding mCrowding = new Crowding();
 
-    /** Decides on a request; {@code draw} is uniform in [0, 1). */
+    /**
+     * Decides on a request.
+     *
+     * @param caller identifies the request however often it is sent; asked for only if needed
+     * @param draw uniform in [0, 1)
+     */
     public AdmissionDecision decide(
-            ServiceRequest request, ServiceLoad load, double draw, Instant now) {
-        Prediction prediction = predict(request, load, request.rank());
-        double goalMillis = mRecent.medianGoalMillis(request);
-        boolean crowded =
-                mCrowding.update(request.rank(), prediction.queueMillis(), goalMillis, now);
+            ServiceRequest request,
+            ServiceLoad load,
+            LongSupplier caller,
+            double draw,
+            Instant now) {
+        ReturnSchedule.Claim claim =
+                mReturns.size() == 0
+                        ? ReturnSchedule.Claim.NONE
+                        : mReturns.claim(caller.getAsLong(), now);
+        Asked asked =
+                new Asked(
+                        request, load, predict(request, load, request.rank()), caller, claim, now);
         AdmissionDecision decision =
-                refusalCause(request, load, prediction, crowded, now)
-                        .map(c -> refuseUnlessBelowFloor(request, load, prediction, c, draw))
-                        .orElseGet(() -> admit(request, prediction));
-        mRecent.add(request, decision instanceof AdmissionDecision.Admit, now);
+                refusalCause(asked)
+                        .map(c -> belowFloorOrRefuse(asked, c, draw))
+                        .orElseGet(() -> admit(asked));
         if (decision instanceof AdmissionDecision.Admit admit) {
             mRunning.add(admit.runAs());
+            if (claim == ReturnSchedule.Claim.EARLY) {
+                mReturns.drop(caller.getAsLong());
+            }
+        }
+        if (claim != ReturnSchedule.Claim.EARLY) {
+            mRecent.add(request, decision instanceof AdmissionDecision.Admit, now);
         }
         return decision;
     }
@@ -73,6 +99,11 @@
         return mRunning.count();
     }
 
+    /** Returns the number of refused callers for which capacity is kept. */
+    public int promises() {
+        return mReturns.size();
+    }
+
     /** Returns whether the requests of a rank were being late at the last decision on one. */
     public boolean isCrowded(Rank rank) {
         return mCrowding.isCrowded(rank);
@@ -92,30 +123,42 @@
                 mRecent.meanSlotMillis());
     }
 
-    private static AdmissionDecision admit(ServiceRequest request, Prediction prediction) {
-        AdmissionCause cause =
-                isLate(request, prediction)
+    private static AdmissionDecision admit(Asked asked) {
+        AdmissionCause unplanned =
+                isLate(asked.request(), asked.prediction())
                         ? AdmissionCause.LATE_IN_FREE_TIME
                         : AdmissionCause.IN_TIME;
-        return new AdmissionDecision.Admit(request.rank(), cause, prediction);
+        boolean due = asked.claim() == ReturnSchedule.Claim.DUE;
+        return new AdmissionDecision.Admit(
+                asked.request().rank(),
+                due ? AdmissionCause.RETURNED : unplanned,
+                asked.prediction());
     }
 
-    private Optional<AdmissionCause> refusalCause(
-            ServiceRequest request,
-            ServiceLoad load,
-            Prediction prediction,
-            boolean crowded,
-            Instant now) {
+    private Optional<AdmissionCause> refusalCause(Asked asked) {
+        ServiceRequest request = asked.request();
+        Prediction prediction = asked.prediction();
+        boolean crowded =
+                mCrowding.update(
+                        request.rank(),
+                        prediction.queueMillis(),
+                        mRecent.medianGoalMillis(request),
+                        asked.now());
         if (isPastDeadline(request, prediction)) {
             return Optional.of(AdmissionCause.PAST_DEADLINE);
         }
-        if (load.queueFraction() > LOWER_RANK_QUEUE && mRecent.hasHigherRank(request.rank())) {
+        if (asked.claim() == ReturnSchedule.Claim.DUE) {
+            return Optional.empty();
+        }
+        if (asked.load().queueFraction() > LOWER_RANK_QUEUE
+                && mRecent.hasHigherRank(request.rank())) {
             return Optional.of(AdmissionCause.QUEUE_FOR_HIGHER_RANKS);
         }
-        if (crowded && isLateWithGrowth(request, load, prediction)) {
+        if (crowded && isLateWithGrowth(request, asked.load(), prediction)) {
             return Optional.of(AdmissionCause.MAKES_OTHERS_LATE);
         }
-        boolean scarce = mCrowding.wasCrowdedLately(request.rank(), now) && prediction.ahead() > 0;
+        boolean scarce =
+                mCrowding.wasCrowdedLately(request.rank(), asked.now()) && prediction.ahead() > 0;
         return scarce && isCostly(request, prediction)
                 ? Optional.of(AdmissionCause.TOO_COSTLY)
                 : Optional.empty();
@@ -149,24 +192,45 @@
         return request.slotMillis() > mRecent.meanSlotMillis() * MAX_COST / excess;
     }
 
-    private AdmissionDecision refuseUnlessBelowFloor(
-            ServiceRequest request,
-            ServiceLoad load,
-            Prediction prediction,
-            AdmissionCause cause,
-            double draw) {
-        boolean possible = !isPastDeadline(request, prediction);
-        if (possible && isLengthBelowFloor(request, draw)) {
-            return new AdmissionDecision.Admit(
-                    request.rank(), AdmissionCause.LENGTH_FLOOR, prediction);
-        }
-        Prediction first = predict(request, load, Rank.HIGHEST);
-        if (!isPastDeadline(request, first) && isTeamBelowFloor(request, draw)) {
-            return new AdmissionDecision.Admit(Rank.HIGHEST, AdmissionCause.TEAM_FLOOR, prediction);
+    /** A caller that comes before its time gets no other chance by it. */
+    private AdmissionDecision belowFloorOrRefuse(Asked asked, AdmissionCause cause, double draw) {
+        Optional<AdmissionDecision> floor =
+                asked.claim() == ReturnSchedule.Claim.EARLY
+                        ? Optional.empty()
+                        : belowFloor(asked, draw);
+        return floor.orElseGet(() -> refuse(asked, cause));
+    }
+
+    private Optional<AdmissionDecision> belowFloor(Asked asked, double draw) {
+        ServiceRequest request = asked.request();
+        if (!isPastDeadline(request, asked.prediction()) && isLengthBelowFloor(request, draw)) {
+            return Optional.of(
+                    new AdmissionDecision.Admit(
+                            request.rank(), AdmissionCause.LENGTH_FLOOR, asked.prediction()));
         }
-        Duration wait = Duration.ofMillis(Math.round(prediction.waitMillis()));
-        return new AdmissionDecision.Refuse(
-                wait.compareTo(MIN_RETRY_AFTER) > 0 ? wait : MIN_RETRY_AFTER, cause, prediction);
+        Prediction first = predict(request, asked.load(), Rank.HIGHEST);
+        return isPastDeadline(request, first) || !isTeamBelowFloor(request, draw)
+                ? Optional.empty()
+                : Optional.of(
+                        new AdmissionDecision.Admit(
+                                Rank.HIGHEST, AdmissionCause.TEAM_FLOOR, asked.prediction()));
+    }
+
+    private AdmissionDecision refuse(Asked asked, AdmissionCause cause) {
+        ServiceRequest request = asked.request();
+        Duration wait = Duration.ofMillis(Math.round(asked.prediction().waitMillis()));
+        double slotMillis = Math.max(MIN_SLOT_MILLIS, request.slotMillis());
+        double shareMillis =
+                slotMillis * asked.load().instances() / Math.max(1, asked.load().slots());
+        ReturnSchedule.Return at =
+                mReturns.refuse(
+                        asked.caller().getAsLong(),
+                        asked.claim() == ReturnSchedule.Claim.DUE ? Rank.HIGHEST : request.rank(),
+                        wait.compareTo(MIN_RETRY_AFTER) > 0 ? wait : MIN_RETRY_AFTER,
+                        Duration.ofNanos(Math.round(shareMillis * NANOS_PER_MILLI)),
+                        request.timeLeft(),
+                        asked.now());
+        return new AdmissionDecision.Refuse(at.delay(), at.promised(), cause, asked.prediction());
     }
 
     private boolean isTeamBelowFloor(ServiceRequest request, double draw) {
@@ -199,4 +263,13 @@
     private static boolean isBelow(double floor, double own, double draw) {
         return own < MARGIN * floor && draw < CATCH_UP * floor;
     }
+
+    /** A request with what is known when it is decided on. */
+    private record Asked(
+            ServiceRequest request,
+            ServiceLoad load,
+            Prediction prediction,
+            LongSupplier caller,
+            ReturnSchedule.Claim claim,
+            Instant now) {}
 }
--- a/core/src/main/java/io/bilberrygrade/core/contention/ServiceLoad.java
+++ b/core/src/main/java/io/bilberrygrade/core/contention/ServiceLoad.java
@@ -11,9 +11,16 @@
  * @param memoryTokens memory of the endpoints in tokens; 0 if they are no engines
  * @param tokens memory that the requests at the endpoints need
  * @param age time since the other instances' part of the work was received
+ * @param instances instances that send to the endpoints, this one included
  */
 public record ServiceLoad(
-        int slots, int calls, double readMillis, long memoryTokens, long tokens, Duration age) {
+        int slots,
+        int calls,
+        double readMillis,
+        long memoryTokens,
+        long tokens,
+        Duration age,
+        int instances) {
     /**
      * Requests that an engine queues for each of its slots; from the deployments' engines, which
      * have 8 slots and queue 24 requests.
--- a/core/src/test/java/io/bilberrygrade/core/contention/ContentionPolicyTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/contention/ContentionPolicyTest.java
@@ -89,14 +89,14 @@
     }
 
     private static ServiceLoad load(int calls, long ageMillis) {
-        return new ServiceLoad(100, calls, 0, 0, 0, Duration.ofMillis(ageMillis));
+        return new ServiceLoad(100, calls, 0, 0, 0, Duration.ofMillis(ageMillis), 10);
     }
 
     /** Returns a policy that has many requests of rank 1 in flight. */
     private static ContentionPolicy busyPolicy() {
         ContentionPolicy policy = new ContentionPolicy();
         for (int i = 0; i < 99; i++) {
-            policy.decide(request(1, 4_000, 9_000), load(0, 0), NO_FLOOR, NOW);
+            policy.decide(request(1, 4_000, 9_000), load(0, 0), () -> 1, NO_FLOOR, NOW);
         }
         return policy;
     }
@@ -118,7 +118,12 @@
             int rank, long goal, long left, int calls, long age, AdmissionCause cause) {
         assertThat(
                         busyPolicy()
-                                .decide(request(rank, goal, left), load(calls, age), NO_FLOOR, NOW)
+                                .decide(
+                                        request(rank, goal, left),
+                                        load(calls, age),
+                                        () -> 1,
+                                        NO_FLOOR,
+                                        NOW)
                                 .cause())
                 .isEqualTo(cause);
     }
@@ -127,11 +132,11 @@
     @Test
     void queueIsKeptForHigherRanks() {
         ContentionPolicy policy = busyPolicy();
-        policy.decide(request(0, 400, 9_000), load(0, 0), NO_FLOOR, NOW);
+        policy.decide(request(0, 400, 9_000), load(0, 0), () -> 1, NO_FLOOR, NOW);
         ServiceLoad half = load(255, 0);
-        assertThat(policy.decide(request(1, 4_000, 9_000), half, NO_FLOOR, NOW).cause())
+        assertThat(policy.decide(request(1, 4_000, 9_000), half, () -> 1, NO_FLOOR, NOW).cause())
                 .isEqualTo(AdmissionCause.QUEUE_FOR_HIGHER_RANKS);
-        assertThat(policy.decide(request(0, 400, 9_000), half, NO_FLOOR, NOW).cause())
+        assertThat(policy.decide(request(0, 400, 9_000), half, () -> 1, NO_FLOOR, NOW).cause())
                 .isEqualTo(AdmissionCause.IN_TIME);
     }
 
@@ -140,7 +145,36 @@
     void admitsWhatItKnowsNothingOf() {
         assertThat(
                         new ContentionPolicy()
-                                .decide(request(0, 1, 60), load(100_000, 0), NO_FLOOR, NOW))
+                                .decide(
+                                        request(0, 1, 60),
+                                        load(100_000, 0),
+                                        () -> 1,
+                                        NO_FLOOR,
+                                        NOW))
                 .isInstanceOf(AdmissionDecision.Admit.class);
     }
+
+    // Guards against a caller that gains by returning early, and one that returns in its time and
+    // is refused again while its rank is crowded.
+    @Test
+    void returnInTimeIsAdmittedAndAnEarlyOneGainsNothing() {
+        ContentionPolicy policy = busyPolicy();
+        ServiceRequest request = request(1, 4_000, 30_000);
+        ServiceLoad full = load(999, 0);
+        AdmissionDecision.Refuse refused =
+                (AdmissionDecision.Refuse) policy.decide(request, full, () -> 7, NO_FLOOR, NOW);
+        assertThat(refused.promised()).isTrue();
+        Instant early = NOW.plusMillis(5);
+        assertThat(policy.decide(request, full, () -> 7, 0, early))
+                .isEqualTo(
+                        new AdmissionDecision.Refuse(
+                                refused.retryAfter().minusMillis(5),
+                                true,
+                                refused.cause(),
+                                refused.prediction()));
+        Instant due = NOW.plus(refused.retryAfter());
+        assertThat(policy.decide(request, full, () -> 7, NO_FLOOR, due).cause())
+                .isEqualTo(AdmissionCause.RETURNED);
+        assertThat(policy.promises()).isZero();
+    }
 }
--- a/core/src/test/java/io/bilberrygrade/core/contention/SharedEngines.java
+++ b/core/src/test/java/io/bilberrygrade/core/contention/SharedEngines.java
@@ -81,7 +81,8 @@
                         MEAN_SLOT_MILLIS * size,
                         GOAL,
                         TIME_LEFT);
-        Job job = new Job(request, mInstances.get(mRandom.nextInt(INSTANCES)), mMillis);
+        Job job =
+                new Job(request, mInstances.get(mRandom.nextInt(INSTANCES)), mJobs.size(), mMillis);
         mJobs.add(job);
         job.mRunAs = request.rank();
         boolean admitted = mAdmitsAll || decide(job);
@@ -95,12 +96,17 @@
     private boolean decide(Job job) {
         int calls = mPastCalls.isEmpty() ? 0 : mPastCalls.getFirst();
         ServiceLoad load =
-                new ServiceLoad(SLOTS, calls, 0, 0, 0, Duration.ofMillis(SUMS_AGE_MILLIS));
+                new ServiceLoad(
+                        SLOTS, calls, 0, 0, 0, Duration.ofMillis(SUMS_AGE_MILLIS), INSTANCES);
         Rank rank = job.mRequest.rank();
         boolean before = job.mInstance.isCrowded(rank);
         AdmissionDecision decision =
                 job.mInstance.decide(
-                        job.mRequest, load, mRandom.nextDouble(), Instant.ofEpochMilli(mMillis));
+                        job.mRequest,
+                        load,
+                        () -> job.mCaller,
+                        mRandom.nextDouble(),
+                        Instant.ofEpochMilli(mMillis));
         mStateChanges += before == job.mInstance.isCrowded(rank) ? 0 : 1;
         job.mRefused = decision instanceof AdmissionDecision.Refuse;
         if (decision instanceof AdmissionDecision.Admit admit) {
@@ -181,14 +187,16 @@
         private final ServiceRequest mRequest;
         private final ContentionPolicy mInstance;
         private final long mArrivedAt;
+        private final long mCaller;
         private Rank mRunAs = Rank.HIGHEST;
         private Optional<Long> mStartedAt = Optional.empty();
         private boolean mRefused;
 
-        Job(ServiceRequest request, ContentionPolicy instance, long arrivedAt) {
+        Job(ServiceRequest request, ContentionPolicy instance, long caller, long arrivedAt) {
             mRequest = request;
             mInstance = instance;
             mArrivedAt = arrivedAt;
+            mCaller = caller;
         }
 
         boolean isInTime() {
--- a/serving/src/main/java/io/bilberrygrade/serving/contention/AdmissionController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/contention/AdmissionController.java
@@ -16,6 +16,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
 
@@ -34,15 +35,20 @@
     private static final double CLEAR_FRACTION = 0.5;
 
     private final Supplier<FleetTraits> mTraits;
+    private final IntSupplier mInstances;
     private final UniformRandomProvider mRandom;
     private final ContentionLog mLog;
     private final SlotTimes mSlotTimes = new SlotTimes();
     private final Map<ServiceId, ContentionPolicy> mPolicies = new HashMap<>();
 
-    /** Creates the controller. */
+    /** Creates the controller; {@code instances} returns the size of the fleet. */
     public AdmissionController(
-            Supplier<FleetTraits> traits, UniformRandomProvider random, EventLog events) {
+            Supplier<FleetTraits> traits,
+            IntSupplier instances,
+            UniformRandomProvider random,
+            EventLog events) {
         mTraits = traits;
+        mInstances = instances;
         mRandom = random;
         mLog = new ContentionLog(events);
     }
@@ -63,7 +69,12 @@
         ServiceLoad load = load(arrival, candidates, sumsAge);
         boolean crowdedBefore = policy.isCrowded(arrival.rank());
         AdmissionDecision decision =
-                policy.decide(request(arrival, candidates.size()), load, mRandom.nextDouble(), now);
+                policy.decide(
+                        request(arrival, candidates.size()),
+                        load,
+                        arrival.digest(),
+                        mRandom.nextDouble(),
+                        now);
         mLog.record(arrival, decision, load, policy, crowdedBefore);
         return Optional.of(new Admission(arrival, decision, load.calls() < load.slots(), now));
     }
@@ -92,7 +103,7 @@
                 arrival.timeLeft());
     }
 
-    private static ServiceLoad load(
+    private ServiceLoad load(
             Arrival arrival, ImmutableList<Candidate> candidates, Duration sumsAge) {
         long memory =
                 arrival.need().isPresent()
@@ -104,7 +115,8 @@
                 candidates.stream().mapToDouble(c -> c.work().readMillis()).min().orElse(0),
                 memory * candidates.size(),
                 candidates.stream().mapToLong(c -> c.work().tokens()).sum(),
-                sumsAge);
+                sumsAge,
+                mInstances.getAsInt());
     }
 
     /** Records that the caller has a request's whole answer. */
--- a/serving/src/main/java/io/bilberrygrade/serving/contention/Arrival.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/contention/Arrival.java
@@ -8,11 +8,14 @@
 import io.bilberrygrade.core.identity.TeamId;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 
 /**
  * A request that arrived and hasn't been sent.
  *
  * @param bodyBytes its length where it states no prompt
+ * @param digest identifies the request however often it is sent; asked for only if needed, since
+ *     the whole body is read for it
  */
 public record Arrival(
         String id,
@@ -22,7 +25,8 @@
         Optional<TeamId> team,
         Optional<PromptShape> prompt,
         long bodyBytes,
-        Duration timeLeft) {
+        Duration timeLeft,
+        LongSupplier digest) {
     /** Returns the needs of a stream; empty for a plain service. */
     Optional<StreamNeed> need() {
         return service.engine()
--- a/serving/src/main/java/io/bilberrygrade/serving/contention/ContentionLog.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/contention/ContentionLog.java
@@ -66,6 +66,7 @@
                         Math.round(refusal.prediction().ahead()),
                         load.age().toMillis(),
                         refusal.retryAfter().toMillis(),
+                        refusal.promised(),
                         ShortList.of(policy.admittedLately().entrySet())));
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/event/ContentionEvent.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/ContentionEvent.java
@@ -7,7 +7,8 @@
 public sealed interface ContentionEvent extends Event {
     /**
      * A request was refused so that others are in time, or since it couldn't be served any more.
-     * {@code admitted} counts the requests that were admitted lately, by rank and team.
+     * {@code promised} is whether capacity is kept for its return, and {@code admitted} counts the
+     * requests that were admitted lately, by rank and team.
      */
     @EventInfo(number = 7201, level = EventLevel.INFO)
     record RequestRefused(
@@ -24,6 +25,7 @@
             long ahead,
             long sumsAgeMillis,
             long retryAfterMillis,
+            boolean promised,
             String admitted)
             implements ContentionEvent {}
 
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -206,7 +206,8 @@
                         mRandom,
                         mEvents,
                         traits,
-                        new AdmissionController(traits, mRandom, mEvents));
+                        new AdmissionController(
+                                traits, () -> mFleet.size(mClocks.now()), mRandom, mEvents));
         return new FilterChain<>(
                 ImmutableList.of(
                         new DrainFilter(mDrain, mRunning),
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/Refusals.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/Refusals.java
@@ -70,7 +70,8 @@
                 exchange.team(),
                 exchange.head().prompt(),
                 exchange.body().length(),
-                Duration.between(now, exchange.deadline()));
+                Duration.between(now, exchange.deadline()),
+                () -> RequestDigest.of(exchange.head(), exchange.team(), exchange.body()));
     }
 
     private static Optional<Outcome> refusal(AdmissionDecision decision) {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/RequestJournal.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/RequestJournal.java
@@ -68,14 +68,17 @@
     }
 
     /**
-     * Returns the {@code Retry-After} delay: the one that the refusal states, spread, or one by its
-     * reason.
+     * Returns the {@code Retry-After} delay: the one that the refusal states, spread unless it was
+     * scheduled for this caller, or one by its reason.
      */
     private Duration retryAfter(Outcome outcome, Reason reason) {
         double draw = mRandom.nextDouble();
-        return outcome instanceof Outcome.NotRun n && n.retryAfter().isPresent()
-                ? RetryDelay.spread(n.retryAfter().get(), draw)
-                : RetryDelay.of(reason, draw);
+        if (!(outcome instanceof Outcome.NotRun n) || n.retryAfter().isEmpty()) {
+            return RetryDelay.of(reason, draw);
+        }
+        return reason == Reason.OUTRANKED
+                ? n.retryAfter().get()
+                : RetryDelay.spread(n.retryAfter().get(), draw);
     }
 
     private void writeNotServed(
