--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -8,6 +8,7 @@
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.room.FleetCapacities;
 import io.bilberrygrade.core.room.FleetTraits;
+import io.bilberrygrade.serving.contention.AdmissionController;
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.entry.PeriodicTasks;
 import io.bilberrygrade.serving.event.EventLog;
@@ -194,6 +195,7 @@
         mQuarantine.onNews(() -> mExchange.reportNow());
         EndpointStatusUpdater endpointStatus =
                 new EndpointStatusUpdater(mState, mTracker, mRandom, mEvents);
+        CombinedTraits traits = new CombinedTraits(() -> mSettings.get().contended(), () -> false);
         ForwardContext forwardContext =
                 new ForwardContext(
                         mState,
@@ -214,7 +216,9 @@
                         mTimers,
                         mRandom,
                         mEvents,
-                        this::traits);
+                        this::traits,
+                        new AdmissionController(
+                                this::traits, () -> mFleet.size(mClocks.now()), mRandom, mEvents));
         return new FilterChain<>(
                 ImmutableList.of(
                         new DrainFilter(mDrain, mRunning),
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardMetrics.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardMetrics.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import io.bilberrygrade.serving.event.ContentionEvent;
 import io.bilberrygrade.serving.event.Event;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.event.ForwardEvent;
@@ -30,11 +31,17 @@
                     mRegistry.counter("evacuations." + e.change()).inc();
             case RoomEvent.SendStopped s ->
                     mRegistry.counter("daemon.evacuated_sends_stopped_total").inc();
+            case ContentionEvent.RequestRefused r -> countAdmission(r.cause());
+            case ContentionEvent.RequestAdmitted a -> countAdmission(a.cause());
             default -> {}
         }
         mNext.record(event);
     }
 
+    private void countAdmission(String cause) {
+        mRegistry.counter("admissions." + metricName(cause)).inc();
+    }
+
     private void count(ForwardEvent event) {
         switch (event) {
             case ForwardEvent.Accepted a -> mRegistry.counter("daemon.accepted_total").inc();
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/EvacuatedSendTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/EvacuatedSendTest.java
@@ -120,7 +120,8 @@
                 timers,
                 null,
                 mEvents::add,
-                () -> FleetTraits.NONE);
+                () -> FleetTraits.NONE,
+                null);
     }
 
     private static ForwardExchange exchange() {
