Learn the cost of requests and the speed of endpoints

Cause: placement relies on published figures and on counts of requests, although requests that look alike cost very different amounts of work.

Change: core/cost estimates, by route and length band, the ratio of the engine time to the published figures (for plain services the duration itself) and the length of answers, as log-normal distributions of bounded steps and bounded number. The speed of an endpoint run is learned relative to the median of all runs; responses of slow or unsound endpoints teach their speed only. Counts by decile of the prediction show whether it is calibrated. Nothing uses it yet.

--- /dev/null
+++ b/core/src/main/java/io/bilberrygrade/core/cost/CostLearner.java
@@ -0,0 +1,80 @@
+package io.bilberrygrade.core.cost;
+
+import io.bilberrygrade.core.forward.EndpointRun;
+import java.time.Instant;
+
+/**
+ * Decides what a response teaches: an endpoint that is cold, slow, ejected or silent takes longer
+ * for any request, which says nothing about the request.
+ */
+public final class CostLearner {
+    private final LearnedCost mCost = new LearnedCost();
+    private final EndpointSpeed mSpeeds = new EndpointSpeed();
+    private final CostCalibration mCalibration = new CostCalibration();
+
+    /** Returns the learned cost of requests. */
+    public LearnedCost cost() {
+        return mCost;
+    }
+
+    /** Returns the learned speeds of endpoints. */
+    public EndpointSpeed speeds() {
+        return mSpeeds;
+    }
+
+    /** Returns the counts of predictions that were right or wrong. */
+    public CostCalibration calibration() {
+        return mCalibration;
+    }
+
+    /** Returns the prediction for a request at an endpoint. */
+    public CostPrediction predict(
+            CostKey key, double publishedMillis, EndpointRun run, Instant now) {
+        return new CostPrediction(
+                key,
+                publishedMillis,
+                mCost.millis(key, publishedMillis, now),
+                mSpeeds.of(run, now));
+    }
+
+    /**
+     * Records a request's own time, without its waiting time. {@code sound} is whether nothing but
+     * its speed is known to be wrong with the endpoint.
+     */
+    public Subject recordTime(
+            CostPrediction prediction, EndpointRun run, boolean sound, double millis, Instant now) {
+        if (!(millis > 0)) {
+            return Subject.NONE;
+        }
+        prediction.learned().ifPresent(d -> mCalibration.record(d, millis * prediction.speed()));
+        if (prediction.isKnown()) {
+            mSpeeds.recordRatio(run, millis / prediction.ownMillis(), now);
+        }
+        if (!sound || mSpeeds.isSlow(run, now)) {
+            return prediction.isKnown() ? Subject.ENDPOINT : Subject.NONE;
+        }
+        mCost.recordTime(
+                prediction.key(), prediction.publishedMillis(), millis * mSpeeds.of(run, now), now);
+        return Subject.REQUEST;
+    }
+
+    /**
+     * Records that an endpoint hasn't answered for a time; it is at least as slow as that implies.
+     */
+    public Subject recordSilence(
+            CostPrediction prediction, EndpointRun run, double millis, Instant now) {
+        double ratio = millis / prediction.ownMillis();
+        if (!prediction.isKnown() || ratio <= 1 / mSpeeds.of(run, now)) {
+            return Subject.NONE;
+        }
+        mSpeeds.recordRatio(run, ratio, now);
+        return Subject.ENDPOINT;
+    }
+
+    /** What a response taught something about. */
+    public enum Subject {
+        REQUEST,
+        ENDPOINT,
+        NONE
+    }
+}
