Learn costs in the request path

Cause: the estimates of core/cost see no responses.

Change: each attempt carries a prediction (CostController, only where the deployment is contended or uneven); RecordedWork reports the time to the first event of a stream and to the end of a plain answer, and silences before any content. Engines' waiting time and passes by the published figures, and the wait for a slot, are taken off. Answers of endpoints that were ejected, backing off or silent teach about the endpoint only. Counters by what was learned and by decile of the prediction, a histogram of observed to predicted times, events BG7060 and BG7061. Placement doesn't use it yet.

Measured: LearnedCostTest (4 of 4) over sockets: learned from answers, nothing from errors, from a silence only the endpoint, nothing with the switch off. CostLearnerTest 22, SilentEndpointTest 8, ForwardingTest 46, EventCatalogueTest 55 and EndpointTrackerTest 13 pass.

--- a/core/src/main/java/io/bilberrygrade/core/cost/CostLearner.java
+++ b/core/src/main/java/io/bilberrygrade/core/cost/CostLearner.java
@@ -2,6 +2,7 @@
 
 import io.bilberrygrade.core.forward.EndpointRun;
 import java.time.Instant;
+import java.util.OptionalDouble;
 
 /**
  * Decides what a response teaches: an endpoint that is cold, slow, ejected or silent takes longer
@@ -38,33 +39,39 @@
     }
 
     /**
-     * Records a request's own time, without its waiting time. {@code sound} is whether nothing but
-     * its speed is known to be wrong with the endpoint.
+     * Records the time until the first event of a stream or to the end of a plain request. {@code
+     * sound} is whether nothing but its speed is known to be wrong with the endpoint.
      */
-    public Subject recordTime(
-            CostPrediction prediction, EndpointRun run, boolean sound, double millis, Instant now) {
-        if (!(millis > 0)) {
-            return Subject.NONE;
-        }
-        prediction.learned().ifPresent(d -> mCalibration.record(d, millis * prediction.speed()));
-        if (prediction.isKnown()) {
-            mSpeeds.recordRatio(run, millis / prediction.ownMillis(), now);
+    public Subject recordTime(AttemptCost attempt, boolean sound, double millis, Instant now) {
+        OptionalDouble own = attempt.ownMillis(millis);
+        return own.isPresent() && own.getAsDouble() > 0
+                ? recordOwnTime(attempt, sound, own.getAsDouble(), now)
+                : Subject.NONE;
+    }
+
+    private Subject recordOwnTime(AttemptCost attempt, boolean sound, double own, Instant now) {
+        CostPrediction prediction = attempt.prediction();
+        EndpointRun run = attempt.endpoint().run();
+        prediction.learned().ifPresent(d -> mCalibration.record(d, own * prediction.speed()));
+        if (prediction.isKnown() && !attempt.split()) {
+            mSpeeds.recordRatio(run, own / prediction.ownMillis(), now);
         }
         if (!sound || mSpeeds.isSlow(run, now)) {
-            return prediction.isKnown() ? Subject.ENDPOINT : Subject.NONE;
+            return prediction.isKnown() && !attempt.split() ? Subject.ENDPOINT : Subject.NONE;
         }
         mCost.recordTime(
-                prediction.key(), prediction.publishedMillis(), millis * mSpeeds.of(run, now), now);
+                prediction.key(), prediction.publishedMillis(), own * mSpeeds.of(run, now), now);
         return Subject.REQUEST;
     }
 
     /**
      * Records that an endpoint hasn't answered for a time; it is at least as slow as that implies.
      */
-    public Subject recordSilence(
-            CostPrediction prediction, EndpointRun run, double millis, Instant now) {
-        double ratio = millis / prediction.ownMillis();
-        if (!prediction.isKnown() || ratio <= 1 / mSpeeds.of(run, now)) {
+    public Subject recordSilence(AttemptCost attempt, double millis, Instant now) {
+        CostPrediction prediction = attempt.prediction();
+        EndpointRun run = attempt.endpoint().run();
+        double ratio = (millis - attempt.waitMillis()) / prediction.ownMillis();
+        if (!prediction.isKnown() || attempt.split() || ratio <= 1 / mSpeeds.of(run, now)) {
             return Subject.NONE;
         }
         mSpeeds.recordRatio(run, ratio, now);
--- a/core/src/test/java/io/bilberrygrade/core/cost/CostLearnerTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/cost/CostLearnerTest.java
@@ -4,8 +4,13 @@
 
 import io.bilberrygrade.core.cost.CostLearner.Subject;
 import io.bilberrygrade.core.forward.EndpointRun;
+import io.bilberrygrade.core.forward.EndpointWork;
 import io.bilberrygrade.core.forward.PromptShape;
+import io.bilberrygrade.core.forward.RegisteredEndpoint;
+import io.bilberrygrade.core.identity.Address;
+import io.bilberrygrade.core.identity.DataCentreId;
 import io.bilberrygrade.core.identity.EndpointId;
+import io.bilberrygrade.core.identity.ServiceId;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Random;
@@ -44,8 +49,26 @@
     private Subject record(
             EndpointRun run, CostKey key, double publishedMillis, double millis, boolean sound) {
         mNow = mNow.plus(ARRIVAL_GAP);
-        CostPrediction predicted = mLearner.predict(key, publishedMillis, run, mNow);
-        return mLearner.recordTime(predicted, run, sound, millis, mNow);
+        return mLearner.recordTime(attempt(run, key, publishedMillis, 0), sound, millis, mNow);
+    }
+
+    private AttemptCost attempt(
+            EndpointRun run, CostKey key, double publishedMillis, int otherCalls) {
+        RegisteredEndpoint endpoint =
+                new RegisteredEndpoint(
+                        run.id(),
+                        run.startedAtMillis(),
+                        new ServiceId("s"),
+                        new Address("10.0.0.1", 1),
+                        new DataCentreId("z"),
+                        8,
+                        false);
+        return new AttemptCost(
+                mLearner.predict(key, publishedMillis, run, mNow),
+                endpoint,
+                new EndpointWork(otherCalls, 0, 0, 0, 0),
+                0,
+                false);
     }
 
     private double spread(double millis) {
@@ -137,13 +160,23 @@
     @Test
     void silenceMakesAnEndpointSlowerAtMost() {
         serve(PLAIN, 1, 50, 200);
-        CostPrediction predicted = mLearner.predict(PLAIN, 1, run(3), mNow);
-        assertThat(mLearner.recordSilence(predicted, run(3), 10, mNow)).isEqualTo(Subject.NONE);
-        assertThat(mLearner.recordSilence(predicted, run(3), 2_000, mNow))
-                .isEqualTo(Subject.ENDPOINT);
+        AttemptCost attempt = attempt(run(3), PLAIN, 1, 0);
+        assertThat(mLearner.recordSilence(attempt, 10, mNow)).isEqualTo(Subject.NONE);
+        assertThat(mLearner.recordSilence(attempt, 2_000, mNow)).isEqualTo(Subject.ENDPOINT);
         assertThat(mLearner.speeds().of(run(3), mNow)).isLessThan(1);
     }
 
+    /** Of two requests for each slot, each takes twice its time. */
+    @Test
+    void waitForSlotsIsNotTakenForCost() {
+        for (int i = 0; i < 100; i++) {
+            mLearner.recordTime(attempt(run(i % ENDPOINTS), PLAIN, 1, 15), true, 100, mNow);
+        }
+        assertThat(predicted(PLAIN, 1)).isCloseTo(50, Percentage.withPercentage(1));
+        AttemptCost queued = attempt(run(0), STREAM, PUBLISHED_MILLIS, 8);
+        assertThat(mLearner.recordTime(queued, true, 5_000, mNow)).isEqualTo(Subject.NONE);
+    }
+
     @Test
     void keysInConstantUseSurviveManyOtherKeys() {
         serve(PLAIN, 1, 50, 20);
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptPlan.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptPlan.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import io.bilberrygrade.core.cost.AttemptCost;
 import io.bilberrygrade.core.forward.AttemptWork;
 import io.bilberrygrade.core.forward.EndpointWork;
 import io.bilberrygrade.core.forward.RegisteredEndpoint;
@@ -17,6 +18,7 @@
  * @param prefillEndMillis predicted time until the prompt has been read; 0 for a plain service
  * @param known work that was known of the first engine when it was chosen
  * @param candidates number of endpoints that could have been chosen
+ * @param cost predicted cost, if costs are learned in this deployment
  */
 record AttemptPlan(
         RegisteredEndpoint endpoint,
@@ -25,7 +27,8 @@
         AttemptWork work,
         long prefillEndMillis,
         EndpointWork known,
-        int candidates) {
+        int candidates,
+        Optional<AttemptCost> cost) {
     /** Returns the ids of the helpers, comma-separated, for the log. */
     String helperNames() {
         return helpers.stream().map(h -> h.id().value()).collect(Collectors.joining(","));
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptPlanner.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptPlanner.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import io.bilberrygrade.core.cost.AttemptCost;
 import io.bilberrygrade.core.forward.AttemptWork;
 import io.bilberrygrade.core.forward.Candidate;
 import io.bilberrygrade.core.forward.ConnectionBound;
@@ -19,6 +20,7 @@
 import io.bilberrygrade.core.forward.StreamPlacementPolicy;
 import io.bilberrygrade.core.identity.DataCentreId;
 import io.bilberrygrade.core.identity.EndpointId;
+import io.bilberrygrade.serving.cost.CostController;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -34,11 +36,17 @@
     private final EndpointTracker mTracker;
     private final DataCentreId mSelf;
     private final UniformRandomProvider mRandom;
+    private final CostController mCost;
 
-    AttemptPlanner(EndpointTracker tracker, DataCentreId self, UniformRandomProvider random) {
+    AttemptPlanner(
+            EndpointTracker tracker,
+            DataCentreId self,
+            UniformRandomProvider random,
+            CostController cost) {
         mTracker = tracker;
         mSelf = self;
         mRandom = random;
+        mCost = cost;
     }
 
     /** Returns the plan of the next attempt, or empty if no endpoint is eligible. */
@@ -53,7 +61,7 @@
                         ConnectionBound.open(
                                 service, mTracker.candidates(service.id(), tried, now)));
         if (service.engine().isPresent() && prompt.isPresent()) {
-            return planStream(need(route, prompt.get()), service.engine().get(), candidates);
+            return planStream(route, prompt.get(), service.engine().get(), candidates, now);
         }
         return PlainPlacementPolicy.place(mSelf, candidates)
                 .map(
@@ -65,7 +73,8 @@
                                         AttemptWork.plain(e),
                                         0,
                                         work(e, candidates),
-                                        candidates.size()));
+                                        candidates.size(),
+                                        mCost.plain(route, e, work(e, candidates), now)));
     }
 
     /**
@@ -97,14 +106,34 @@
         return StreamNeed.of(prompt, route.goal(), route.gapGoal());
     }
 
-    private static Optional<AttemptPlan> planStream(
-            StreamNeed need, EngineCost cost, ImmutableList<Candidate> candidates) {
+    private Optional<AttemptPlan> planStream(
+            Route route,
+            PromptShape prompt,
+            EngineCost cost,
+            ImmutableList<Candidate> candidates,
+            Instant now) {
+        StreamNeed need = need(route, prompt);
         return StreamPlacementPolicy.place(need, cost, candidates)
-                .map(p -> streamPlan(p, need, candidates));
+                .map(
+                        p ->
+                                streamPlan(
+                                        p,
+                                        need,
+                                        candidates,
+                                        mCost.stream(
+                                                route,
+                                                prompt,
+                                                cost,
+                                                p,
+                                                work(p.first(), candidates),
+                                                now)));
     }
 
     private static AttemptPlan streamPlan(
-            StreamPlacement placement, StreamNeed need, ImmutableList<Candidate> candidates) {
+            StreamPlacement placement,
+            StreamNeed need,
+            ImmutableList<Candidate> candidates,
+            Optional<AttemptCost> cost) {
         return new AttemptPlan(
                 placement.first(),
                 placement.helpers(),
@@ -112,7 +141,8 @@
                 AttemptWork.of(need, placement),
                 Math.round(placement.prefillEndMillis()),
                 work(placement.first(), candidates),
-                candidates.size());
+                candidates.size(),
+                cost);
     }
 
     private static EndpointWork work(
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointTracker.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointTracker.java
@@ -253,7 +253,8 @@
         mHealth.keySet().removeIf(run -> !isRegistered(run));
     }
 
-    private boolean isRegistered(EndpointRun run) {
+    /** Returns whether a run is the registered one of its endpoint. */
+    boolean isRegistered(EndpointRun run) {
         return run(run.id()).filter(run::equals).isPresent();
     }
 
@@ -290,6 +291,14 @@
                 (old, f) -> now.isBefore(old.ejectedUntil()) ? old : change.apply(old));
     }
 
+    /**
+     * Returns whether nothing is known to be wrong with a run, so that its responses show what
+     * requests cost.
+     */
+    boolean isSound(EndpointRun run, Instant now) {
+        return !mHealth.containsKey(run) && !mBackoffs.isBackingOff(run, now);
+    }
+
     /** Records a refusal for lack of capacity. */
     void recordRefusal(EndpointId id, Instant now) {
         run(id).ifPresent(
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
@@ -139,6 +139,7 @@
         boolean sentElsewhere = mOwner.trySendElsewhere(now);
         if (sentElsewhere && beforeContent) {
             mContext.tracker().recordSilence(mPlan.endpoint().run(), now);
+            mWork.learnFromSilence(now);
         }
         AttemptLog.recordSilent(
                 mContext, mExchange.id(), mAttemptNumber, mPlan, mProgress, span, sentElsewhere);
@@ -271,6 +272,7 @@
         }
         mContext.tracker().recordSuccess(mPlan.endpoint().id());
         mContext.quarantine().recordAnswered(mExchange::suspects, mContext.clocks().now());
+        mWork.learnFromAnswer(mRelay.eventCount());
         if (isStreaming()) {
             mRelay.end(head);
         } else {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardContext.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardContext.java
@@ -1,5 +1,6 @@
 package io.bilberrygrade.serving.forward;
 
+import io.bilberrygrade.serving.cost.CostController;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.time.Timers;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -16,6 +17,7 @@
         PermitSource permits,
         QuarantineController quarantine,
         CrashDetector crashes,
+        CostController cost,
         Clocks clocks,
         Timers timers,
         UniformRandomProvider random,
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -6,7 +6,9 @@
 import io.bilberrygrade.core.exchange.FleetView;
 import io.bilberrygrade.core.exchange.WorkLedger;
 import io.bilberrygrade.core.identity.Incarnation;
+import io.bilberrygrade.core.room.FleetTraits;
 import io.bilberrygrade.serving.controller.DrainController;
+import io.bilberrygrade.serving.cost.CostController;
 import io.bilberrygrade.serving.entry.PeriodicTasks;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.event.ForwardEvent;
@@ -28,6 +30,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 
@@ -45,6 +48,7 @@
     private final Clocks mClocks;
     private final ForwardMetrics mEvents;
     private final LongSupplier mDroppedLines;
+    private final Supplier<FleetTraits> mTraits;
     private final UniformRandomProvider mRandom = RandomSource.SPLIT_MIX_64.create();
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final DrainController mDrain = new DrainController();
@@ -62,6 +66,7 @@
     private FrontServer mFront;
     private EndpointTracker mTracker;
     private QuarantineController mQuarantine;
+    private CostController mCost;
     private EndpointClient mClient;
     private Timers mTimers;
     private PeriodicTasks mTasks;
@@ -77,6 +82,18 @@
             Clocks clocks,
             EventLog events,
             LongSupplier droppedLines) {
+        this(settings, platform, clocks, events, droppedLines, () -> FleetTraits.NONE);
+    }
+
+    /** Creates a daemon of a deployment with the given traits. */
+    public ForwardDaemon(
+            ForwardSettings settings,
+            PlatformBindings platform,
+            Clocks clocks,
+            EventLog events,
+            LongSupplier droppedLines,
+            Supplier<FleetTraits> traits) {
+        mTraits = traits;
         mSettings = new ActiveSettings(settings);
         mPlatform = platform;
         mClocks = clocks;
@@ -178,6 +195,7 @@
 
     private FilterChain<ForwardExchange> chain() {
         mTracker = new EndpointTracker(mState.endpoints(), mWork);
+        mCost = new CostController(mTraits, mWork.receivedSums(), mEvents, mMetrics);
         mQuarantine = new QuarantineController(mFleet, mEvents);
         mQuarantine.onNews(() -> mExchange.reportNow());
         EndpointStatusUpdater endpointStatus =
@@ -187,7 +205,7 @@
                         mState,
                         mTracker,
                         endpointStatus,
-                        new AttemptPlanner(mTracker, mSettings.get().dataCentre(), mRandom),
+                        new AttemptPlanner(mTracker, mSettings.get().dataCentre(), mRandom, mCost),
                         new RetryBudgets(
                                 mSettings.get(),
                                 () -> mFleet.size(mClocks.now()),
@@ -198,6 +216,7 @@
                         mQuarantine,
                         new CrashDetector(
                                 mQuarantine, mClient::refusesConnections, mClocks, mTimers),
+                        mCost,
                         mClocks,
                         mTimers,
                         mRandom,
@@ -257,6 +276,7 @@
                     mFront.enforceIdleLimit(mClocks.now());
                     mReadiness.isReady();
                     mTracker.removeUnknown(mClocks.now());
+                    mCost.retain(mTracker::isRegistered);
                     return Uni.createFrom().voidItem();
                 });
         started.complete();
--- a/serving/src/main/java/io/bilberrygrade/serving/metrics/PrometheusPage.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/metrics/PrometheusPage.java
@@ -40,6 +40,14 @@
                             "attempts.*",
                             "failed_attempts_total",
                             ImmutableMap.of("delivery", "${0}")),
+                    mapping(
+                            "cost_learned.*",
+                            "cost_learned_total",
+                            ImmutableMap.of("subject", "${0}")),
+                    mapping(
+                            "cost_decile.*",
+                            "cost_decile_total",
+                            ImmutableMap.of("decile", "${0}")),
                     mapping("control.*.*", "control_${0}_total", ImmutableMap.of("step", "${1}")),
                     mapping("daemon.*", "${0}", ImmutableMap.of()));
 
