Place by predicted completion where costs are learned

Cause: PlainPlacementPolicy counts slots in use although one request may take a hundred times as long as another, and strict streams are placed by queued prefill whatever the speed of the engine.

Change: where the deployment is contended or uneven, plain requests go to that of two random endpoints where they are predicted to complete first (wait for a slot by the sums of work, own time, learned speed), once the route's duration is known; strict streams compare their engines by the predicted first event. The work that is reported for a request is its learned time, in readMillis, without new bytes. Speeds within a factor of 1.25 count as equal, since instances would otherwise keep to the endpoints with the luckiest samples; the test of silences asserts ten of them for that, and the unchanged cost too.

--- a/core/src/main/java/io/bilberrygrade/core/cost/AttemptCost.java
+++ b/core/src/main/java/io/bilberrygrade/core/cost/AttemptCost.java
@@ -20,6 +20,11 @@
     /** Part of the published time that a stream takes at least, if its wait was overestimated. */
     private static final double MIN_PART = 0.25;
 
+    private static final double MAX_RATIO = 8;
+
+    /** Longer than a request may wait; keeps the fleet's sums from overflowing. */
+    private static final long MAX_WORK_MILLIS = 3_600_000;
+
     /**
      * Returns the time that the request itself took, of the time until its first event, or to its
      * end for a plain service. Empty if it may have waited for a slot for an unknown time.
@@ -36,6 +41,23 @@
                 : OptionalDouble.of(Math.max(own, MIN_PART * prediction.publishedMillis()));
     }
 
+    /**
+     * Returns the ratio of the learned to the published time, bounded so that a fault of the
+     * prediction doesn't hide an endpoint's other work.
+     */
+    public double ratio() {
+        double ratio = prediction.ownMillis() / prediction.publishedMillis();
+        return Math.clamp(ratio, 1 / MAX_RATIO, MAX_RATIO);
+    }
+
+    /** Returns the work to report for a plain request; 0 while its cost isn't known. */
+    public long workMillis() {
+        return prediction
+                .learned()
+                .map(d -> Math.clamp(Math.round(d.mean()), 1, MAX_WORK_MILLIS))
+                .orElse(0L);
+    }
+
     /** Returns the predicted time until the first event, or to the end for a plain service. */
     public double predictedMillis() {
         return (waitMillis + prediction.ownMillis()) / prediction.speed();
--- a/core/src/main/java/io/bilberrygrade/core/cost/CostLearner.java
+++ b/core/src/main/java/io/bilberrygrade/core/cost/CostLearner.java
@@ -32,10 +32,7 @@
     public CostPrediction predict(
             CostKey key, double publishedMillis, EndpointRun run, Instant now) {
         return new CostPrediction(
-                key,
-                publishedMillis,
-                mCost.millis(key, publishedMillis, now),
-                mSpeeds.of(run, now));
+                key, publishedMillis, mCost.millis(key, publishedMillis, now), mSpeeds.of(run));
     }
 
     /**
@@ -56,11 +53,11 @@
         if (prediction.isKnown() && !attempt.split()) {
             mSpeeds.recordRatio(run, own / prediction.ownMillis(), now);
         }
-        if (!sound || mSpeeds.isSlow(run, now)) {
+        if (!sound || mSpeeds.isSlow(run)) {
             return prediction.isKnown() && !attempt.split() ? Subject.ENDPOINT : Subject.NONE;
         }
         mCost.recordTime(
-                prediction.key(), prediction.publishedMillis(), own * mSpeeds.of(run, now), now);
+                prediction.key(), prediction.publishedMillis(), own * mSpeeds.of(run), now);
         return Subject.REQUEST;
     }
 
@@ -71,7 +68,7 @@
         CostPrediction prediction = attempt.prediction();
         EndpointRun run = attempt.endpoint().run();
         double ratio = (millis - attempt.waitMillis()) / prediction.ownMillis();
-        if (!prediction.isKnown() || attempt.split() || ratio <= 1 / mSpeeds.of(run, now)) {
+        if (!prediction.isKnown() || attempt.split() || ratio <= 1 / mSpeeds.of(run)) {
             return Subject.NONE;
         }
         mSpeeds.recordRatio(run, ratio, now);
--- a/core/src/main/java/io/bilberrygrade/core/cost/EndpointSpeed.java
+++ b/core/src/main/java/io/bilberrygrade/core/cost/EndpointSpeed.java
@@ -29,49 +29,67 @@
     /** Factor from which on a run counts as slow. */
     private static final double SLOW = 1.5;
 
-    private static final Duration MEDIAN_LIFETIME = Duration.ofSeconds(1);
+    /**
+     * Factor up to which runs count as equally fast. The spread of a few samples would otherwise
+     * make an instance prefer the same runs for all its requests.
+     */
+    private static final double EVEN = 1.25;
+
+    private static final Duration UPDATE_INTERVAL = Duration.ofSeconds(1);
 
     private final Map<EndpointRun, Factor> mFactors = new HashMap<>();
+
+    /** Speeds as of the last update, since placements look them up for each candidate. */
+    private final Map<EndpointRun, Double> mSpeeds = new HashMap<>();
+
     private double mMedian;
-    private Instant mMedianAt = Instant.MIN;
+    private Instant mUpdatedAt = Instant.MIN;
 
     /** Records the ratio of the observed to the predicted time of a response. */
     public void recordRatio(EndpointRun run, double ratio, Instant now) {
         if (ratio > 0 && !Double.isInfinite(ratio)) {
-            mFactors.computeIfAbsent(run, r -> new Factor()).add(Math.log(ratio), now);
-            updateMedian(now);
+            Factor factor = mFactors.computeIfAbsent(run, r -> new Factor());
+            factor.add(Math.log(ratio), now);
+            if (mFactors.size() <= 2 || isDue(now)) {
+                update(now);
+            } else {
+                mSpeeds.put(run, speed(factor, now));
+            }
         }
     }
 
-    private void updateMedian(Instant now) {
-        boolean current =
-                mFactors.size() > 2
-                        && !mMedianAt.equals(Instant.MIN)
-                        && Duration.between(mMedianAt, now).compareTo(MEDIAN_LIFETIME) < 0;
-        if (!current) {
-            double[] sorted =
-                    mFactors.values().stream().mapToDouble(f -> f.log(now)).sorted().toArray();
-            mMedian = sorted[(sorted.length - 1) / 2];
-            mMedianAt = now;
-        }
+    private boolean isDue(Instant now) {
+        return mUpdatedAt.equals(Instant.MIN)
+                || Duration.between(mUpdatedAt, now).compareTo(UPDATE_INTERVAL) >= 0;
+    }
+
+    private void update(Instant now) {
+        double[] sorted =
+                mFactors.values().stream().mapToDouble(f -> f.log(now)).sorted().toArray();
+        mMedian = sorted[(sorted.length - 1) / 2];
+        mFactors.forEach((run, factor) -> mSpeeds.put(run, speed(factor, now)));
+        mUpdatedAt = now;
+    }
+
+    private double speed(Factor factor, Instant now) {
+        double speed = Math.exp(mMedian - factor.log(now));
+        return speed > 1 / EVEN && speed < EVEN ? 1 : Math.clamp(speed, 1 / MAX_FACTOR, MAX_FACTOR);
     }
 
     /** Returns how many times as fast as the median a run is. */
-    public double of(EndpointRun run, Instant now) {
-        Factor factor = mFactors.get(run);
-        return factor == null
-                ? 1
-                : Math.clamp(Math.exp(mMedian - factor.log(now)), 1 / MAX_FACTOR, MAX_FACTOR);
+    public double of(EndpointRun run) {
+        return mSpeeds.getOrDefault(run, 1.0);
     }
 
     /** Returns whether a run is so slow that its responses say nothing about the requests. */
-    public boolean isSlow(EndpointRun run, Instant now) {
-        return of(run, now) < 1 / SLOW;
+    public boolean isSlow(EndpointRun run) {
+        return of(run) < 1 / SLOW;
     }
 
     /** Removes the runs that don't meet the condition. */
     public void retain(Predicate<EndpointRun> condition) {
         mFactors.keySet().removeIf(condition.negate());
+        mSpeeds.keySet().removeIf(condition.negate());
     }
 
     private static final class Factor {
--- a/core/src/main/java/io/bilberrygrade/core/forward/AttemptWork.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/AttemptWork.java
@@ -48,8 +48,13 @@
 
     /** Returns the work of a request to a plain service. */
     public static AttemptWork plain(RegisteredEndpoint endpoint) {
+        return plain(endpoint, 0);
+    }
+
+    /** Returns the work of a request to a plain service that takes the given time. */
+    public static AttemptWork plain(RegisteredEndpoint endpoint, long millis) {
         ImmutableMap<EndpointId, EndpointWork> call =
-                ImmutableMap.of(endpoint.id(), new EndpointWork(1, 0, 0, 0, 0));
+                ImmutableMap.of(endpoint.id(), new EndpointWork(1, millis, 0, 0, 0));
         return new AttemptWork(call, call, call);
     }
 }
--- a/core/src/main/java/io/bilberrygrade/core/forward/EndpointWork.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/EndpointWork.java
@@ -4,7 +4,8 @@
  * Outstanding work that daemons have sent to an endpoint.
  *
  * @param calls requests in flight
- * @param readMillis predicted prefill time of the prompts that have no first event yet
+ * @param readMillis predicted prefill time of the prompts that have no first event yet; for a plain
+ *     service, predicted time of the requests in flight where costs are learned
  * @param writers streams in decode, which have sent their first event
  * @param strictCalls requests that miss their latency target if a single pass, in prefill or
  *     decode, takes long
--- a/core/src/main/java/io/bilberrygrade/core/forward/StreamPlacement.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/StreamPlacement.java
@@ -19,6 +19,11 @@
         ImmutableMap<EndpointId, Long> reservations,
         double waitMillis,
         double partMillis) {
+    /** Returns the placement with the prefill time of the parts multiplied by a factor. */
+    public StreamPlacement withPrefillTimes(double factor) {
+        return new StreamPlacement(first, helpers, reservations, waitMillis, factor * partMillis);
+    }
+
     /** Returns the predicted time, in milliseconds, until the prompt is prefilled. */
     public double prefillEndMillis() {
         return waitMillis + partMillis;
--- a/core/src/main/java/io/bilberrygrade/core/forward/StreamPlacementPolicy.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/StreamPlacementPolicy.java
@@ -36,23 +36,39 @@
     /** Returns the placement of a prompt, or empty if there is no engine. */
     public static Optional<StreamPlacement> place(
             StreamNeed need, EngineCost cost, ImmutableList<Candidate> candidates) {
+        return place(need, cost, candidates, LEAST_PREFILL);
+    }
+
+    /**
+     * Returns the placement of a prompt, or empty if there is no engine; {@code order} is that in
+     * which engines for strict streams are preferred.
+     */
+    public static Optional<StreamPlacement> place(
+            StreamNeed need,
+            EngineCost cost,
+            ImmutableList<Candidate> candidates,
+            Comparator<Candidate> order) {
         if (candidates.isEmpty()) {
             return Optional.empty();
         }
         ImmutableList<Candidate> usable = RateLimitedEngines.usable(need, cost, candidates);
-        return Optional.of(need.strict() ? packed(need, cost, usable) : spread(need, cost, usable));
+        return Optional.of(
+                need.strict() ? packed(need, cost, usable, order) : spread(need, cost, usable));
     }
 
     private static StreamPlacement packed(
-            StreamNeed need, EngineCost cost, ImmutableList<Candidate> candidates) {
+            StreamNeed need,
+            EngineCost cost,
+            ImmutableList<Candidate> candidates,
+            Comparator<Candidate> order) {
         ImmutableSet<EndpointId> engines = StrictStreamEngines.of(cost, candidates);
         Candidate chosen =
                 candidates.stream()
                         .filter(c -> engines.contains(c.endpoint().id()))
                         .filter(c -> hasCapacity(c, need, cost))
                         .limit(SAMPLED_ENGINES)
-                        .min(LEAST_PREFILL)
-                        .orElseGet(() -> leastLoaded(candidates, need, cost));
+                        .min(order)
+                        .orElseGet(() -> first(candidates, need, cost, order));
         double prefillMillis = cost.readMillis(need.prompt().promptTokens());
         return new StreamPlacement(
                 chosen.endpoint(),
@@ -62,12 +78,15 @@
                 prefillMillis);
     }
 
-    private static Candidate leastLoaded(
-            ImmutableList<Candidate> candidates, StreamNeed need, EngineCost cost) {
+    private static Candidate first(
+            ImmutableList<Candidate> candidates,
+            StreamNeed need,
+            EngineCost cost,
+            Comparator<Candidate> order) {
         return candidates.stream()
                 .min(
                         Comparator.comparing((Candidate c) -> !hasCapacity(c, need, cost))
-                                .thenComparing(LEAST_PREFILL))
+                                .thenComparing(order))
                 .orElseThrow();
     }
 
--- a/core/src/test/java/io/bilberrygrade/core/cost/CostLearnerTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/cost/CostLearnerTest.java
@@ -115,7 +115,7 @@
         double before = predicted(PLAIN, 1);
         record(run(3), PLAIN, 1, millis, true);
         assertThat(predicted(PLAIN, 1)).isCloseTo(before, Percentage.withPercentage(10));
-        assertThat(mLearner.speeds().of(run(3), mNow)).isBetween(1 / 1.2, 1.2);
+        assertThat(mLearner.speeds().of(run(3))).isBetween(1 / 1.2, 1.2);
     }
 
     @Test
@@ -129,12 +129,12 @@
     void slowEndpointTeachesItsSpeedAndNotTheCost() {
         serve(PLAIN, 1, 50, 20 * ENDPOINTS);
         serve(PLAIN, 1, 50, 20 * ENDPOINTS, 7, 6);
-        assertThat(mLearner.speeds().isSlow(run(7), mNow)).isTrue();
-        assertThat(mLearner.speeds().of(run(8), mNow)).isBetween(0.8, 1.25);
+        assertThat(mLearner.speeds().isSlow(run(7))).isTrue();
+        assertThat(mLearner.speeds().of(run(8))).isBetween(0.8, 1.25);
         assertThat(predicted(PLAIN, 1)).isCloseTo(50, Percentage.withPercentage(15));
         assertThat(record(run(7), PLAIN, 1, 300, true)).isEqualTo(Subject.ENDPOINT);
         serve(PLAIN, 1, 50, 20 * ENDPOINTS);
-        assertThat(mLearner.speeds().isSlow(run(7), mNow)).isFalse();
+        assertThat(mLearner.speeds().isSlow(run(7))).isFalse();
     }
 
     @Test
@@ -142,7 +142,7 @@
         serve(PLAIN, 1, 50, 20 * ENDPOINTS);
         serve(PLAIN, 1, 200, 2 * ENDPOINTS);
         for (int i = 0; i < ENDPOINTS; i++) {
-            assertThat(mLearner.speeds().isSlow(run(i), mNow)).isFalse();
+            assertThat(mLearner.speeds().isSlow(run(i))).isFalse();
         }
     }
 
@@ -158,12 +158,15 @@
     }
 
     @Test
-    void silenceMakesAnEndpointSlowerAtMost() {
+    void silencesMakeAnEndpointSlowOnly() {
         serve(PLAIN, 1, 50, 200);
         AttemptCost attempt = attempt(run(3), PLAIN, 1, 0);
         assertThat(mLearner.recordSilence(attempt, 10, mNow)).isEqualTo(Subject.NONE);
-        assertThat(mLearner.recordSilence(attempt, 2_000, mNow)).isEqualTo(Subject.ENDPOINT);
-        assertThat(mLearner.speeds().of(run(3), mNow)).isLessThan(1);
+        for (int i = 0; i < 10; i++) {
+            assertThat(mLearner.recordSilence(attempt, 2_000, mNow)).isEqualTo(Subject.ENDPOINT);
+        }
+        assertThat(mLearner.speeds().isSlow(run(3))).isTrue();
+        assertThat(predicted(PLAIN, 1)).isCloseTo(50, Percentage.withPercentage(15));
     }
 
     /** Of two requests for each slot, each takes twice its time. */
--- a/serving/src/main/java/io/bilberrygrade/serving/cost/CostController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/cost/CostController.java
@@ -2,20 +2,27 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import com.google.common.collect.ImmutableList;
 import io.bilberrygrade.core.cost.AttemptCost;
 import io.bilberrygrade.core.cost.CostDistribution;
 import io.bilberrygrade.core.cost.CostKey;
 import io.bilberrygrade.core.cost.CostLearner;
 import io.bilberrygrade.core.cost.CostPrediction;
+import io.bilberrygrade.core.cost.PredictedPlacement;
 import io.bilberrygrade.core.cost.StreamCost;
 import io.bilberrygrade.core.exchange.ReceivedSums;
+import io.bilberrygrade.core.forward.Candidate;
 import io.bilberrygrade.core.forward.EndpointRun;
 import io.bilberrygrade.core.forward.EndpointWork;
 import io.bilberrygrade.core.forward.EngineCost;
+import io.bilberrygrade.core.forward.PlainPlacementPolicy;
 import io.bilberrygrade.core.forward.PromptShape;
 import io.bilberrygrade.core.forward.RegisteredEndpoint;
 import io.bilberrygrade.core.forward.Route;
+import io.bilberrygrade.core.forward.StreamNeed;
 import io.bilberrygrade.core.forward.StreamPlacement;
+import io.bilberrygrade.core.forward.StreamPlacementPolicy;
+import io.bilberrygrade.core.identity.DataCentreId;
 import io.bilberrygrade.core.request.LengthBand;
 import io.bilberrygrade.core.room.FleetTraits;
 import io.bilberrygrade.serving.event.CostEvent;
@@ -77,6 +84,51 @@
         return mTraits.get().any();
     }
 
+    /** Returns the endpoint of a plain service for a request from the given data centre. */
+    public Optional<RegisteredEndpoint> placePlain(
+            Route route, DataCentreId caller, ImmutableList<Candidate> candidates, Instant now) {
+        Optional<CostDistribution> learned =
+                isEnabled()
+                        ? mLearner.cost().millis(CostKey.plain(route.name()), 1, now)
+                        : Optional.empty();
+        countPlacement(learned);
+        return learned.isPresent()
+                ? PredictedPlacement.plain(
+                        caller, candidates, learned.get().mean(), mLearner.speeds()::of)
+                : PlainPlacementPolicy.place(caller, candidates);
+    }
+
+    /** Returns the placement of a prompt, or empty if there is no engine. */
+    public Optional<StreamPlacement> placeStream(
+            Route route,
+            StreamNeed need,
+            EngineCost cost,
+            ImmutableList<Candidate> candidates,
+            Instant now) {
+        if (!isEnabled() || !need.strict()) {
+            return StreamPlacementPolicy.place(need, cost, candidates);
+        }
+        Optional<CostDistribution> ratio =
+                mLearner.cost().millis(CostKey.stream(route.name(), need.prompt()), 1, now);
+        countPlacement(ratio);
+        return StreamPlacementPolicy.place(
+                need,
+                cost,
+                candidates,
+                PredictedPlacement.streamOrder(
+                        cost,
+                        need.prompt().promptTokens(),
+                        ratio.map(CostDistribution::mean).orElse(1.0),
+                        mLearner.speeds()::of));
+    }
+
+    private void countPlacement(Optional<CostDistribution> learned) {
+        if (isEnabled()) {
+            String source = learned.isPresent() ? "learned" : "published";
+            mMetrics.counter("cost_placements." + source).inc();
+        }
+    }
+
     /** Returns the predicted cost of a request at an endpoint of a plain service. */
     public Optional<AttemptCost> plain(
             Route route, RegisteredEndpoint endpoint, EndpointWork known, Instant now) {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptPlanner.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptPlanner.java
@@ -11,13 +11,11 @@
 import io.bilberrygrade.core.forward.EngineCost;
 import io.bilberrygrade.core.forward.ForwardService;
 import io.bilberrygrade.core.forward.LongPromptAdmission;
-import io.bilberrygrade.core.forward.PlainPlacementPolicy;
 import io.bilberrygrade.core.forward.PromptShape;
 import io.bilberrygrade.core.forward.RegisteredEndpoint;
 import io.bilberrygrade.core.forward.Route;
 import io.bilberrygrade.core.forward.StreamNeed;
 import io.bilberrygrade.core.forward.StreamPlacement;
-import io.bilberrygrade.core.forward.StreamPlacementPolicy;
 import io.bilberrygrade.core.identity.DataCentreId;
 import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.serving.cost.CostController;
@@ -63,18 +61,26 @@
         if (service.engine().isPresent() && prompt.isPresent()) {
             return planStream(route, prompt.get(), service.engine().get(), candidates, now);
         }
-        return PlainPlacementPolicy.place(mSelf, candidates)
-                .map(
-                        e ->
-                                new AttemptPlan(
-                                        e,
-                                        ImmutableList.of(),
-                                        ImmutableMap.of(),
-                                        AttemptWork.plain(e),
-                                        0,
-                                        work(e, candidates),
-                                        candidates.size(),
-                                        mCost.plain(route, e, work(e, candidates), now)));
+        return mCost.placePlain(route, mSelf, candidates, now)
+                .map(e -> plainPlan(route, e, candidates, now));
+    }
+
+    private AttemptPlan plainPlan(
+            Route route,
+            RegisteredEndpoint endpoint,
+            ImmutableList<Candidate> candidates,
+            Instant now) {
+        EndpointWork known = work(endpoint, candidates);
+        Optional<AttemptCost> cost = mCost.plain(route, endpoint, known, now);
+        return new AttemptPlan(
+                endpoint,
+                ImmutableList.of(),
+                ImmutableMap.of(),
+                AttemptWork.plain(endpoint, cost.map(AttemptCost::workMillis).orElse(0L)),
+                0,
+                known,
+                candidates.size(),
+                cost);
     }
 
     /**
@@ -113,7 +119,7 @@
             ImmutableList<Candidate> candidates,
             Instant now) {
         StreamNeed need = need(route, prompt);
-        return StreamPlacementPolicy.place(need, cost, candidates)
+        return mCost.placeStream(route, need, cost, candidates, now)
                 .map(
                         p ->
                                 streamPlan(
@@ -130,10 +136,12 @@
     }
 
     private static AttemptPlan streamPlan(
-            StreamPlacement placement,
+            StreamPlacement published,
             StreamNeed need,
             ImmutableList<Candidate> candidates,
             Optional<AttemptCost> cost) {
+        StreamPlacement placement =
+                cost.map(c -> published.withPrefillTimes(c.ratio())).orElse(published);
         return new AttemptPlan(
                 placement.first(),
                 placement.helpers(),
--- a/serving/src/main/java/io/bilberrygrade/serving/metrics/PrometheusPage.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/metrics/PrometheusPage.java
@@ -44,6 +44,10 @@
                             "cost_learned.*",
                             "cost_learned_total",
                             ImmutableMap.of("subject", "${0}")),
+                    mapping(
+                            "cost_placements.*",
+                            "cost_placements_total",
+                            ImmutableMap.of("source", "${0}")),
                     mapping(
                             "cost_decile.*",
                             "cost_decile_total",
