--- a/serving/src/main/java/io/bilberrygrade/serving/event/Event.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/Event.java
@@ -4,6 +4,7 @@
 public sealed interface Event
         permits ConfigEvent,
                 ContentionEvent,
+                CostEvent,
                 ForwardEvent,
                 LifecycleEvent,
                 MembershipEvent,
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptPlan.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptPlan.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import io.bilberrygrade.core.cost.AttemptCost;
 import io.bilberrygrade.core.forward.AttemptWork;
 import io.bilberrygrade.core.forward.EndpointDirectory;
 import io.bilberrygrade.core.forward.EndpointWork;
@@ -19,6 +20,7 @@
  * @param prefillEndMillis predicted time until the prompt has been read; 0 for a plain service
  * @param known work that was known of the first engine when it was chosen
  * @param candidates number of endpoints that could have been chosen
+ * @param cost predicted cost, if costs are learned in this deployment
  */
 record AttemptPlan(
         RegisteredEndpoint endpoint,
@@ -27,7 +29,8 @@
         AttemptWork work,
         long prefillEndMillis,
         EndpointWork known,
-        int candidates) {
+        int candidates,
+        Optional<AttemptCost> cost) {
     /** Returns the endpoint or a helper that is in an evacuated data centre. */
     Optional<RegisteredEndpoint> findEvacuated(EndpointDirectory directory) {
         return Stream.concat(Stream.of(endpoint), helpers.stream())
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptPlanner.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptPlanner.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import io.bilberrygrade.core.cost.AttemptCost;
 import io.bilberrygrade.core.forward.AttemptWork;
 import io.bilberrygrade.core.forward.Candidate;
 import io.bilberrygrade.core.forward.ConnectionBound;
@@ -10,15 +11,14 @@
 import io.bilberrygrade.core.forward.EngineCost;
 import io.bilberrygrade.core.forward.ForwardService;
 import io.bilberrygrade.core.forward.LongPromptAdmission;
-import io.bilberrygrade.core.forward.PlainPlacementPolicy;
 import io.bilberrygrade.core.forward.PromptShape;
 import io.bilberrygrade.core.forward.RegisteredEndpoint;
 import io.bilberrygrade.core.forward.Route;
 import io.bilberrygrade.core.forward.StreamNeed;
 import io.bilberrygrade.core.forward.StreamPlacement;
-import io.bilberrygrade.core.forward.StreamPlacementPolicy;
 import io.bilberrygrade.core.identity.DataCentreId;
 import io.bilberrygrade.core.identity.EndpointId;
+import io.bilberrygrade.serving.cost.CostController;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -34,11 +34,17 @@
     private final EndpointTracker mTracker;
     private final DataCentreId mSelf;
     private final UniformRandomProvider mRandom;
+    private final CostController mCost;
 
-    AttemptPlanner(EndpointTracker tracker, DataCentreId self, UniformRandomProvider random) {
+    AttemptPlanner(
+            EndpointTracker tracker,
+            DataCentreId self,
+            UniformRandomProvider random,
+            CostController cost) {
         mTracker = tracker;
         mSelf = self;
         mRandom = random;
+        mCost = cost;
     }
 
     /** Returns the plan of the next attempt, or empty if no endpoint is eligible. */
@@ -53,19 +59,28 @@
                         ConnectionBound.open(
                                 service, mTracker.candidates(service.id(), tried, now)));
         if (service.engine().isPresent() && prompt.isPresent()) {
-            return planStream(need(route, prompt.get()), service.engine().get(), candidates);
+            return planStream(route, prompt.get(), service.engine().get(), candidates, now);
         }
-        return PlainPlacementPolicy.place(mSelf, candidates)
-                .map(
-                        e ->
-                                new AttemptPlan(
-                                        e,
-                                        ImmutableList.of(),
-                                        ImmutableMap.of(),
-                                        AttemptWork.plain(e),
-                                        0,
-                                        work(e, candidates),
-                                        candidates.size()));
+        return mCost.placePlain(route, mSelf, candidates, now)
+                .map(e -> plainPlan(route, e, candidates, now));
+    }
+
+    private AttemptPlan plainPlan(
+            Route route,
+            RegisteredEndpoint endpoint,
+            ImmutableList<Candidate> candidates,
+            Instant now) {
+        EndpointWork known = work(endpoint, candidates);
+        Optional<AttemptCost> cost = mCost.plain(route, endpoint, known, now);
+        return new AttemptPlan(
+                endpoint,
+                ImmutableList.of(),
+                ImmutableMap.of(),
+                AttemptWork.plain(endpoint, cost.map(AttemptCost::workMillis).orElse(0L)),
+                0,
+                known,
+                candidates.size(),
+                cost);
     }
 
     /**
@@ -97,14 +112,36 @@
         return StreamNeed.of(prompt, route.goal(), route.gapGoal());
     }
 
-    private static Optional<AttemptPlan> planStream(
-            StreamNeed need, EngineCost cost, ImmutableList<Candidate> candidates) {
-        return StreamPlacementPolicy.place(need, cost, candidates)
-                .map(p -> streamPlan(p, need, candidates));
+    private Optional<AttemptPlan> planStream(
+            Route route,
+            PromptShape prompt,
+            EngineCost cost,
+            ImmutableList<Candidate> candidates,
+            Instant now) {
+        StreamNeed need = need(route, prompt);
+        return mCost.placeStream(route, need, cost, candidates, now)
+                .map(
+                        p ->
+                                streamPlan(
+                                        p,
+                                        need,
+                                        candidates,
+                                        mCost.stream(
+                                                route,
+                                                prompt,
+                                                cost,
+                                                p,
+                                                work(p.first(), candidates),
+                                                now)));
     }
 
     private static AttemptPlan streamPlan(
-            StreamPlacement placement, StreamNeed need, ImmutableList<Candidate> candidates) {
+            StreamPlacement published,
+            StreamNeed need,
+            ImmutableList<Candidate> candidates,
+            Optional<AttemptCost> cost) {
+        StreamPlacement placement =
+                cost.map(c -> published.withPrefillTimes(c.ratio())).orElse(published);
         return new AttemptPlan(
                 placement.first(),
                 placement.helpers(),
@@ -112,7 +149,8 @@
                 AttemptWork.of(need, placement),
                 Math.round(placement.prefillEndMillis()),
                 work(placement.first(), candidates),
-                candidates.size());
+                candidates.size(),
+                cost);
     }
 
     private static EndpointWork work(
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardContext.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardContext.java
@@ -2,6 +2,7 @@
 
 import io.bilberrygrade.core.room.FleetTraits;
 import io.bilberrygrade.serving.contention.AdmissionController;
+import io.bilberrygrade.serving.cost.CostController;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.time.Timers;
 import java.util.function.Supplier;
@@ -19,6 +20,7 @@
         PermitSource permits,
         QuarantineController quarantine,
         CrashDetector crashes,
+        CostController cost,
         Clocks clocks,
         Timers timers,
         UniformRandomProvider random,
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -10,6 +10,7 @@
 import io.bilberrygrade.core.room.FleetTraits;
 import io.bilberrygrade.serving.contention.AdmissionController;
 import io.bilberrygrade.serving.controller.DrainController;
+import io.bilberrygrade.serving.cost.CostController;
 import io.bilberrygrade.serving.entry.PeriodicTasks;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.event.ForwardEvent;
@@ -67,6 +68,7 @@
     private FrontServer mFront;
     private EndpointTracker mTracker;
     private QuarantineController mQuarantine;
+    private CostController mCost;
     private EndpointClient mClient;
     private Timers mTimers;
     private PeriodicTasks mTasks;
@@ -191,17 +193,17 @@
 
     private FilterChain<ForwardExchange> chain() {
         mTracker = new EndpointTracker(mState.endpoints(), mWork);
+        mCost = new CostController(this::traits, mWork.receivedSums(), mEvents, mMetrics);
         mQuarantine = new QuarantineController(mFleet, mEvents);
         mQuarantine.onNews(() -> mExchange.reportNow());
         EndpointStatusUpdater endpointStatus =
                 new EndpointStatusUpdater(mState, mTracker, mRandom, mEvents);
-        CombinedTraits traits = new CombinedTraits(() -> mSettings.get().contended(), () -> false);
         ForwardContext forwardContext =
                 new ForwardContext(
                         mState,
                         mTracker,
                         endpointStatus,
-                        new AttemptPlanner(mTracker, mSettings.get().dataCentre(), mRandom),
+                        new AttemptPlanner(mTracker, mSettings.get().dataCentre(), mRandom, mCost),
                         new RetryBudgets(
                                 mSettings.get(),
                                 () -> mFleet.size(mClocks.now()),
@@ -212,6 +214,7 @@
                         mQuarantine,
                         new CrashDetector(
                                 mQuarantine, mClient::refusesConnections, mClocks, mTimers),
+                        mCost,
                         mClocks,
                         mTimers,
                         mRandom,
@@ -298,6 +301,7 @@
                     mFront.enforceIdleLimit(mClocks.now());
                     mReadiness.isReady();
                     mTracker.removeUnknown(mClocks.now());
+                    mCost.retain(mTracker::isRegistered);
                     return Uni.createFrom().voidItem();
                 });
         started.complete();
--- a/serving/src/main/java/io/bilberrygrade/serving/metrics/PrometheusPage.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/metrics/PrometheusPage.java
@@ -45,6 +45,18 @@
                             "failed_attempts_total",
                             ImmutableMap.of("delivery", "${0}")),
                     mapping("admissions.*", "admissions_total", ImmutableMap.of("cause", "${0}")),
+                    mapping(
+                            "cost_learned.*",
+                            "cost_learned_total",
+                            ImmutableMap.of("subject", "${0}")),
+                    mapping(
+                            "cost_placements.*",
+                            "cost_placements_total",
+                            ImmutableMap.of("source", "${0}")),
+                    mapping(
+                            "cost_decile.*",
+                            "cost_decile_total",
+                            ImmutableMap.of("decile", "${0}")),
                     mapping("control.*.*", "control_${0}_total", ImmutableMap.of("step", "${1}")),
                     mapping("daemon.*", "${0}", ImmutableMap.of()));
 
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/EvacuatedSendTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/EvacuatedSendTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.codahale.metrics.MetricRegistry;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
@@ -21,6 +22,7 @@
 import io.bilberrygrade.core.identity.RequestId;
 import io.bilberrygrade.core.identity.ServiceId;
 import io.bilberrygrade.core.room.FleetTraits;
+import io.bilberrygrade.serving.cost.CostController;
 import io.bilberrygrade.serving.error.Delivery;
 import io.bilberrygrade.serving.event.Event;
 import io.bilberrygrade.serving.event.RoomEvent;
@@ -116,6 +118,11 @@
                 null,
                 new QuarantineController(fleet, mEvents::add),
                 null,
+                new CostController(
+                        () -> FleetTraits.NONE,
+                        new WorkLedger().receivedSums(),
+                        mEvents::add,
+                        new MetricRegistry()),
                 clocks,
                 timers,
                 null,
@@ -173,7 +180,8 @@
                         AttemptWork.plain(first),
                         0,
                         EndpointWork.NONE,
-                        1);
+                        1,
+                        Optional.empty());
         ForwardContext context = context();
         mVertx.runOnContext(
                 v -> {
