--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -220,8 +220,7 @@
                         mRandom,
                         mEvents,
                         this::traits,
-                        new AdmissionController(
-                                this::traits, () -> mFleet.size(mClocks.now()), mRandom, mEvents));
+                        admission());
         return new FilterChain<>(
                 ImmutableList.of(
                         new DrainFilter(mDrain, mRunning),
@@ -233,6 +232,11 @@
                         new DispatchFilter(forwardContext)));
     }
 
+    private AdmissionController admission() {
+        return new AdmissionController(
+                this::traits, () -> mFleet.size(mClocks.now()), mRandom, mEvents);
+    }
+
     private RecentSumsFilter<ForwardExchange> recentSums() {
         RecentSumsFilter<ForwardExchange> filter =
                 new RecentSumsFilter<>(
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/RestoreTestDaemon.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/RestoreTestDaemon.java
@@ -48,10 +48,8 @@
         mTime = time;
         mProcess = process;
         mAddress = addressOf(number);
-        mIdentity =
-                new PeerIdentity(
-                        new InstanceId("i" + number), new Incarnation(time.now().toEpochMilli()));
-        FleetMember self = new FleetMember(mAddress, mIdentity.incarnation().value());
+        mIdentity = identity(number, time);
+        FleetMember self = self();
         FleetView fleet = new FleetView(self, seeds);
         Clocks clocks = new Clocks(process, process);
         mState = new StateController(STALENESS, clocks, process, e -> {});
@@ -86,6 +84,15 @@
         network.attach(mAddress, this);
     }
 
+    private static PeerIdentity identity(int number, VirtualTime time) {
+        return new PeerIdentity(
+                new InstanceId("i" + number), new Incarnation(time.now().toEpochMilli()));
+    }
+
+    private FleetMember self() {
+        return new FleetMember(mAddress, mIdentity.incarnation().value());
+    }
+
     static Address addressOf(int number) {
         return new Address("10.0.0." + (number + 1), 1);
     }
