Exchange work more often where a large aggregator allows it

The interval of the exchange is 3 ms a daemon, since the aggregator may have a fraction of a core; at 134 daemons the sums are 0.2 s old in the median and up to 0.5 s, at 300 up to 1 s.

Where the fleet is uneven and its aggregator states a core and 70 Mbit/s or more and isn't slow, it is 1 ms a daemon up to 300 daemons, and grows from there to the usual interval at 410, where the control traffic is limited to 2 KB/s. Elsewhere it is as before.

FleetView selects the first four instead; the order is the same.

Tests: ExchangeIntervalFleetTest (age of the sums at 134, 300 and 410; control traffic at 410 under 2,048 B/s), ExchangeIntervalTest, FleetViewTest, UnevenFleetTest, WorkExchangeFleetTest, EndpointRateLimitFleetTest (63 cases, 95 s) green.

--- a/core/src/main/java/io/bilberrygrade/core/exchange/ExchangeInterval.java
+++ b/core/src/main/java/io/bilberrygrade/core/exchange/ExchangeInterval.java
@@ -1,5 +1,6 @@
 package io.bilberrygrade.core.exchange;
 
+import io.bilberrygrade.core.room.Capacity;
 import java.time.Duration;
 
 /**
@@ -13,6 +14,26 @@
     /** Processing time of the aggregator per daemon; it has only a fraction of a core. */
     private static final Duration INTERVAL_PER_DAEMON = Duration.ofMillis(3);
 
+    /** Processing time per daemon of an aggregator with a core of its own. */
+    private static final Duration SHORT_INTERVAL_PER_DAEMON = Duration.ofMillis(1);
+
+    /**
+     * Size of the fleet up to which an aggregator with enough capacity allows the short interval.
+     */
+    private static final int MAX_SHORT_FLEET = 300;
+
+    /**
+     * Further interval for each daemon above that size, which leads to the usual interval at 410
+     * daemons, where a daemon's control traffic is limited to 2 KB/s.
+     */
+    private static final Duration INTERVAL_PER_DAEMON_ABOVE = Duration.ofNanos(7_454_546);
+
+    /** Processor time in thousandths of a core from which an aggregator has enough of it. */
+    private static final long MIN_PROCESSOR_MILLIS = 1_000;
+
+    /** Link from which an aggregator has enough; the short interval needs some 7 Mbit/s of it. */
+    private static final long MIN_LINK_MBPS = 70;
+
     /** Factor by which the interval grows while nothing changes. */
     private static final int QUIET_FACTOR = 4;
 
@@ -26,7 +47,28 @@
 
     /** Returns the interval until the next report. */
     public static Duration nextInterval(int fleet, boolean quiet) {
-        Duration scaled = INTERVAL_PER_DAEMON.multipliedBy(fleet);
+        return nextInterval(INTERVAL_PER_DAEMON.multipliedBy(fleet), quiet);
+    }
+
+    /**
+     * Returns the interval until the next report in an uneven fleet whose aggregator states a
+     * capacity.
+     */
+    public static Duration nextInterval(int fleet, boolean quiet, Capacity aggregator) {
+        boolean enough =
+                aggregator.processorMillis() >= MIN_PROCESSOR_MILLIS
+                        && aggregator.linkMbps() >= MIN_LINK_MBPS;
+        Duration usual = INTERVAL_PER_DAEMON.multipliedBy(fleet);
+        Duration shortened =
+                SHORT_INTERVAL_PER_DAEMON
+                        .multipliedBy(fleet)
+                        .plus(
+                                INTERVAL_PER_DAEMON_ABOVE.multipliedBy(
+                                        Math.max(0, fleet - MAX_SHORT_FLEET)));
+        return nextInterval(enough && shortened.compareTo(usual) < 0 ? shortened : usual, quiet);
+    }
+
+    private static Duration nextInterval(Duration scaled, boolean quiet) {
         Duration busy = longer(scaled, MIN_INTERVAL);
         if (!quiet) {
             return busy;
--- a/core/src/main/java/io/bilberrygrade/core/exchange/FleetView.java
+++ b/core/src/main/java/io/bilberrygrade/core/exchange/FleetView.java
@@ -1,5 +1,6 @@
 package io.bilberrygrade.core.exchange;
 
+import com.google.common.collect.Comparators;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import io.bilberrygrade.core.identity.Address;
@@ -13,6 +14,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.ToIntFunction;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /**
@@ -115,6 +117,17 @@
         return aggregators(now).getFirst();
     }
 
+    /** Returns the interval until this daemon's next report. */
+    public Duration exchangeInterval(boolean quiet, Instant now) {
+        int fleet = size(now);
+        return Optional.of(mCapacities)
+                .filter(c -> c.isUneven(now))
+                .flatMap(c -> c.of(aggregator(now).address()))
+                .filter(s -> !s.slow())
+                .map(s -> ExchangeInterval.nextInterval(fleet, quiet, s.capacity()))
+                .orElseGet(() -> ExchangeInterval.nextInterval(fleet, quiet));
+    }
+
     /** Returns the member that takes over if the aggregator fails; empty in a fleet of one. */
     public Optional<FleetMember> standby(Instant now) {
         return aggregators(now).stream().skip(1).findFirst();
@@ -127,9 +140,10 @@
 
     private ImmutableList<FleetMember> firstWithSelf(Stream<FleetMember> others, Instant now) {
         return Stream.concat(Stream.of(mSelf), others)
-                .sorted(order(now))
-                .limit(MAX_NAMED_MEMBERS)
-                .collect(ImmutableList.toImmutableList());
+                .collect(
+                        Collectors.collectingAndThen(
+                                Comparators.least(MAX_NAMED_MEMBERS, order(now)),
+                                ImmutableList::copyOf));
     }
 
     private Comparator<FleetMember> order(Instant now) {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
@@ -2,7 +2,6 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import io.bilberrygrade.core.exchange.ExchangeInterval;
 import io.bilberrygrade.core.exchange.FleetMember;
 import io.bilberrygrade.core.exchange.FleetView;
 import io.bilberrygrade.core.exchange.ReceivedSums;
@@ -135,7 +134,7 @@
             call(mFleet.aggregator(now).address(), own).subscribe().with(v -> {});
         }
         callOthers(own, now);
-        Duration interval = ExchangeInterval.nextInterval(mFleet.size(now), quiet);
+        Duration interval = mFleet.exchangeInterval(quiet, now);
         mSlowness.onScheduled(now.plus(interval));
         mTimers.after(interval).subscribe().with(v -> exchange());
     }
