Share the engine time of a rank among teams by cost

Cause: a team that sends far more than others of its rank got as large a part of what was admitted, so that small teams were late with it.

Change: TeamShares divides what a rank got lately by slot time with MaxMinLevel, while the rank is crowded and its slots are in use. A team over its share is refused (OVER_TEAM_SHARE) as long as another gets less than its own.

--- a/core/src/main/java/io/bilberrygrade/core/contention/AdmissionCause.java
+++ b/core/src/main/java/io/bilberrygrade/core/contention/AdmissionCause.java
@@ -18,6 +18,8 @@
     MAKES_OTHERS_LATE,
     /** It takes engine time in which several others of its rank could be in time. */
     TOO_COSTLY,
+    /** Its team got more engine time than its share, and others of its rank less. */
+    OVER_TEAM_SHARE,
     /** The engines' queues are kept for requests of higher rank. */
     QUEUE_FOR_HIGHER_RANKS
 }
--- a/core/src/main/java/io/bilberrygrade/core/contention/ContentionPolicy.java
+++ b/core/src/main/java/io/bilberrygrade/core/contention/ContentionPolicy.java
@@ -23,8 +23,11 @@
     /** Least part of the rate at which its kind is admitted that a class of length gets. */
     private static final double LENGTH_FLOOR = 0.5;
 
-    /** Factor over a floor up to which it is applied, since what is admitted varies about it. */
-    private static final double MARGIN = 1.25;
+    /**
+     * Factor over a floor up to which it is applied. What is admitted varies about it, and some of
+     * low rank that was admitted is passed by others until its time is up.
+     */
+    private static final double MARGIN = 1.5;
 
     /** Factor over a floor with which those below it are admitted, so that they reach it. */
     private static final double CATCH_UP = 2;
@@ -154,11 +157,14 @@
                 && mRecent.hasHigherRank(request.rank())) {
             return Optional.of(AdmissionCause.QUEUE_FOR_HIGHER_RANKS);
         }
+        boolean scarce =
+                mCrowding.wasCrowdedLately(request.rank(), asked.now()) && prediction.ahead() > 0;
+        if (scarce && TeamShares.isOver(request, mRecent)) {
+            return Optional.of(AdmissionCause.OVER_TEAM_SHARE);
+        }
         if (crowded && isLateWithGrowth(request, asked.load(), prediction)) {
             return Optional.of(AdmissionCause.MAKES_OTHERS_LATE);
         }
-        boolean scarce =
-                mCrowding.wasCrowdedLately(request.rank(), asked.now()) && prediction.ahead() > 0;
         return scarce && isCostly(request, prediction)
                 ? Optional.of(AdmissionCause.TOO_COSTLY)
                 : Optional.empty();
@@ -201,19 +207,20 @@
         return floor.orElseGet(() -> refuse(asked, cause));
     }
 
+    /** The team's floor comes first, since a lower rank's request is served in time by it only. */
     private Optional<AdmissionDecision> belowFloor(Asked asked, double draw) {
         ServiceRequest request = asked.request();
-        if (!isPastDeadline(request, asked.prediction()) && isLengthBelowFloor(request, draw)) {
+        Prediction first = predict(request, asked.load(), Rank.HIGHEST);
+        if (!isPastDeadline(request, first) && isTeamBelowFloor(request, draw)) {
             return Optional.of(
                     new AdmissionDecision.Admit(
-                            request.rank(), AdmissionCause.LENGTH_FLOOR, asked.prediction()));
+                            Rank.HIGHEST, AdmissionCause.TEAM_FLOOR, asked.prediction()));
         }
-        Prediction first = predict(request, asked.load(), Rank.HIGHEST);
-        return isPastDeadline(request, first) || !isTeamBelowFloor(request, draw)
+        return isPastDeadline(request, asked.prediction()) || !isLengthBelowFloor(request, draw)
                 ? Optional.empty()
                 : Optional.of(
                         new AdmissionDecision.Admit(
-                                Rank.HIGHEST, AdmissionCause.TEAM_FLOOR, asked.prediction()));
+                                request.rank(), AdmissionCause.LENGTH_FLOOR, asked.prediction()));
     }
 
     private AdmissionDecision refuse(Asked asked, AdmissionCause cause) {
--- a/core/src/main/java/io/bilberrygrade/core/contention/RecentRequests.java
+++ b/core/src/main/java/io/bilberrygrade/core/contention/RecentRequests.java
@@ -1,10 +1,13 @@
 package io.bilberrygrade.core.contention;
 
+import io.bilberrygrade.core.identity.TeamId;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.TreeMap;
 import java.util.function.Predicate;
@@ -81,6 +84,21 @@
                 .average();
     }
 
+    /** Returns the engine time that the requests of a rank asked for and got, by team. */
+    Map<Optional<TeamId>, TeamShares.TeamCost> costs(Rank rank) {
+        Map<Optional<TeamId>, TeamShares.TeamCost> costs = new HashMap<>();
+        for (Entry e : mEntries) {
+            if (e.request().rank().equals(rank)) {
+                double cost = e.request().slotMillis();
+                costs.merge(
+                        e.request().team(),
+                        new TeamShares.TeamCost(1, cost, e.admitted() ? cost : 0),
+                        TeamShares.TeamCost::plus);
+            }
+        }
+        return costs;
+    }
+
     /** Returns the number of admitted requests of each rank and team, such as {@code 0/t}. */
     Map<String, Integer> admittedByRankAndTeam() {
         Map<String, Integer> counts = new TreeMap<>();
--- a/core/src/test/java/io/bilberrygrade/core/contention/ContentionPolicyTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/contention/ContentionPolicyTest.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -50,19 +51,37 @@
         assertThat(engines(seed, false).inTime()).isGreaterThan(engines(seed, true).inTime());
     }
 
+    private static Predicate<ServiceRequest> ofTeam(String team) {
+        return r -> r.team().equals(Optional.of(new TeamId(team)));
+    }
+
+    private static void assertFloors(SharedEngines engines) {
+        double all = engines.served(r -> true);
+        for (String team : new String[] {"a", "b", "c", "d"}) {
+            assertThat(engines.served(ofTeam(team))).as(team).isGreaterThan(all / 4);
+        }
+        assertThat(engines.served(r -> r.length() >= 4_000)).isGreaterThan(all / 2);
+    }
+
     // Guards against a team or a class of length that a burst shuts out; floors as stated.
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
     void floorsHoldUnderLastingOverload(long seed) {
         SharedEngines engines = new SharedEngines(seed, false);
         engines.run(Duration.ofSeconds(60), t -> 200);
-        double all = engines.served(r -> true);
-        for (String team : new String[] {"a", "b", "c", "d"}) {
-            assertThat(engines.served(r -> r.team().equals(Optional.of(new TeamId(team)))))
-                    .as(team)
-                    .isGreaterThan(all / 4);
-        }
-        assertThat(engines.served(r -> r.length() >= 4_000)).isGreaterThan(all / 2);
+        assertFloors(engines);
+    }
+
+    // Guards against a team that takes up what another of its rank would use: b sends seven times
+    // as much as c, whose part is under the level at which both are equal.
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void smallTeamIsServedBesideLargeOne(long seed) {
+        SharedEngines engines = new SharedEngines(seed, false, 0, 1, 1, 1, 1, 1, 1, 1, 2, 3);
+        engines.run(Duration.ofSeconds(60), t -> 200);
+        assertThat(engines.served(ofTeam("c"))).isGreaterThan(1.5 * engines.served(ofTeam("b")));
+        assertThat(engines.served(ofTeam("b"))).isGreaterThan(0.25);
+        assertFloors(engines);
     }
 
     // Guards against decisions that flap while the load swings about the capacity.
--- a/core/src/test/java/io/bilberrygrade/core/contention/SharedEngines.java
+++ b/core/src/test/java/io/bilberrygrade/core/contention/SharedEngines.java
@@ -33,6 +33,7 @@
 
     private final UniformRandomProvider mRandom;
     private final boolean mAdmitsAll;
+    private final int[] mTeams;
     private final List<ContentionPolicy> mInstances = new ArrayList<>();
     private final List<Job> mJobs = new ArrayList<>();
     private final List<Job> mRunning = new ArrayList<>();
@@ -44,6 +45,12 @@
     private int mStateChanges;
 
     SharedEngines(long seed, boolean admitsAll) {
+        this(seed, admitsAll, 0, 1, 2, 3);
+    }
+
+    /** Creates engines whose requests are each of one of the given teams by chance. */
+    SharedEngines(long seed, boolean admitsAll, int... teams) {
+        mTeams = teams;
         mRandom = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         mAdmitsAll = admitsAll;
         for (int i = 0; i < INSTANCES; i++) {
@@ -69,7 +76,7 @@
 
     /** Teams a (rank 0) to d (rank 2); the largest requests take four times the mean. */
     private void arrive() {
-        int team = mRandom.nextInt(4);
+        int team = mTeams[mRandom.nextInt(mTeams.length)];
         double size = mRandom.nextDouble() < 0.1 ? 4 : mRandom.nextDouble() * 1.33;
         ServiceRequest request =
                 new ServiceRequest(
