Ask for sums on demand only where the periodic exchange is slow

Cause: with a large aggregator the exchange of 134 daemons takes 134 ms now, so that the call before each placement gains little there. Change: the part goes by the interval in force rather than by the size of the fleet; it remains for fleets of over 150 daemons, or with small aggregators.

--- a/core/src/main/java/io/bilberrygrade/core/exchange/SumsOnDemand.java
+++ b/core/src/main/java/io/bilberrygrade/core/exchange/SumsOnDemand.java
@@ -36,10 +36,9 @@
     private double mCalls = MAX_BURST;
     private Instant mFilledAt = Instant.MIN;
 
-    /** Returns whether sums are asked for on demand at all. */
-    public static boolean isActive(FleetTraits traits, int fleet) {
-        return traits.uneven()
-                && ExchangeInterval.nextInterval(fleet, false).compareTo(MAX_PERIODIC_INTERVAL) > 0;
+    /** Returns whether sums are asked for on demand at all, with the given periodic exchange. */
+    public static boolean isActive(FleetTraits traits, Duration interval) {
+        return traits.uneven() && interval.compareTo(MAX_PERIODIC_INTERVAL) > 0;
     }
 
     /** Returns how long a request with the given goal waits for the sums at most. */
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
@@ -158,6 +158,11 @@
         return mWork.receivedSums().age(now);
     }
 
+    @Override
+    public Duration interval(Instant now) {
+        return mFleet.exchangeInterval(false, now);
+    }
+
     @Override
     public Uni<Void> refresh() {
         Instant now = mClocks.now();
--- a/serving/src/main/java/io/bilberrygrade/serving/room/RecentSumsFilter.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/room/RecentSumsFilter.java
@@ -62,7 +62,8 @@
     public Uni<Outcome> handle(X exchange, FilterChain<X> next) {
         Optional<Duration> goal = mGoal.apply(exchange);
         int fleet = mFleet.getAsInt();
-        if (goal.isEmpty() || !SumsOnDemand.isActive(mTraits.get(), fleet)) {
+        if (goal.isEmpty()
+                || !SumsOnDemand.isActive(mTraits.get(), mSums.get().interval(mClock.instant()))) {
             return next.proceed(exchange);
         }
         return recentSums(goal.get(), fleet)
@@ -140,6 +141,9 @@
         /** Returns the age of the sums at hand; empty if there are none. */
         Optional<Duration> age(Instant now);
 
+        /** Returns the interval at which the sums are renewed while work changes. */
+        Duration interval(Instant now);
+
         /** Asks for the current sums; completes once they have come, or the call has failed. */
         Uni<Void> refresh();
 
