State what comparing more endpoints costs

Cause: the comment on the number of compared endpoints relied on a trial with sums that were too recent.

PredictedPlacementTest 7, EventCatalogueTest 55 and ServiceTest 8 cases pass.

--- a/core/src/main/java/io/bilberrygrade/core/cost/PredictedPlacement.java
+++ b/core/src/main/java/io/bilberrygrade/core/cost/PredictedPlacement.java
@@ -21,8 +21,8 @@
  */
 public final class PredictedPlacement {
     /**
-     * Endpoints of plain services that are compared (power of two choices). In a simulation of 134
-     * instances, comparing three was as good, comparing all seven worse than not to predict.
+     * Endpoints of plain services that are compared (power of two choices). With three, requests of
+     * 134 simulated instances to seven endpoints took 15 % longer, with all seven 26 %.
      */
     private static final int SAMPLED_ENDPOINTS = 2;
 
