Count prompts and queues for admission by what is known of them

Cause: a request of high rank seemed to wait for all prompts that an engine has, also for those of lower ranks that have no slot yet. And lower ranks of a plain service were refused for a queue of three requests a slot, which is the engines' bound.

Change: the queued prefill counts by the part of its own and higher ranks, and only engines' queues are kept for higher ranks.

--- a/core/src/main/java/io/bilberrygrade/core/contention/Prediction.java
+++ b/core/src/main/java/io/bilberrygrade/core/contention/Prediction.java
@@ -36,7 +36,8 @@
         double slots = Math.max(1, load.slots());
         double left = Math.max(MIN_LEFT, 1 - load.calls() * higherFraction / slots);
         double slotWait = ahead * slotMillis / (slots * left);
-        double queue = Math.max(load.readMillis(), slotWait);
+        // Prompts of lower ranks that have no slot yet are read after this one.
+        double queue = Math.max(load.readMillis() * aheadFraction, slotWait);
         double wait = Math.max(queue, memoryWait(request, load, slotMillis));
         double earliestWait = Math.max(0, wait - load.age().toMillis());
         return new Prediction(
--- a/core/src/main/java/io/bilberrygrade/core/contention/ServiceLoad.java
+++ b/core/src/main/java/io/bilberrygrade/core/contention/ServiceLoad.java
@@ -32,8 +32,11 @@
         return Math.max(0, calls - slots);
     }
 
-    /** Returns the used part of the endpoints' queues, from 0 to 1 and above if they are over. */
+    /**
+     * Returns the used part of the engines' queues, from 0 to 1 and above if they are over; 0 for a
+     * plain service, whose queues aren't known to be bounded.
+     */
     public double queueFraction() {
-        return queued() / (double) (Math.max(1, slots) * QUEUE_PER_SLOT);
+        return memoryTokens == 0 ? 0 : queued() / (double) (Math.max(1, slots) * QUEUE_PER_SLOT);
     }
 }
