Refuse a returned caller again if it would make others late

Cause: a caller that came at the time it was given was admitted whatever the load.

Change: a promise outweighs shares, cost and what others may have added since the sums, but not a rank that is crowded by the sums alone. SharedEngines lets refused callers return.

--- a/core/src/main/java/io/bilberrygrade/core/contention/ContentionPolicy.java
+++ b/core/src/main/java/io/bilberrygrade/core/contention/ContentionPolicy.java
@@ -151,7 +151,9 @@
             return Optional.of(AdmissionCause.PAST_DEADLINE);
         }
         if (asked.claim() == ReturnSchedule.Claim.DUE) {
-            return Optional.empty();
+            return crowded && isLate(request, prediction)
+                    ? Optional.of(AdmissionCause.MAKES_OTHERS_LATE)
+                    : Optional.empty();
         }
         if (asked.load().queueFraction() > LOWER_RANK_QUEUE
                 && mRecent.hasHigherRank(request.rank())) {
