Limit the requests that reach cold endpoints

Cause: endpoints that come back after an evacuation are cold for some seconds and crash at a rate well above the one that they tolerate; to all instances they look like the best choice.

Change: a run that is cold by its entry, an answer, or its age has a rate limit in the mechanism of the limits that endpoints state. Statements in answers travel with the reports of rate limits. A lower stated limit takes precedence. Active only where the service states coldS and coldPerS and the settings have bounds.coldExcess.

--- a/core/src/main/java/io/bilberrygrade/core/forward/EndpointDirectory.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/EndpointDirectory.java
@@ -133,7 +133,7 @@
         if (entry.leaving()) {
             mLeaving.add(entry.run(), now);
         }
-        Entry before = mEntries.put(entry.id(), new Entry(entry));
+        Entry before = mEntries.put(entry.id(), new Entry(entry, now));
         if (before != null && before.mEndpoint.startedAtMillis() < entry.startedAtMillis()) {
             mRemovedRuns.recordRemoved(before.mEndpoint.run(), now);
         }
@@ -223,6 +223,11 @@
         return Optional.ofNullable(mEntries.get(id)).map(e -> e.mEndpoint);
     }
 
+    /** Returns until when an endpoint's entry says that it is cold; empty if it doesn't say. */
+    public Optional<Instant> coldUntil(EndpointId id) {
+        return Optional.ofNullable(mEntries.get(id)).flatMap(e -> e.mColdUntil);
+    }
+
     /** Returns the ids of all registered endpoints, whether or not they are eligible for work. */
     public ImmutableSet<EndpointId> ids() {
         return ImmutableSet.copyOf(mEntries.keySet());
@@ -254,11 +259,13 @@
 
     private static final class Entry {
         private final RegisteredEndpoint mEndpoint;
+        private final Optional<Instant> mColdUntil;
         private Optional<Instant> mExpiresAt = Optional.empty();
         private boolean mRemovedByPeer;
 
-        Entry(RegisteredEndpoint endpoint) {
+        Entry(RegisteredEndpoint endpoint, Instant now) {
             mEndpoint = endpoint;
+            mColdUntil = endpoint.coldLeft().map(now::plus);
         }
     }
 }
--- a/core/src/main/java/io/bilberrygrade/core/forward/RegisteredEndpoint.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/RegisteredEndpoint.java
@@ -4,6 +4,8 @@
 import io.bilberrygrade.core.identity.DataCentreId;
 import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.core.identity.ServiceId;
+import java.time.Duration;
+import java.util.Optional;
 
 /**
  * Registration entry that an endpoint publishes about itself.
@@ -12,6 +14,8 @@
  *     doesn't report one
  * @param slots requests that it runs concurrently
  * @param leaving whether it asks for no new work
+ * @param coldLeft time for which it stays cold, from when the entry is read; empty if it doesn't
+ *     say
  */
 public record RegisteredEndpoint(
         EndpointId id,
@@ -20,7 +24,20 @@
         Address address,
         DataCentreId dataCentre,
         int slots,
-        boolean leaving) {
+        boolean leaving,
+        Optional<Duration> coldLeft) {
+    /** Creates an entry that doesn't say whether the endpoint is cold. */
+    public RegisteredEndpoint(
+            EndpointId id,
+            long startedAtMillis,
+            ServiceId service,
+            Address address,
+            DataCentreId dataCentre,
+            int slots,
+            boolean leaving) {
+        this(id, startedAtMillis, service, address, dataCentre, slots, leaving, Optional.empty());
+    }
+
     /** Returns the run that published this entry. */
     public EndpointRun run() {
         return new EndpointRun(id, startedAtMillis);
--- a/core/src/main/java/io/bilberrygrade/core/ratelimit/EndpointRateLimits.java
+++ b/core/src/main/java/io/bilberrygrade/core/ratelimit/EndpointRateLimits.java
@@ -7,9 +7,15 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.function.Predicate;
+import java.util.stream.DoubleStream;
+import java.util.stream.Stream;
 
-/** The latest statement about its rate limit of each endpoint run that has stated one. */
+/**
+ * The latest statement about its rate limit of each endpoint run that has stated one, and the
+ * limits that follow from the state of runs. Of two limits of a run the lower one counts.
+ */
 public final class EndpointRateLimits {
     /** Maximum number of runs kept, more than a large fleet has endpoints. */
     static final int MAX_RUNS = 4_096;
@@ -26,6 +32,18 @@
     /** In order of the latest statement, latest last. */
     private final Map<EndpointRun, Entry> mEntries = new LinkedHashMap<>();
 
+    private final DerivedLimits mDerived;
+
+    /** Creates a record of stated limits only. */
+    public EndpointRateLimits() {
+        this(DerivedLimits.NONE);
+    }
+
+    /** Creates a record of stated and derived limits. */
+    public EndpointRateLimits(DerivedLimits derived) {
+        mDerived = derived;
+    }
+
     /** Records that an answer stated a limit; returns whether the limit in force changed. */
     public boolean recordLimit(EndpointRun run, RateLimit limit, Instant now) {
         return put(new RateLimitStatement(run, Optional.of(limit), now), true);
@@ -68,20 +86,35 @@
         return !old.equals(statement.limit());
     }
 
-    /** Returns whether no statements are kept. */
+    /** Returns whether no statements are kept and no run has a limit. */
     public boolean isEmpty() {
-        return mEntries.isEmpty();
+        return mEntries.isEmpty() && mDerived.runs().isEmpty();
+    }
+
+    /** Returns whether a run has a limit now. */
+    public boolean isLimited(EndpointRun run) {
+        return of(run).isPresent() || mDerived.grantRate(run).isPresent();
+    }
+
+    /** Returns the permits a second that may be granted for a run; empty without a limit. */
+    public OptionalDouble grantRate(EndpointRun run) {
+        return DoubleStream.concat(
+                        of(run).map(RateLimitAllocator::grantRate).stream().mapToDouble(r -> r),
+                        mDerived.grantRate(run).stream())
+                .min();
     }
 
-    /** Returns the limit in force of a run. */
+    /** Returns the limit that a run states. */
     public Optional<RateLimit> of(EndpointRun run) {
         return Optional.ofNullable(mEntries.get(run)).flatMap(e -> e.statement().limit());
     }
 
     /** Returns the runs with a limit in force. */
     public ImmutableList<EndpointRun> limitedRuns() {
-        return statements(Entry::isLimit).stream()
-                .map(RateLimitStatement::run)
+        return Stream.concat(
+                        statements(Entry::isLimit).stream().map(RateLimitStatement::run),
+                        mDerived.runs().stream())
+                .distinct()
                 .collect(ImmutableList.toImmutableList());
     }
 
--- a/core/src/main/java/io/bilberrygrade/core/ratelimit/FollowerShares.java
+++ b/core/src/main/java/io/bilberrygrade/core/ratelimit/FollowerShares.java
@@ -31,6 +31,9 @@
      */
     private static final double MIN_FRACTION = 0.25;
 
+    /** Maximum number of aggregators that hand out permits at the same time. */
+    public static final int MAX_AGGREGATORS = (int) (1 / MIN_FRACTION);
+
     private final Map<Address, Follower> mFollowers = new HashMap<>();
 
     /** Records a report of a daemon that has followed this one for the given time. */
--- a/core/src/main/java/io/bilberrygrade/core/ratelimit/RateLimitAllocator.java
+++ b/core/src/main/java/io/bilberrygrade/core/ratelimit/RateLimitAllocator.java
@@ -23,7 +23,7 @@
     static final double MIN_RATE = 0.1;
 
     /** Time of filling that a bucket holds, if that is more than one request. */
-    private static final Duration CAPACITY_TIME = Duration.ofMillis(500);
+    public static final Duration CAPACITY_TIME = Duration.ofMillis(500);
 
     /** Time for which requests that nothing else can serve keep their precedence. */
     private static final Duration STARVED_TIME = Duration.ofSeconds(1);
@@ -43,14 +43,18 @@
      * limit that this aggregator may hand out.
      */
     public void fill(EndpointRateLimits limits, double fraction, Instant now) {
-        mBuckets.keySet().removeIf(run -> limits.of(run).isEmpty());
+        mBuckets.keySet().removeIf(run -> !limits.isLimited(run));
         for (EndpointRun run : limits.limitedRuns()) {
-            double limit = limits.of(run).map(RateLimit::perSecond).orElse(0.0);
-            double rate = Math.max(limit * USED_FRACTION, MIN_RATE) * fraction;
+            double rate = limits.grantRate(run).orElse(0) * fraction;
             mBuckets.computeIfAbsent(run, r -> new Bucket(now)).fill(rate, now);
         }
     }
 
+    /** Returns the permits a second that may be granted under a limit that an endpoint states. */
+    static double grantRate(RateLimit limit) {
+        return Math.max(limit.perSecond() * USED_FRACTION, MIN_RATE);
+    }
+
     /** Hands out permits for a run to a daemon. */
     public PermitGrant grant(EndpointRun run, PermitRequest request, Instant now) {
         Bucket bucket = mBuckets.get(run);
--- a/core/src/main/java/io/bilberrygrade/core/ratelimit/RateLimitPermits.java
+++ b/core/src/main/java/io/bilberrygrade/core/ratelimit/RateLimitPermits.java
@@ -82,7 +82,7 @@
 
     /** Removes the state of runs that have no limit in force. */
     public void retain(EndpointRateLimits limits) {
-        mStocks.keySet().removeIf(run -> limits.of(run).isEmpty());
+        mStocks.keySet().removeIf(run -> !limits.isLimited(run));
     }
 
     /** Returns the number of permits used since the start. */
--- a/serving/src/main/java/io/bilberrygrade/serving/event/RoomEvent.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/RoomEvent.java
@@ -17,6 +17,17 @@
             String source)
             implements RoomEvent {}
 
+    /**
+     * An endpoint's run became cold, so that requests to it need permits, or is no longer cold.
+     * {@code entryLeftMillis} is the time for which its entry says that it stays cold, -1 if it
+     * doesn't say; {@code ageMillis} is the time since its start, -1 if unknown; {@code perSecond}
+     * is the rate at which permits are granted, -1 without a limit.
+     */
+    @EventInfo(number = 7030, level = EventLevel.INFO)
+    record EndpointColdness(
+            String endpoint, boolean cold, long entryLeftMillis, long ageMillis, double perSecond)
+            implements RoomEvent {}
+
     /** An attempt was stopped before it reached an endpoint of an evacuated data centre. */
     @EventInfo(number = 7029, level = EventLevel.INFO)
     record SendStopped(String request, int attempt, String endpoint, String dataCentre, long millis)
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/AnswerHead.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AnswerHead.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableMap;
 import io.bilberrygrade.core.identity.Address;
 import io.vertx.core.MultiMap;
+import java.time.Duration;
 import java.util.Optional;
 
 /**
@@ -16,6 +17,7 @@
  * @param leaving whether the endpoint asks for no new work until its next run
  * @param retryAfter backoff in seconds that the endpoint asks for, unparsed
  * @param rateLimit requests a second that the endpoint accepts from all daemons together, unparsed
+ * @param coldLeft time for which the endpoint stays cold, if stated
  * @param unknownStatements what the endpoint states about itself that this version doesn't know, by
  *     name
  * @param passedOn headers that are relayed to the caller unchanged
@@ -29,6 +31,7 @@
         boolean leaving,
         Optional<String> retryAfter,
         Optional<String> rateLimit,
+        Optional<Duration> coldLeft,
         ImmutableMap<String, String> unknownStatements,
         MultiMap passedOn) {
     /** Returns whether the endpoint refused for lack of capacity at the moment. */
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointStatusUpdater.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointStatusUpdater.java
@@ -56,6 +56,7 @@
         // A misdirected request was answered by another endpoint, whose limit isn't this run's.
         if (head.status() != MISDIRECTED) {
             applyRateLimit(run, head, sentAt, now);
+            head.coldLeft().ifPresent(left -> mTracker.cold().onAnswer(run, left, sentAt));
         }
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointTracker.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointTracker.java
@@ -17,8 +17,10 @@
 import io.bilberrygrade.core.ratelimit.RateLimitPermits;
 import io.bilberrygrade.core.routing.EjectionBound;
 import io.bilberrygrade.core.routing.EndpointHealth;
+import io.bilberrygrade.serving.room.ColdController;
 import java.time.Duration;
 import java.time.Instant;
+import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -35,12 +37,34 @@
     private final Map<EndpointRun, EndpointHealth> mHealth = new HashMap<>();
     private final Map<EndpointId, EndpointActivity> mActivity = new HashMap<>();
     private final EndpointBackoffs mBackoffs = new EndpointBackoffs();
-    private final EndpointRateLimits mRateLimits = new EndpointRateLimits();
+    private final ColdController mCold;
+    private final EndpointRateLimits mRateLimits;
     private final RateLimitPermits mPermits = new RateLimitPermits();
 
+    /** Creates a tracker of endpoints that are never cold. */
     EndpointTracker(EndpointDirectory directory, WorkLedger work) {
+        this(
+                directory,
+                work,
+                new ColdController(
+                        directory,
+                        Optional::empty,
+                        Optional.empty(),
+                        InstantSource.system(),
+                        InstantSource.system(),
+                        e -> {}));
+    }
+
+    EndpointTracker(EndpointDirectory directory, WorkLedger work, ColdController cold) {
         mDirectory = directory;
         mWork = work;
+        mCold = cold;
+        mRateLimits = new EndpointRateLimits(cold);
+    }
+
+    /** Returns the controller of cold endpoints. */
+    ColdController cold() {
+        return mCold;
     }
 
     WorkLedger work() {
@@ -124,7 +148,7 @@
     }
 
     private boolean isLimited(EndpointRun run) {
-        return mRateLimits.of(run).isPresent();
+        return mRateLimits.isLimited(run);
     }
 
     /** Returns whether a run accepts a request now. */
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -19,6 +19,7 @@
 import io.bilberrygrade.serving.peer.PeerIdentity;
 import io.bilberrygrade.serving.peer.PeerServer;
 import io.bilberrygrade.serving.peer.TcpPeerNetwork;
+import io.bilberrygrade.serving.room.ColdController;
 import io.bilberrygrade.serving.time.Timers;
 import io.bilberrygrade.serving.time.VertxTimers;
 import io.smallrye.mutiny.Uni;
@@ -179,8 +180,20 @@
                 mTimers);
     }
 
+    private EndpointTracker tracker() {
+        ColdController cold =
+                new ColdController(
+                        mState.endpoints(),
+                        mState::config,
+                        mSettings.get().room().cold(),
+                        mClocks.steady(),
+                        mClocks.timeOfDay(),
+                        mEvents);
+        return new EndpointTracker(mState.endpoints(), mWork, cold);
+    }
+
     private FilterChain<ForwardExchange> chain() {
-        mTracker = new EndpointTracker(mState.endpoints(), mWork);
+        mTracker = tracker();
         mQuarantine = new QuarantineController(mFleet, mEvents);
         mQuarantine.onNews(() -> mExchange.reportNow());
         EndpointStatusUpdater endpointStatus =
@@ -240,6 +253,7 @@
         mEvents.registerGauge(
                 "rate_limit_share_percent",
                 () -> Math.round(PERCENT * mRateLimits.fraction(mClocks.now())));
+        mEvents.registerGauge("cold_endpoints", () -> mTracker.cold().runs().size());
         mEvents.registerGauge(
                 "evacuated_data_centres", () -> mState.endpoints().evacuated().size());
         mEvents.registerGauge(
@@ -262,6 +276,7 @@
                     mFront.enforceIdleLimit(mClocks.now());
                     mReadiness.isReady();
                     mTracker.removeUnknown(mClocks.now());
+                    mTracker.cold().logChanges();
                     return Uni.createFrom().voidItem();
                 });
         started.complete();
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardMetrics.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardMetrics.java
@@ -28,6 +28,10 @@
             case ForwardEvent forward -> count(forward);
             case RoomEvent.DataCentreEvacuation e ->
                     mRegistry.counter("evacuations." + e.change()).inc();
+            case RoomEvent.EndpointColdness c ->
+                    mRegistry
+                            .counter("daemon.endpoints_" + (c.cold() ? "cold" : "warm") + "_total")
+                            .inc();
             case RoomEvent.SendStopped s ->
                     mRegistry.counter("daemon.evacuated_sends_stopped_total").inc();
             default -> {}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/RateLimitExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/RateLimitExchange.java
@@ -19,6 +19,7 @@
 import io.bilberrygrade.serving.peer.PermitRequestEntry;
 import io.bilberrygrade.serving.peer.RateLimitReply;
 import io.bilberrygrade.serving.peer.RateLimitReport;
+import io.bilberrygrade.serving.room.ColdController;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
@@ -33,6 +34,7 @@
     private final FleetMember mSelf;
     private final EndpointRateLimits mLimits;
     private final RateLimitPermits mPermits;
+    private final ColdController mCold;
     private final EventLog mEvents;
     private final FollowerShares mShares = new FollowerShares();
     private final RateLimitAllocator mAllocator = new RateLimitAllocator();
@@ -44,6 +46,7 @@
         mSelf = self;
         mLimits = tracker.rateLimits();
         mPermits = tracker.permits();
+        mCold = tracker.cold();
         mEvents = events;
     }
 
@@ -91,7 +94,8 @@
         return new RateLimitReport(
                 follows ? followedFor(now).toMillis() : RateLimitReport.NOT_FOLLOWED,
                 RateLimitCodec.entries(mLimits.recentOwn(now), now),
-                RateLimitCodec.requests(follows ? mPermits.takeRequests(now) : ImmutableMap.of()));
+                RateLimitCodec.requests(follows ? mPermits.takeRequests(now) : ImmutableMap.of()),
+                mCold.entries(true));
     }
 
     /** Records a peer's report and returns the reply; null if no rate limit is known. */
@@ -100,6 +104,7 @@
         List<PermitGrantEntry> grants = ImmutableList.of();
         if (report != null && report.limits() != null && report.requests() != null) {
             merge(RateLimitCodec.statements(report.limits(), now), peer);
+            mCold.onPeerEntries(report.cold());
             if (follower) {
                 Duration followed = Duration.ofMillis(report.followedMillis());
                 mShares.recordReport(peer, followed, now);
@@ -110,7 +115,8 @@
                 follower ? mLimits.all() : mLimits.recentOwn(now);
         return mLimits.isEmpty()
                 ? null
-                : new RateLimitReply(RateLimitCodec.entries(limits, now), grants);
+                : new RateLimitReply(
+                        RateLimitCodec.entries(limits, now), grants, mCold.entries(!follower));
     }
 
     private ImmutableList<PermitGrantEntry> grant(List<PermitRequestEntry> requests, Instant now) {
@@ -135,6 +141,7 @@
             return;
         }
         merge(RateLimitCodec.statements(reply.limits(), now), peer);
+        mCold.onPeerEntries(reply.cold());
         reply.grants()
                 .forEach(
                         g ->
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/StoreRelay.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/StoreRelay.java
@@ -85,11 +85,12 @@
                 e.address().toString(),
                 e.dataCentre().value(),
                 e.slots(),
-                e.leaving());
+                e.leaving(),
+                e.coldLeft().map(Duration::toMillis).orElse(null));
     }
 
     private static EndpointChangeEntry encodeRemoved(EndpointId id) {
-        return new EndpointChangeEntry(id.value(), 0, null, null, null, 0, false);
+        return new EndpointChangeEntry(id.value(), 0, null, null, null, 0, false, null);
     }
 
     /**
@@ -151,6 +152,9 @@
                         address.get(),
                         dataCentre.get(),
                         e.slots(),
-                        e.leaving()));
+                        e.leaving(),
+                        Optional.ofNullable(e.coldLeftMillis())
+                                .filter(m -> m >= 0)
+                                .map(Duration::ofMillis)));
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/peer/EndpointChangeEntry.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/EndpointChangeEntry.java
@@ -5,7 +5,8 @@
 
 /**
  * Change of an endpoint's published entry, serialized as an array to keep messages small. A deleted
- * entry has no service and no address.
+ * entry has no service and no address. {@code coldLeftMillis} is null if the entry doesn't say
+ * whether the endpoint is cold.
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 @JsonPropertyOrder({
@@ -15,7 +16,8 @@
     "address",
     "dataCentre",
     "slots",
-    "leaving"
+    "leaving",
+    "coldLeftMillis"
 })
 public record EndpointChangeEntry(
         String endpoint,
@@ -24,4 +26,5 @@
         String address,
         String dataCentre,
         int slots,
-        boolean leaving) {}
+        boolean leaving,
+        Long coldLeftMillis) {}
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/ExchangeTestFleet.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/ExchangeTestFleet.java
@@ -4,21 +4,25 @@
 import io.bilberrygrade.core.exchange.FleetMember;
 import io.bilberrygrade.core.exchange.FleetView;
 import io.bilberrygrade.core.exchange.WorkLedger;
+import io.bilberrygrade.core.forward.ForwardingConfig;
 import io.bilberrygrade.core.forward.StorePosition;
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.identity.InstanceId;
+import io.bilberrygrade.core.room.ColdBounds;
 import io.bilberrygrade.serving.fuzz.SimulatedNetwork;
 import io.bilberrygrade.serving.fuzz.SimulatedPeer;
 import io.bilberrygrade.serving.fuzz.SimulatedProcess;
 import io.bilberrygrade.serving.fuzz.VirtualTime;
 import io.bilberrygrade.serving.peer.PeerIdentity;
 import io.bilberrygrade.serving.peer.PeerMessage;
+import io.bilberrygrade.serving.room.ColdController;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 
@@ -33,7 +37,18 @@
     final List<Member> mMembers = new ArrayList<>();
     long mCalls;
 
+    private final Optional<ColdBounds> mColdBounds;
+    private final Optional<ForwardingConfig> mConfig;
+
     ExchangeTestFleet(long seed) {
+        this(seed, Optional.empty(), Optional.empty());
+    }
+
+    /** Creates a fleet that limits the requests to endpoints that are cold by a configuration. */
+    ExchangeTestFleet(
+            long seed, Optional<ColdBounds> coldBounds, Optional<ForwardingConfig> config) {
+        mColdBounds = coldBounds;
+        mConfig = config;
         mRandom = RandomSource.SPLIT_MIX_64.create(seed);
         mNetwork = new SimulatedNetwork(mRandom);
     }
@@ -110,7 +125,15 @@
             mQuarantine = new QuarantineController(mFleet, e -> {});
             Clocks clocks = new Clocks(mProcess, mProcess);
             mState = new StateController(STALENESS, clocks, mProcess, e -> {});
-            mTracker = new EndpointTracker(mState.endpoints(), mLedger);
+            ColdController cold =
+                    new ColdController(
+                            mState.endpoints(),
+                            () -> mConfig,
+                            mColdBounds,
+                            mProcess,
+                            mProcess,
+                            e -> {});
+            mTracker = new EndpointTracker(mState.endpoints(), mLedger, cold);
             mExchange = exchange(self, clocks);
             mQuarantine.onNews(mExchange::reportNow);
         }
