--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -23,6 +23,7 @@
 import io.bilberrygrade.serving.peer.PeerIdentity;
 import io.bilberrygrade.serving.peer.PeerServer;
 import io.bilberrygrade.serving.peer.TcpPeerNetwork;
+import io.bilberrygrade.serving.room.ColdController;
 import io.bilberrygrade.serving.room.RecentSumsFilter;
 import io.bilberrygrade.serving.room.SlownessWatch;
 import io.bilberrygrade.serving.time.Timers;
@@ -191,8 +192,20 @@
                 mTimers);
     }
 
+    private EndpointTracker tracker() {
+        ColdController cold =
+                new ColdController(
+                        mState.endpoints(),
+                        mState::config,
+                        mSettings.get().options().room().cold(),
+                        mClocks.steady(),
+                        mClocks.timeOfDay(),
+                        mEvents);
+        return new EndpointTracker(mState.endpoints(), mWork, cold);
+    }
+
     private FilterChain<ForwardExchange> chain() {
-        mTracker = new EndpointTracker(mState.endpoints(), mWork);
+        mTracker = tracker();
         mCost = new CostController(this::traits, mWork.receivedSums(), mEvents, mMetrics);
         mQuarantine = new QuarantineController(mFleet, mEvents);
         mQuarantine.onNews(() -> mExchange.reportNow());
@@ -277,6 +290,7 @@
         mEvents.registerGauge(
                 "rate_limit_share_percent",
                 () -> Math.round(PERCENT * mRateLimits.fraction(mClocks.now())));
+        mEvents.registerGauge("cold_endpoints", () -> mTracker.cold().runs().size());
         mEvents.registerGauge(
                 "evacuated_data_centres", () -> mState.endpoints().evacuated().size());
         mEvents.registerGauge(
@@ -306,6 +320,7 @@
                     mReadiness.isReady();
                     mTracker.removeUnknown(mClocks.now());
                     mCost.retain(mTracker::isRegistered);
+                    mTracker.cold().logChanges();
                     return Uni.createFrom().voidItem();
                 });
         started.complete();
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/RateLimitExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/RateLimitExchange.java
@@ -20,6 +20,7 @@
 import io.bilberrygrade.serving.peer.RateLimitReply;
 import io.bilberrygrade.serving.peer.RateLimitReport;
 import io.bilberrygrade.serving.room.CapacityLog;
+import io.bilberrygrade.serving.room.ColdController;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
@@ -34,6 +35,7 @@
     private final FleetMember mSelf;
     private final EndpointRateLimits mLimits;
     private final RateLimitPermits mPermits;
+    private final ColdController mCold;
     private final EventLog mEvents;
     private final FollowerShares mShares = new FollowerShares();
     private final RateLimitAllocator mAllocator = new RateLimitAllocator();
@@ -45,6 +47,7 @@
         mSelf = self;
         mLimits = tracker.rateLimits();
         mPermits = tracker.permits();
+        mCold = tracker.cold();
         mEvents = events;
     }
 
@@ -93,7 +96,8 @@
         return new RateLimitReport(
                 follows ? followedFor(now).toMillis() : RateLimitReport.NOT_FOLLOWED,
                 RateLimitCodec.entries(mLimits.recentOwn(now), now),
-                RateLimitCodec.requests(follows ? mPermits.takeRequests(now) : ImmutableMap.of()));
+                RateLimitCodec.requests(follows ? mPermits.takeRequests(now) : ImmutableMap.of()),
+                mCold.entries(true));
     }
 
     /** Records a peer's report and returns the reply; null if no rate limit is known. */
@@ -102,6 +106,7 @@
         List<PermitGrantEntry> grants = ImmutableList.of();
         if (report != null && report.limits() != null && report.requests() != null) {
             merge(RateLimitCodec.statements(report.limits(), now), peer);
+            mCold.onPeerEntries(report.cold());
             if (follower) {
                 Duration followed = Duration.ofMillis(report.followedMillis());
                 mShares.recordReport(peer, followed, now);
@@ -112,7 +117,8 @@
                 follower ? mLimits.all() : mLimits.recentOwn(now);
         return mLimits.isEmpty()
                 ? null
-                : new RateLimitReply(RateLimitCodec.entries(limits, now), grants);
+                : new RateLimitReply(
+                        RateLimitCodec.entries(limits, now), grants, mCold.entries(!follower));
     }
 
     private ImmutableList<PermitGrantEntry> grant(List<PermitRequestEntry> requests, Instant now) {
@@ -137,6 +143,7 @@
             return;
         }
         merge(RateLimitCodec.statements(reply.limits(), now), peer);
+        mCold.onPeerEntries(reply.cold());
         reply.grants()
                 .forEach(
                         g ->
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/ExchangeTestFleet.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/ExchangeTestFleet.java
@@ -4,11 +4,13 @@
 import io.bilberrygrade.core.exchange.FleetMember;
 import io.bilberrygrade.core.exchange.FleetView;
 import io.bilberrygrade.core.exchange.WorkLedger;
+import io.bilberrygrade.core.forward.ForwardingConfig;
 import io.bilberrygrade.core.forward.StorePosition;
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.identity.InstanceId;
 import io.bilberrygrade.core.room.Capacity;
+import io.bilberrygrade.core.room.ColdBounds;
 import io.bilberrygrade.core.room.FleetCapacities;
 import io.bilberrygrade.serving.event.Event;
 import io.bilberrygrade.serving.fuzz.SimulatedNetwork;
@@ -17,6 +19,7 @@
 import io.bilberrygrade.serving.fuzz.VirtualTime;
 import io.bilberrygrade.serving.peer.PeerIdentity;
 import io.bilberrygrade.serving.peer.PeerMessage;
+import io.bilberrygrade.serving.room.ColdController;
 import io.bilberrygrade.serving.room.SlownessWatch;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
@@ -42,7 +45,18 @@
     /** Capacity that a member states, by its number. */
     IntFunction<Optional<Capacity>> mCapacity = number -> Optional.empty();
 
+    private final Optional<ColdBounds> mColdBounds;
+    private final Optional<ForwardingConfig> mConfig;
+
     ExchangeTestFleet(long seed) {
+        this(seed, Optional.empty(), Optional.empty());
+    }
+
+    /** Creates a fleet that limits the requests to endpoints that are cold by a configuration. */
+    ExchangeTestFleet(
+            long seed, Optional<ColdBounds> coldBounds, Optional<ForwardingConfig> config) {
+        mColdBounds = coldBounds;
+        mConfig = config;
         mRandom = RandomSource.SPLIT_MIX_64.create(seed);
         mNetwork = new SimulatedNetwork(mRandom);
     }
@@ -122,7 +136,15 @@
             mQuarantine = new QuarantineController(mFleet, e -> {});
             Clocks clocks = new Clocks(mProcess, mProcess);
             mState = new StateController(STALENESS, clocks, mProcess, e -> {});
-            mTracker = new EndpointTracker(mState.endpoints(), mLedger);
+            ColdController cold =
+                    new ColdController(
+                            mState.endpoints(),
+                            () -> mConfig,
+                            mColdBounds,
+                            mProcess,
+                            mProcess,
+                            e -> {});
+            mTracker = new EndpointTracker(mState.endpoints(), mLedger, cold);
             mExchange = exchange(self, clocks);
             mQuarantine.onNews(mExchange::reportNow);
         }
