Measure why short prompts are late at swings of an uneven fleet

On a fleet of 134 instances the sums of work are 0.4 to 0.8 s old, and a fifth of the short prompts miss their goal when the mix swings to them, although the engines have capacity. The measuring tool had no such fleet and did not say what a late request had waited for.

The context of an answer grows by a figure of the fleet.

--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/BatchingEngine.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/BatchingEngine.java
@@ -21,6 +21,8 @@
     private final List<PatternRequest> mDecoding = new ArrayList<>();
     private final Deque<Runnable> mAdmissionQueue = new ArrayDeque<>();
     private int mOccupiedSlots;
+    private double mLongPrefillMillis;
+    private double mShortPrefillMillis;
     private boolean mBusy;
     private boolean mCrashed;
 
@@ -44,9 +46,19 @@
         }
     }
 
+    /** Returns the time that was spent on prefill of parts of long prompts so far. */
+    double longPrefillMillis() {
+        return mLongPrefillMillis;
+    }
+
+    /** Returns the time that was spent on prefill of short prompts so far. */
+    double shortPrefillMillis() {
+        return mShortPrefillMillis;
+    }
+
     /** Queues the prefill of a part of a prompt, for this engine or on behalf of another one. */
-    void prefill(double tokens, double millis, boolean forOtherEngine, Runnable done) {
-        (forOtherEngine ? mHelperPrefills : mOwnPrefills).add(new Prefill(tokens, millis, done));
+    void prefill(Part part, boolean forOtherEngine, Runnable done) {
+        (forOtherEngine ? mHelperPrefills : mOwnPrefills).add(new Prefill(part, done));
         startIfIdle();
     }
 
@@ -96,6 +108,7 @@
                 double tokens = Math.min(remainingTokens, next.mTokens);
                 double part = next.mMillis * tokens / next.mTokens;
                 millis += part;
+                countPrefill(next, part);
                 remainingTokens -= tokens;
                 next.mTokens -= tokens;
                 next.mMillis -= part;
@@ -108,6 +121,14 @@
         return millis;
     }
 
+    private void countPrefill(Prefill prefill, double millis) {
+        if (prefill.mShort) {
+            mShortPrefillMillis += millis;
+        } else {
+            mLongPrefillMillis += millis;
+        }
+    }
+
     private void endPass(List<PatternRequest> decoding, List<Runnable> completed) {
         if (mCrashed) {
             return;
@@ -126,14 +147,19 @@
         startPass();
     }
 
+    /** Part of a prompt, or a whole short one, with the time of its prefill. */
+    record Part(double tokens, double millis, boolean ofShortPrompt) {}
+
     private static final class Prefill {
         private double mTokens;
         private double mMillis;
+        private final boolean mShort;
         private final Runnable mDone;
 
-        Prefill(double tokens, double millis, Runnable done) {
-            mTokens = tokens;
-            mMillis = millis;
+        Prefill(Part part, Runnable done) {
+            mTokens = part.tokens();
+            mMillis = part.millis();
+            mShort = part.ofShortPrompt();
             mDone = done;
         }
     }
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/FleetProfile.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/FleetProfile.java
@@ -1,15 +1,66 @@
 package io.bilberrygrade.standins.load.pattern;
 
 import com.google.common.collect.ImmutableList;
+import io.bilberrygrade.core.exchange.ExchangeInterval;
 import io.bilberrygrade.core.forward.EngineCost;
 
-/** Deployment to simulate, with its engines' published costs and its classes of requests. */
+/**
+ * Deployment to simulate, with its engines' published costs and its classes of requests.
+ *
+ * @param exchangeMillis interval at which daemons report their work and fetch the sums
+ * @param tokensPerEvent tokens by which the context of an answer grows with each event
+ */
 record FleetProfile(
         String name,
         int daemons,
         int engines,
         EngineCost cost,
+        long exchangeMillis,
+        double tokensPerEvent,
         ImmutableList<PatternClass> classes) {
+    private static final double TOKENS_PER_EVENT = 46;
+
+    private FleetProfile(
+            String name,
+            int daemons,
+            int engines,
+            EngineCost cost,
+            ImmutableList<PatternClass> classes) {
+        this(name, daemons, engines, cost, exchangeMillis(daemons), TOKENS_PER_EVENT, classes);
+    }
+
+    private static long exchangeMillis(int daemons) {
+        return ExchangeInterval.nextInterval(daemons, false).toMillis();
+    }
+
+    /** 134 daemons, most of them small, whose sums of work are 0.4 to 0.8 s old; 45 engines. */
+    static FleetProfile uneven() {
+        return uneven("uneven", exchangeMillis(134));
+    }
+
+    /** The same fleet if its sums were as recent as those of a few daemons. */
+    static FleetProfile unevenFresh() {
+        return uneven("uneven-fresh", exchangeMillis(1));
+    }
+
+    private static FleetProfile uneven(String name, long exchangeMillis) {
+        return new FleetProfile(
+                name,
+                134,
+                45,
+                new EngineCost(8, 267_750, 57, 0.85, 0.0064, 0.00285, 177, 0.184, 2_048),
+                exchangeMillis,
+                57,
+                ImmutableList.of(
+                        new PatternClass(
+                                "question", 45, 5_000, 0.7, 23_800, 32, 313, 250, 1.4, 0.34),
+                        new PatternClass(
+                                "review", 2.84, 45_000, 0.5, 110_000, 19, 1_520, 600, 3, 0.75),
+                        new PatternClass(
+                                "audit", 1.21, 220_000, 0.55, 1_000_000, 16, 4_035, 1_000, 26,
+                                6.6)));
+    }
+
     /** Four daemons and 16 engines. */
     static FleetProfile small() {
         return new FleetProfile(
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/LoadPattern.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/LoadPattern.java
@@ -42,6 +42,14 @@
                 ImmutableList.of(AUDITS.times(1.25), QUESTIONS.times(1.2), AUDITS.times(1.25)));
     }
 
+    /** Demand that swings twice from audits to questions and back, faster than old sums show. */
+    static LoadPattern mixSwings() {
+        Phase audits =
+                new Phase(PHASE_MILLIS, ImmutableMap.of(QUESTION, 0.35, REVIEW, 1.3, AUDIT, 2.8));
+        return new LoadPattern(
+                "mix-swings", ImmutableList.of(audits, QUESTIONS, audits, QUESTIONS, audits));
+    }
+
     /** Steady demand of all classes. */
     static LoadPattern steady() {
         return new LoadPattern(
@@ -75,6 +83,18 @@
         return phases.stream().mapToDouble(Phase::millis).sum();
     }
 
+    /** Returns the time in milliseconds since the phase at a time began. */
+    double sincePhaseMillis(double atMillis) {
+        double left = atMillis;
+        for (Phase phase : phases) {
+            if (left < phase.millis()) {
+                break;
+            }
+            left -= phase.millis();
+        }
+        return left;
+    }
+
     /** Returns the largest rate factor of a class. */
     double maxFactor(String requestClass) {
         return phases.stream()
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternMain.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternMain.java
@@ -11,6 +11,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
@@ -25,7 +26,9 @@
                     FleetProfile.grown(),
                     FleetProfile.large(),
                     FleetProfile.desk(),
-                    FleetProfile.deskGrown());
+                    FleetProfile.deskGrown(),
+                    FleetProfile.uneven(),
+                    FleetProfile.unevenFresh());
     private static final ImmutableList<LoadPattern> PATTERNS =
             ImmutableList.of(
                     LoadPattern.swings(),
@@ -33,7 +36,8 @@
                     LoadPattern.steady(),
                     LoadPattern.bursts(),
                     LoadPattern.crash(),
-                    LoadPattern.limits());
+                    LoadPattern.limits(),
+                    LoadPattern.mixSwings());
 
     private PatternMain() {}
 
@@ -51,6 +55,14 @@
                 .choices(Arrays.stream(PatternPolicy.values()).map(PatternMain::name).toList());
         parser.addArgument("--plot").help("file for an SVG plot of the worth");
         parser.addArgument("--json").help("file for the rows with all percentiles");
+        parser.addArgument("--late")
+                .action(Arguments.storeTrue())
+                .help("also print why strict requests are late, by time since the swing");
+        parser.addArgument("--seeds")
+                .type(Long.class)
+                .nargs("+")
+                .setDefault(SEEDS)
+                .help("seeds of the arrivals");
         try {
             run(parser.parseArgs(args));
         } catch (ArgumentParserException e) {
@@ -61,6 +73,7 @@
 
     private static void run(Namespace arguments) throws IOException {
         List<PatternRow> rows = new ArrayList<>();
+        ImmutableList<Long> seeds = ImmutableList.copyOf(arguments.<Long>getList("seeds"));
         System.out.println(PatternRow.HEADING);
         for (FleetProfile fleet : FLEETS) {
             for (LoadPattern pattern : PATTERNS) {
@@ -68,9 +81,12 @@
                     if (isSelected(arguments, "fleet", fleet.name())
                             && isSelected(arguments, "pattern", pattern.name())
                             && isSelected(arguments, "policy", name(policy))) {
-                        PatternResult result = simulate(pattern, policy, fleet, SEEDS);
+                        PatternResult result = simulate(pattern, policy, fleet, seeds);
                         PatternRow row = result.row(fleet.name(), pattern.name(), name(policy));
                         System.out.println(row.text());
+                        if (arguments.getBoolean("late")) {
+                            result.lateRows(pattern).forEach(System.out::println);
+                        }
                         rows.add(row);
                     }
                 }
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternPolicy.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternPolicy.java
@@ -93,6 +93,29 @@
         }
     },
 
+    /** The product's policy, but strict requests use all engines without queued prefill. */
+    UNPACKED {
+        @Override
+        StreamPlacement place(
+                StreamNeed need, EngineCost cost, ImmutableList<Candidate> engines, long turn) {
+            return engines.stream()
+                    .filter(c -> need.strict())
+                    .filter(c -> c.work().calls() < cost.slots())
+                    .filter(c -> c.work().readMillis() <= MAX_QUEUED_PREFILL_MILLIS)
+                    .limit(2)
+                    .min(
+                            Comparator.comparingLong((Candidate c) -> c.work().readMillis())
+                                    .thenComparing(c -> c.work().calls()))
+                    .map(c -> onSingleEngine(c, need, cost))
+                    .orElseGet(() -> FULL.place(need, cost, engines, turn));
+        }
+
+        @Override
+        boolean rejects(StreamNeed need, EngineCost cost, ImmutableList<Candidate> engines) {
+            return FULL.rejects(need, cost, engines);
+        }
+    },
+
     /** The product's policy. */
     FULL {
         @Override
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternRequest.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternRequest.java
@@ -1,12 +1,14 @@
 package io.bilberrygrade.standins.load.pattern;
 
+import java.util.Optional;
+
 /** One request and the progress of its answer as its caller observes it. */
 final class PatternRequest {
-    private static final double TOKENS_PER_EVENT = 46;
-
     private final PatternClass mRequestClass;
     private final long mTokens;
     private final double mArrivedAt;
+    private final double mTokensPerEvent;
+    private final FirstEventDelay mDelay = new FirstEventDelay();
     private Runnable mOnFirst = () -> {};
     private Runnable mOnEnd = () -> {};
     private double mContext;
@@ -15,10 +17,12 @@
     private double mLongestGap;
     private int mEvents;
 
-    PatternRequest(PatternClass requestClass, long tokens, double arrivedAt) {
+    PatternRequest(
+            PatternClass requestClass, long tokens, double arrivedAt, double tokensPerEvent) {
         mRequestClass = requestClass;
         mTokens = tokens;
         mArrivedAt = arrivedAt;
+        mTokensPerEvent = tokensPerEvent;
         mContext = tokens;
     }
 
@@ -26,6 +30,11 @@
         return mRequestClass;
     }
 
+    /** Returns what its first event waited for at its engine. */
+    FirstEventDelay delay() {
+        return mDelay;
+    }
+
     double arrivedAt() {
         return mArrivedAt;
     }
@@ -38,7 +47,7 @@
     void startAttempt(Runnable onFirst, Runnable onEnd) {
         mOnFirst = onFirst;
         mOnEnd = onEnd;
-        mContext = mTokens + mEvents * TOKENS_PER_EVENT;
+        mContext = mTokens + mEvents * mTokensPerEvent;
     }
 
     /** Returns the context in tokens that adds to the time of each step of its engine. */
@@ -62,7 +71,7 @@
         }
         mLastAt = now;
         mEvents++;
-        mContext += TOKENS_PER_EVENT;
+        mContext += mTokensPerEvent;
         if (mEvents >= mRequestClass.events()) {
             mOnEnd.run();
             return true;
@@ -79,10 +88,20 @@
         return mFirstAt < 0 ? -1 : mFirstAt - mArrivedAt;
     }
 
+    /** Returns why the request is late; empty if it isn't, or if it never got an event. */
+    Optional<LateCause> lateCause() {
+        if (isInTime() || mFirstAt < 0) {
+            return Optional.empty();
+        }
+        return Optional.of(isFirstEventInTime() ? LateCause.GAP : mDelay.cause(firstEventMillis()));
+    }
+
+    private boolean isFirstEventInTime() {
+        return mFirstAt >= 0 && firstEventMillis() <= mRequestClass.firstEventGoalMillis();
+    }
+
     boolean isInTime() {
-        return hasEnded()
-                && firstEventMillis() <= mRequestClass.firstEventGoalMillis()
-                && mLongestGap <= mRequestClass.gapGoalMillis();
+        return hasEnded() && isFirstEventInTime() && mLongestGap <= mRequestClass.gapGoalMillis();
     }
 
     double worth() {
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternResult.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternResult.java
@@ -2,7 +2,10 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 
 /** Statistics over the requests of one or more runs. */
@@ -57,6 +60,33 @@
                 .toList();
     }
 
+    /** Returns why strict requests are late, one line for each time since a swing to them. */
+    ImmutableList<String> lateRows(LoadPattern pattern) {
+        ImmutableList.Builder<String> rows = ImmutableList.builder();
+        for (LateWindow window : LateWindow.values()) {
+            List<PatternRequest> strict =
+                    mRequests.stream()
+                            .filter(r -> r.requestClass().need(r.tokens()).strict())
+                            .filter(r -> window.contains(pattern, r))
+                            .toList();
+            if (strict.isEmpty()) {
+                continue;
+            }
+            Map<LateCause, Long> causes = new EnumMap<>(LateCause.class);
+            strict.forEach(r -> r.lateCause().ifPresent(c -> causes.merge(c, 1L, Long::sum)));
+            long late = strict.stream().filter(r -> !r.isInTime()).count();
+            rows.add(
+                    String.format(
+                            Locale.ROOT,
+                            "    %s: %d of %d late %s",
+                            window.title(),
+                            late,
+                            strict.size(),
+                            causes));
+        }
+        return rows.build();
+    }
+
     /** Returns the results as a row of the table. */
     PatternRow row(String fleet, String pattern, String policy) {
         ImmutableList.Builder<PatternRow.ClassRow> classes = ImmutableList.builder();
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternRun.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternRun.java
@@ -2,7 +2,6 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import io.bilberrygrade.core.exchange.ExchangeInterval;
 import io.bilberrygrade.core.exchange.FleetMember;
 import io.bilberrygrade.core.exchange.WorkLedger;
 import io.bilberrygrade.core.exchange.WorkSums;
@@ -120,7 +119,8 @@
     }
 
     private void arrive(PatternClass c, long tokens, int daemon, int retries) {
-        PatternRequest request = new PatternRequest(c, tokens, mClock.nowMillis());
+        PatternRequest request =
+                new PatternRequest(c, tokens, mClock.nowMillis(), mFleet.tokensPerEvent());
         mRequests.add(request);
         submit(request, daemon, retries);
     }
@@ -188,16 +188,14 @@
                     attempt.onPrefillEnd(mDaemons.get(attempt.daemon()));
                 });
         request.startAttempt(
-                () -> onFirstEvent(attempt),
+                () -> onFirstEvent(attempt, request),
                 () -> {
                     mRunning.remove(request);
                     onEnded(attempt);
                 });
         mClock.schedule(
                 ENGINE_NETWORK_MILLIS,
-                () ->
-                        engine(placed.first().id())
-                                .ifPresent(e -> e.admit(() -> prefill(attempt, request, e))));
+                () -> engine(placed.first().id()).ifPresent(e -> admit(attempt, request, e)));
     }
 
     private Optional<BatchingEngine> engine(EndpointId id) {
@@ -207,7 +205,11 @@
     private void prefill(PatternAttempt attempt, PatternRequest request, BatchingEngine first) {
         int parts = attempt.placed().helpers().size() + 1;
         double tokens = (double) request.tokens() / parts;
-        double millis = mCost.readMillis(request.tokens()) / parts;
+        BatchingEngine.Part part =
+                new BatchingEngine.Part(
+                        tokens,
+                        mCost.readMillis(request.tokens()) / parts,
+                        attempt.need().strict());
         int[] remainingParts = {parts};
         Runnable done =
                 () -> {
@@ -217,13 +219,34 @@
                         first.decode(request);
                     }
                 };
-        first.prefill(tokens, millis, false, done);
+        first.prefill(part, false, done);
         attempt.placed()
                 .helpers()
-                .forEach(h -> engine(h.id()).ifPresent(e -> e.prefill(tokens, millis, true, done)));
+                .forEach(h -> engine(h.id()).ifPresent(e -> e.prefill(part, true, done)));
     }
 
-    private void onFirstEvent(PatternAttempt attempt) {
+    private void admit(PatternAttempt attempt, PatternRequest request, BatchingEngine first) {
+        double queuedAt = mClock.nowMillis();
+        first.admit(
+                () -> {
+                    request.delay()
+                            .onAdmitted(
+                                    mClock.nowMillis() - queuedAt,
+                                    first.longPrefillMillis(),
+                                    first.shortPrefillMillis());
+                    prefill(attempt, request, first);
+                });
+    }
+
+    private void onFirstEvent(PatternAttempt attempt, PatternRequest request) {
+        engine(attempt.placed().first().id())
+                .ifPresent(
+                        e ->
+                                request.delay()
+                                        .onFirstEvent(
+                                                e.longPrefillMillis(),
+                                                e.shortPrefillMillis()
+                                                        - mCost.readMillis(request.tokens())));
         mClock.schedule(
                 ENGINE_NETWORK_MILLIS,
                 () -> {
@@ -257,8 +280,6 @@
                                     ledger.receivedSums()
                                             .apply(AGGREGATOR, version, update, own, mClock.now()));
                 });
-        mClock.schedule(
-                (double) ExchangeInterval.nextInterval(mDaemons.size(), false).toMillis(),
-                () -> exchange(daemon));
+        mClock.schedule((double) mFleet.exchangeMillis(), () -> exchange(daemon));
     }
 }
--- a/standins/src/test/java/io/bilberrygrade/standins/load/pattern/PatternTest.java
+++ b/standins/src/test/java/io/bilberrygrade/standins/load/pattern/PatternTest.java
@@ -98,6 +98,16 @@
         }
     }
 
+    /** Guards against a fleet in the tool that no longer shows the cost of old sums. */
+    @Test
+    void oldSumsMakeMoreQuestionsLateThanRecentOnes() {
+        PatternResult old =
+                simulate(LoadPattern.mixSwings(), PatternPolicy.FULL, FleetProfile.uneven());
+        PatternResult recent =
+                simulate(LoadPattern.mixSwings(), PatternPolicy.FULL, FleetProfile.unevenFresh());
+        assertThat(old.worth("question")).isLessThan(recent.worth("question"));
+    }
+
     @Test
     void requestsOfCrashedEnginesAreServedByOthers() {
         PatternRow row =
