Let instances place short prompts by the age of their sums

StreamPlacer, used by AttemptPlanner, takes the traits of the deployment from a supplier and the trend from the sums of the work exchange, and places by the earlier policy unless the fleet is uneven and its sums are old; then no number is drawn either. The supplier of the daemon is FleetTraits.NONE until the exchange fills it. BG7060 logs the number of engines for strict streams when it changes by more than a quarter, with its inputs and the age of the sums; gauge strict_stream_engines shows it.

Measured: StreamPlacerTest compares placements with the switch off to the earlier policy's and replays a swing and the loss of the aggregator; it and EventCatalogueTest, EndpointTrackerTest, WorkExchangeFleetTest and ForwardingTest (over sockets) pass. Nothing was measured between real instances.

--- a/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
@@ -94,6 +94,21 @@
     @EventInfo(number = 7024, level = EventLevel.WARN)
     record RequestsAbandoned(int running, int uploads, int unfinished) implements ForwardEvent {}
 
+    /**
+     * The number of engines for strict streams changed much; {@code spread} is whether they use all
+     * since hardly any prefills long prompts. The others are what the number follows from.
+     */
+    @EventInfo(number = 7060, level = EventLevel.INFO)
+    record StrictStreamEnginesChanged(
+            int engines,
+            int candidates,
+            boolean spread,
+            int streams,
+            long unseenArrivals,
+            long prefilling,
+            long sumsAgeMillis)
+            implements ForwardEvent {}
+
     /** The caller disconnected before its answer was complete; its work was cancelled. */
     @EventInfo(number = 7006, level = EventLevel.INFO)
     record CallerGone(String request, int attempts, long millis) implements ForwardEvent {}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptPlanner.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptPlanner.java
@@ -16,14 +16,17 @@
 import io.bilberrygrade.core.forward.Route;
 import io.bilberrygrade.core.forward.StreamNeed;
 import io.bilberrygrade.core.forward.StreamPlacement;
-import io.bilberrygrade.core.forward.StreamPlacementPolicy;
 import io.bilberrygrade.core.identity.DataCentreId;
 import io.bilberrygrade.core.identity.EndpointId;
+import io.bilberrygrade.core.room.FleetTraits;
+import io.bilberrygrade.serving.contention.StreamPlacer;
+import io.bilberrygrade.serving.event.EventLog;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
 
 /**
@@ -34,11 +37,23 @@
     private final EndpointTracker mTracker;
     private final DataCentreId mSelf;
     private final UniformRandomProvider mRandom;
+    private final StreamPlacer mStreams;
 
-    AttemptPlanner(EndpointTracker tracker, DataCentreId self, UniformRandomProvider random) {
+    AttemptPlanner(
+            EndpointTracker tracker,
+            DataCentreId self,
+            UniformRandomProvider random,
+            Supplier<FleetTraits> traits,
+            EventLog events) {
         mTracker = tracker;
         mSelf = self;
         mRandom = random;
+        mStreams = new StreamPlacer(tracker.work().receivedSums(), traits, random, events);
+    }
+
+    /** Returns how many engines strict streams may use; 0 if the earlier policy decides. */
+    int strictEngines() {
+        return mStreams.strictEngines();
     }
 
     /** Returns the plan of the next attempt, or empty if no endpoint is eligible. */
@@ -53,7 +68,7 @@
                         ConnectionBound.open(
                                 service, mTracker.candidates(service.id(), tried, now)));
         if (service.engine().isPresent() && prompt.isPresent()) {
-            return planStream(need(route, prompt.get()), service.engine().get(), candidates);
+            return planStream(need(route, prompt.get()), service.engine().get(), candidates, now);
         }
         return PlainPlacementPolicy.place(mSelf, candidates)
                 .map(
@@ -97,9 +112,9 @@
         return StreamNeed.of(prompt, route.goal(), route.gapGoal());
     }
 
-    private static Optional<AttemptPlan> planStream(
-            StreamNeed need, EngineCost cost, ImmutableList<Candidate> candidates) {
-        return StreamPlacementPolicy.place(need, cost, candidates)
+    private Optional<AttemptPlan> planStream(
+            StreamNeed need, EngineCost cost, ImmutableList<Candidate> candidates, Instant now) {
+        return mStreams.place(need, cost, candidates, now)
                 .map(p -> streamPlan(p, need, candidates));
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -6,6 +6,7 @@
 import io.bilberrygrade.core.exchange.FleetView;
 import io.bilberrygrade.core.exchange.WorkLedger;
 import io.bilberrygrade.core.identity.Incarnation;
+import io.bilberrygrade.core.room.FleetTraits;
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.entry.PeriodicTasks;
 import io.bilberrygrade.serving.event.EventLog;
@@ -187,7 +188,7 @@
                         mState,
                         mTracker,
                         endpointStatus,
-                        new AttemptPlanner(mTracker, mSettings.get().dataCentre(), mRandom),
+                        planner(),
                         new RetryBudgets(
                                 mSettings.get(),
                                 () -> mFleet.size(mClocks.now()),
@@ -212,6 +213,18 @@
                         new DispatchFilter(forwardContext)));
     }
 
+    private AttemptPlanner planner() {
+        AttemptPlanner planner =
+                new AttemptPlanner(
+                        mTracker,
+                        mSettings.get().dataCentre(),
+                        mRandom,
+                        () -> FleetTraits.NONE,
+                        mEvents);
+        mEvents.registerGauge("strict_stream_engines", planner::strictEngines);
+        return planner;
+    }
+
     private MemoryReservations memory(EndpointStatusUpdater endpointStatus) {
         EngineMemory memory =
                 mPlatform.memory(
