--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -216,7 +216,7 @@
                         mState,
                         mTracker,
                         endpointStatus,
-                        new AttemptPlanner(mTracker, mSettings.get().dataCentre(), mRandom, mCost),
+                        planner(),
                         new RetryBudgets(
                                 mSettings.get(),
                                 () -> mFleet.size(mClocks.now()),
@@ -265,6 +265,19 @@
         return filter;
     }
 
+    private AttemptPlanner planner() {
+        AttemptPlanner planner =
+                new AttemptPlanner(
+                        mTracker,
+                        mSettings.get().dataCentre(),
+                        mRandom,
+                        mCost,
+                        this::traits,
+                        mEvents);
+        mEvents.registerGauge("strict_stream_engines", planner::strictEngines);
+        return planner;
+    }
+
     private MemoryReservations memory(EndpointStatusUpdater endpointStatus) {
         EngineMemory memory =
                 mPlatform.memory(
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternMain.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternMain.java
@@ -42,7 +42,9 @@
                     FleetProfile.grown(),
                     FleetProfile.large(),
                     FleetProfile.desk(),
-                    FleetProfile.deskGrown());
+                    FleetProfile.deskGrown(),
+                    FleetProfile.uneven(),
+                    FleetProfile.unevenFresh());
     private static final ImmutableList<LoadPattern> PATTERNS =
             ImmutableList.of(
                     LoadPattern.swings(),
@@ -51,7 +53,8 @@
                     LoadPattern.bursts(),
                     LoadPattern.crash(),
                     LoadPattern.limits(),
-                    LoadPattern.slow());
+                    LoadPattern.slow(),
+                    LoadPattern.mixSwings());
 
     private PatternMain() {}
 
@@ -72,6 +75,14 @@
                 .help("simulates plain services whose requests differ widely in cost instead");
         parser.addArgument("--plot").help("file for an SVG plot of the worth");
         parser.addArgument("--json").help("file for the rows with all percentiles");
+        parser.addArgument("--late")
+                .action(Arguments.storeTrue())
+                .help("also print why strict requests are late, by time since the swing");
+        parser.addArgument("--seeds")
+                .type(Long.class)
+                .nargs("+")
+                .setDefault(SEEDS)
+                .help("seeds of the arrivals");
         try {
             Namespace arguments = parser.parseArgs(args);
             if (arguments.getBoolean("service")) {
@@ -87,6 +98,7 @@
 
     private static void run(Namespace arguments) throws IOException {
         List<PatternRow> rows = new ArrayList<>();
+        ImmutableList<Long> seeds = ImmutableList.copyOf(arguments.<Long>getList("seeds"));
         System.out.println(PatternRow.HEADING);
         for (FleetProfile fleet : FLEETS) {
             for (LoadPattern pattern : PATTERNS) {
@@ -94,9 +106,12 @@
                     if (isSelected(arguments, "fleet", fleet.name())
                             && isSelected(arguments, "pattern", pattern.name())
                             && isSelected(arguments, "policy", name(policy))) {
-                        PatternResult result = simulate(pattern, policy, fleet, SEEDS);
+                        PatternResult result = simulate(pattern, policy, fleet, seeds);
                         PatternRow row = result.row(fleet.name(), pattern.name(), name(policy));
                         System.out.println(row.text());
+                        if (arguments.getBoolean("late")) {
+                            result.lateRows(pattern).forEach(System.out::println);
+                        }
                         rows.add(row);
                     }
                 }
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternRun.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/PatternRun.java
@@ -41,6 +41,9 @@
 
     private static final double DRAIN_MILLIS = 15_000;
 
+    /** Keeps the draws independent of the arrivals, whose generator has the seed itself. */
+    private static final long DRAW_SEED_OFFSET = 1_000_000;
+
     private final PatternPolicy mPolicy;
     private final FleetProfile mFleet;
     private final EngineCost mCost;
@@ -53,6 +56,7 @@
     private final List<PatternRequest> mRequests = new ArrayList<>();
     private final UniformRandomProvider mRandom;
     private final UniformRandomProvider mShuffleRandom;
+    private final UniformRandomProvider mDrawRandom;
     private long mNextTurn;
 
     PatternRun(PatternPolicy policy, FleetProfile fleet, long seed) {
@@ -61,6 +65,7 @@
         mCost = fleet.cost();
         mRandom = RandomSource.SPLIT_MIX_64.create(seed);
         mShuffleRandom = RandomSource.SPLIT_MIX_64.create(seed);
+        mDrawRandom = RandomSource.SPLIT_MIX_64.create(seed + DRAW_SEED_OFFSET);
         for (int i = 0; i < fleet.engines(); i++) {
             RegisteredEndpoint endpoint = endpoint(i);
             mEngines.put(endpoint.id(), new BatchingEngine(endpoint, mCost, mClock));
@@ -87,7 +92,7 @@
         mLimits.start(mFleet, mEngines.values(), pattern.limitedFraction(), mClock.now());
         slowDown(pattern.slowFraction());
         mFleet.classes().forEach(c -> scheduleArrivals(pattern, c));
-        new SimulatedExchange(mClock, mDaemons).start(mShuffleRandom);
+        new SimulatedExchange(mClock, mDaemons, mFleet.exchangeMillis()).start(mShuffleRandom);
         mClock.schedule(pattern.lengthMillis() / 2, () -> crash(pattern.crashedFraction()));
         mClock.runUntil(pattern.lengthMillis() + DRAIN_MILLIS);
         return ImmutableList.copyOf(mRequests);
@@ -108,7 +113,8 @@
     }
 
     private void arrive(PatternClass c, long tokens, int daemon, int retries) {
-        PatternRequest request = new PatternRequest(c, tokens, mClock.nowMillis());
+        PatternRequest request =
+                new PatternRequest(c, tokens, mClock.nowMillis(), mFleet.tokensPerEvent());
         mRequests.add(request);
         submit(request, daemon, retries);
     }
@@ -122,7 +128,7 @@
             StreamPlacement placed =
                     mPolicy.predicts(need)
                             ? mCosts.place(daemon, name, need, candidates, mClock.now())
-                            : mPolicy.place(need, mCost, candidates, mNextTurn++);
+                            : mPolicy.place(need, mCost, candidates, view(daemon));
             AttemptCost cost = mCosts.predict(daemon, name, need, placed, candidates, mClock.now());
             StreamPlacement recorded =
                     mPolicy == PatternPolicy.LEARNED_COST
@@ -135,6 +141,15 @@
         }
     }
 
+    private PatternView view(int daemon) {
+        return new PatternView(
+                mNextTurn++,
+                mFleet.traits(),
+                mDaemons.get(daemon).receivedSums().strictStreamTrend(mClock.now()),
+                mClock.now(),
+                mDrawRandom.nextDouble());
+    }
+
     /** Lets engines work at a third of their published speed. */
     private void slowDown(double fraction) {
         List<EndpointId> ids = new ArrayList<>(mEngines.keySet());
@@ -199,16 +214,14 @@
                     attempt.onPrefillEnd(mDaemons.get(attempt.daemon()));
                 });
         request.startAttempt(
-                () -> onFirstEvent(attempt, cost, sentAt),
+                () -> onFirstEvent(attempt, request, cost, sentAt),
                 () -> {
                     mRunning.remove(request);
                     onEnded(attempt);
                 });
         mClock.schedule(
                 ENGINE_NETWORK_MILLIS,
-                () ->
-                        engine(placed.first().id())
-                                .ifPresent(e -> e.admit(() -> prefill(attempt, request, e))));
+                () -> engine(placed.first().id()).ifPresent(e -> admit(attempt, request, e)));
     }
 
     private Optional<BatchingEngine> engine(EndpointId id) {
@@ -218,7 +231,11 @@
     private void prefill(PatternAttempt attempt, PatternRequest request, BatchingEngine first) {
         int parts = attempt.placed().helpers().size() + 1;
         double tokens = (double) request.tokens() / parts;
-        double millis = mCost.readMillis(request.tokens()) / parts;
+        BatchingEngine.Part part =
+                new BatchingEngine.Part(
+                        tokens,
+                        mCost.readMillis(request.tokens()) / parts,
+                        attempt.need().strict());
         int[] remainingParts = {parts};
         Runnable done =
                 () -> {
@@ -228,13 +245,35 @@
                         first.decode(request);
                     }
                 };
-        first.prefill(tokens, millis, false, done);
+        first.prefill(part, false, done);
         attempt.placed()
                 .helpers()
-                .forEach(h -> engine(h.id()).ifPresent(e -> e.prefill(tokens, millis, true, done)));
+                .forEach(h -> engine(h.id()).ifPresent(e -> e.prefill(part, true, done)));
+    }
+
+    private void admit(PatternAttempt attempt, PatternRequest request, BatchingEngine first) {
+        double queuedAt = mClock.nowMillis();
+        first.admit(
+                () -> {
+                    request.delay()
+                            .onAdmitted(
+                                    mClock.nowMillis() - queuedAt,
+                                    first.longPrefillMillis(),
+                                    first.shortPrefillMillis());
+                    prefill(attempt, request, first);
+                });
     }
 
-    private void onFirstEvent(PatternAttempt attempt, AttemptCost cost, double sentAt) {
+    private void onFirstEvent(
+            PatternAttempt attempt, PatternRequest request, AttemptCost cost, double sentAt) {
+        engine(attempt.placed().first().id())
+                .ifPresent(
+                        e ->
+                                request.delay()
+                                        .onFirstEvent(
+                                                e.longPrefillMillis(),
+                                                e.shortPrefillMillis()
+                                                        - mCost.readMillis(request.tokens())));
         mClock.schedule(
                 ENGINE_NETWORK_MILLIS,
                 () -> {
--- a/standins/src/main/java/io/bilberrygrade/standins/load/pattern/ServiceRun.java
+++ b/standins/src/main/java/io/bilberrygrade/standins/load/pattern/ServiceRun.java
@@ -76,7 +76,8 @@
 
     /** Simulates the load and returns the answers after the time for learning. */
     ImmutableList<ServiceAnswer> simulate() {
-        new SimulatedExchange(mClock, mLedgers).start(mShuffleRandom);
+        long interval = FleetProfile.exchangeMillis(mProfile.instances());
+        new SimulatedExchange(mClock, mLedgers, interval).start(mShuffleRandom);
         scheduleNext();
         mClock.runUntil(LENGTH_MILLIS);
         return ImmutableList.copyOf(mAnswers);
