--- a/serving/src/test/java/io/bilberrygrade/serving/forward/ColdFleetTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/ColdFleetTest.java
@@ -10,7 +10,6 @@
 import java.util.Comparator;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.TestReporter;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -72,8 +71,7 @@
     /** Half of the granted rate is the least that counts as use, under a burst of 600 a second. */
     @ParameterizedTest
     @CsvSource({"4, 600", "36, 600", "134, 600", "410, 600", "36, 100", "134, 100", "410, 100"})
-    void returnedEndpointsGetNoMoreThanTheBound(
-            int members, double perSecond, TestReporter reporter) {
+    void returnedEndpointsGetNoMoreThanTheBound(int members, double perSecond) {
         settle(members);
         sendAll(perSecond);
         int rounds = 4;
@@ -84,16 +82,17 @@
         checkBound();
         double seconds = (double) rounds * RETURNED * ColdEndpoints.COLD_TIME.toSeconds();
         double used = mEndpoints.coldArrivals() / seconds;
-        reporter.publishEntry(
-                members + " members, " + perSecond + " requests a second",
-                "%.1f of %.0f a second used, most %d of %d in a second, wait %d ms, p90 %d ms"
-                        .formatted(
-                                used,
-                                ColdEndpoints.PER_SECOND,
-                                mEndpoints.mostInWindow(Instant.MIN),
-                                ColdEndpoints.allowed(),
-                                mEndpoints.wait(0.5),
-                                mEndpoints.wait(0.9)));
+        System.out.printf(
+                "%d members, %.0f requests a second: %.1f of %.0f a second used at each,"
+                        + " most %d of %d in a second, wait %d ms, p90 %d ms%n",
+                members,
+                perSecond,
+                used,
+                ColdEndpoints.PER_SECOND,
+                mEndpoints.mostInWindow(Instant.MIN),
+                ColdEndpoints.allowed(),
+                mEndpoints.wait(0.5),
+                mEndpoints.wait(0.9));
         if (perSecond >= BURST) {
             assertThat(used)
                     .isGreaterThan(ColdEndpoints.BOUNDS.grantRate(ColdEndpoints.PER_SECOND) / 2);
