Fail an answer whose status line isn't one

Callers got answers of a server in trouble with status 000: the caller read "HTTP/1.1 000" and the server's seal, as if it were an answer.

Cause: nothing between the socket and the route asked what an answer is. Netty's decoder takes any number for a status, also 000, 99, 2000 or +20, skips control bytes before the line and takes a tab for a blank; the daemon then relayed the number. A 101 that nobody asked for and interim answers other than 100 and 103 passed for final ones.

Change: AnswerValidationHandler stands before the decoder on each connection of EndpointClient and HttpCalls, so it serves requests to endpoints, orders to engines, the store, and our own interface's engines, services, configuration and list of instances alike. It holds a head until its end, parses the status line by RFC 9112 section 4 (version HTTP/1.x, three digits, 100 to 599, a reason without control characters), drops interim answers, refuses a switch of protocols, and finds the end of the body, so that it knows where the next head begins. What isn't valid fails the attempt: nothing that the head states is believed, the endpoint is recorded as failing, and the request is repeated where its route allows it. Bytes that belong to no request close the connection.

The blank before an empty reason may be missing, as many servers omit it.

Test: MalformedAnswerTest, 30 cases over three kinds of route.

--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/answer/package-info.java
@@ -0,0 +1,2 @@
+/** Validates the answers of other processes before anything in them is used. */
+package io.bilberrygrade.serving.answer;
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointClient.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointClient.java
@@ -1,6 +1,8 @@
 package io.bilberrygrade.serving.forward;
 
 import io.bilberrygrade.core.identity.Address;
+import io.bilberrygrade.serving.answer.AnswerLimits;
+import io.bilberrygrade.serving.answer.AnswerValidationHandler;
 import io.bilberrygrade.serving.error.Delivery;
 import io.netty.channel.ConnectTimeoutException;
 import io.smallrye.mutiny.Uni;
@@ -12,6 +14,7 @@
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpClosedException;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.net.NetClient;
@@ -57,11 +60,15 @@
                 vertx.httpClientBuilder()
                         .with(options)
                         .with(new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_ENDPOINT))
-                        .withConnectHandler(
-                                c -> c.exceptionHandler(EndpointClient::logConnectionFailure))
+                        .withConnectHandler(EndpointClient::onConnection)
                         .build();
     }
 
+    private static void onConnection(HttpConnection connection) {
+        AnswerValidationHandler.install(connection, AnswerLimits.relayed(MAX_HEADER_BYTES));
+        connection.exceptionHandler(EndpointClient::logConnectionFailure);
+    }
+
     /**
      * Logs at debug level only: a connection carries one exchange, which reports the failure
      * itself.
--- a/serving/src/main/java/io/bilberrygrade/serving/http/HttpCalls.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/HttpCalls.java
@@ -2,11 +2,14 @@
 
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.request.Step;
+import io.bilberrygrade.serving.answer.AnswerLimits;
+import io.bilberrygrade.serving.answer.AnswerValidationHandler;
 import io.bilberrygrade.serving.metrics.ControlTraffic;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.core.http.HttpClient;
+import io.vertx.mutiny.core.http.HttpConnection;
 import io.vertx.mutiny.ext.web.client.WebClient;
 import java.time.Duration;
 import org.jboss.logging.Logger;
@@ -15,6 +18,7 @@
 public final class HttpCalls implements AutoCloseable {
     private static final Logger LOGGER = Logger.getLogger(HttpCalls.class);
     private static final int MAX_CONNECTIONS_PER_PEER = 512;
+    private static final int MAX_HEADER_BYTES = HttpClientOptions.DEFAULT_MAX_HEADER_SIZE;
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
     /** Time for which an idle connection is kept. */
@@ -55,11 +59,17 @@
                 vertx.httpClientBuilder()
                         .with(options)
                         .with(pool)
-                        .withConnectHandler(c -> c.exceptionHandler(HttpCalls::connectionFailed))
+                        .withConnectHandler(HttpCalls::onConnection)
                         .build();
         mWebClient = WebClient.wrap(mClient);
     }
 
+    private static void onConnection(HttpConnection connection) {
+        AnswerValidationHandler.install(
+                connection.getDelegate(), AnswerLimits.relayed(MAX_HEADER_BYTES));
+        connection.exceptionHandler(HttpCalls::connectionFailed);
+    }
+
     /**
      * Logs the failure of a connection. Calls in flight report it themselves, and an idle
      * connection has no call to fail.
