Fail an answer whose head holds a line that isn't a field

A server in trouble sent an answer in whose head a field's name held a blank or a tab. Callers got it as an answer: with that line passed on under a part of its name, or, where it read "Content-Length : 3" or "Content Length: 3", with a body that wasn't the server's.

Cause: for answers, Netty's decoder ends a name at the first blank and drops the rest up to the colon, joins a line that begins with a blank with the one before it, and takes a line without a colon. The other control bytes that we tried were refused by a check on names and values that it makes later.

Change: each line of a head or of trailers is parsed by RFC 9110 section 5: a token, a colon, and a value of visible characters, blanks, tabs and bytes over 127. RFC 9112 section 5.1 has a proxy drop a blank before the colon and section 5.2 lets it join continued lines; we refuse both, as the same bytes may as well be the rest of another line, and a sound server sends neither.

--- a/serving/src/main/java/io/bilberrygrade/serving/answer/ChunkedBody.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/answer/ChunkedBody.java
@@ -62,6 +62,8 @@
         if (line.isPresent()) {
             if (line.get().isEmpty()) {
                 mState = State.COMPLETE;
+            } else {
+                FieldLine.parse(line.get());
             }
         }
     }
