Fail an answer whose framing contradicts itself

Found by asking the same of framing as of names: callers got an answer that stated both a length and chunks, and one in a coding that the daemon doesn't read ("gzip, chunked", "identity") with the coding's header dropped.

Cause: the decoder lets chunks win over a length, and takes any list of codings that holds "chunked" for chunks and any other for an answer until the connection's end.

Change: RFC 9112 section 6: one length of digits only, or the coding "chunked" once and alone, not both, and no chunks in HTTP/1.0; everything else fails the attempt.

Test: MalformedAnswerTest, 19 malformed and 4 unusual framings over three kinds of route. AnswerValidatorTest feeds answers in pieces of every size, and heads, trailers, chunk extensions and interim answers without end.

--- a/serving/src/main/java/io/bilberrygrade/serving/answer/AnswerHeadParser.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/answer/AnswerHeadParser.java
@@ -1,6 +1,5 @@
 package io.bilberrygrade.serving.answer;
 
-import com.google.common.base.Ascii;
 import com.google.common.base.CharMatcher;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -33,14 +32,22 @@
         }
     }
 
-    private void addLength(String value) {
-        if (!value.isEmpty() && value.length() <= MAX_LENGTH_DIGITS && DIGIT.matchesAllOf(value)) {
-            mLength = OptionalLong.of(Long.parseLong(value));
+    private void addLength(String value) throws MalformedAnswerException {
+        boolean valid =
+                !value.isEmpty()
+                        && value.length() <= MAX_LENGTH_DIGITS
+                        && DIGIT.matchesAllOf(value);
+        if (!valid || mLength.isPresent()) {
+            throw new MalformedAnswerException("the length isn't one number");
         }
+        mLength = OptionalLong.of(Long.parseLong(value));
     }
 
-    private void addTransferEncoding(String value) {
-        mChunked |= Ascii.toLowerCase(value).contains("chunked");
+    private void addTransferEncoding(String value) throws MalformedAnswerException {
+        if (mChunked || !value.equalsIgnoreCase("chunked")) {
+            throw new MalformedAnswerException("the transfer encoding isn't chunked alone");
+        }
+        mChunked = true;
     }
 
     /** Returns the status line; the head must have ended. */
@@ -56,6 +63,12 @@
      */
     AnswerFraming framing(boolean toHead) throws MalformedAnswerException {
         StatusLine statusLine = statusLine();
+        if (mChunked && mLength.isPresent()) {
+            throw new MalformedAnswerException("the answer has both a length and chunks");
+        }
+        if (mChunked && statusLine.minorVersion() == 0) {
+            throw new MalformedAnswerException("an answer of HTTP/1.0 has chunks");
+        }
         int status = statusLine.status();
         if (toHead || status == NO_CONTENT || status == NOT_MODIFIED) {
             return new AnswerFraming.Empty();
