Bound the memory that all answers hold together

A faulty server's bytes without end, in a body or in an event, filled the heap of the daemon that had called it; requests of other clients on that daemon ended with it. So did sound answers of 6 MB that slow callers didn't read.

Cause: an answer that is held until it is whole had a limit of 8 MB, an event one of 1 MB, and nothing counted them together: a few callers at once pass the 96 MB heap. What waited in the write queue of a slow caller wasn't counted at all. Bodies of the daemon's own calls (store, orders to engines, and our own interface's control calls, services, configuration and list of instances) had no limit.

Change: AnswerMemory counts what answers hold, by endpoint: bodies that aren't whole or aren't sent, events that aren't complete, and what waits for a caller that doesn't read. Over a quarter of the heap, the largest answer of the endpoint whose answers hold most ends, until the others fit, so that small answers beside a faulty endpoint go on: while it arrives, as a failure of its endpoint, repeated where the route allows it; while it waits for its caller, by closing the caller's connection (BG7022, OVERLOADED) without the wait for a flush that may never come. Bodies are held in blocks, so that they don't double as they grow. Gauges answer_bytes_held and answers_ended_for_memory_total. HttpCalls limits each body that it holds whole to 8 MB, and errors of streams too.

Weighed: pausing the reading of whole answers (frees nothing, and blocks all of them until their deadlines); ending the answer that asks for more (a small sound one as often as an endless one); the largest answer of all (a large sound one beside many endless ones, each smaller).

Test: HeldAnswersTest starts the daemon as a process with the deploy file's heap: 24 and 100 callers, one and three faulty endpoints, three kinds of route, slow callers; 100 sound requests beside them.

--- a/serving/src/main/java/io/bilberrygrade/serving/answer/AnswerValidator.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/answer/AnswerValidator.java
@@ -85,7 +85,8 @@
             return;
         }
         mHeadBytes = 0;
-        Body body = new Body(framing, mLimits);
+        Body body =
+                new Body(framing, mLimits.maxBytes(statusLine.status()), mLimits.maxHeadBytes());
         mBody = Optional.of(body);
         body.checkLimit();
         out.accept(head);
@@ -116,14 +117,14 @@
     /** Progress in a body. */
     private static final class Body {
         private final AnswerFraming mFraming;
-        private final AnswerLimits mLimits;
+        private final long mMaxBytes;
         private final ChunkedBody mChunks;
         private long mBytes;
 
-        Body(AnswerFraming framing, AnswerLimits limits) {
+        Body(AnswerFraming framing, long maxBytes, int maxTrailerBytes) {
             mFraming = framing;
-            mLimits = limits;
-            mChunks = new ChunkedBody(limits.maxHeadBytes());
+            mMaxBytes = maxBytes;
+            mChunks = new ChunkedBody(maxTrailerBytes);
         }
 
         AnswerFraming framing() {
@@ -162,9 +163,8 @@
         /** Checks the stated length before any of the body comes, and each part as it comes. */
         void checkLimit() throws MalformedAnswerException {
             long bytes = mFraming instanceof AnswerFraming.Sized s ? s.bytes() : mBytes;
-            if (bytes > mLimits.maxBodyBytes()) {
-                throw new MalformedAnswerException(
-                        "the body is over " + mLimits.maxBodyBytes() + " bytes");
+            if (bytes > mMaxBytes) {
+                throw new MalformedAnswerException("the body is over " + mMaxBytes + " bytes");
             }
         }
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/AnswerEnd.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AnswerEnd.java
@@ -3,12 +3,15 @@
 import io.bilberrygrade.core.forward.ForwardingConfig;
 import io.bilberrygrade.core.request.Outcome;
 import io.bilberrygrade.core.request.Reason;
+import io.bilberrygrade.serving.answer.AnswerBody;
 import io.bilberrygrade.serving.event.ForwardEvent;
-import io.vertx.core.buffer.Buffer;
 import java.time.Instant;
 
 /** Ends the answer to one request, and logs how it ended. */
 final class AnswerEnd {
+    /** Detail of an answer that was cut for its caller's slowness. */
+    static final String SLOW_CALLER = "the caller takes its answer too slowly";
+
     private static final int SUCCESS = 200;
 
     private final ForwardContext mContext;
@@ -45,8 +48,9 @@
     }
 
     /** Relays an endpoint's error, unless the caller already has a part of another answer. */
-    void relayError(AnswerHead head, Buffer body, int attempts) {
+    void relayError(AnswerHead head, AnswerBody body, int attempts) {
         if (mRelay.hasBegun()) {
+            body.release();
             cut(Reason.ENDPOINT_FAILED, "the endpoint answered " + head.status(), attempts);
         } else {
             recordAnswered(head.status(), attempts, mContext.clocks().now());
@@ -68,7 +72,18 @@
         }
     }
 
+    /** Closes the connection of a caller that takes its answer too slowly for the memory held. */
+    void cutSlowCaller(int attempts) {
+        recordCut(Reason.OVERLOADED, SLOW_CALLER, attempts);
+        mExchange.answer().abortNow();
+    }
+
     private void cut(Reason reason, String detail, int attempts) {
+        recordCut(reason, detail, attempts);
+        mExchange.answer().abort();
+    }
+
+    private void recordCut(Reason reason, String detail, int attempts) {
         mContext.events()
                 .record(
                         new ForwardEvent.AnswerCut(
@@ -80,6 +95,5 @@
                                 mExchange.millisSinceArrival(mContext.clocks().now()),
                                 mExchange.config().map(ForwardingConfig::version).orElse(0L),
                                 mContext.state().version()));
-        mExchange.answer().abort();
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/AnswerRelay.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AnswerRelay.java
@@ -1,6 +1,6 @@
 package io.bilberrygrade.serving.forward;
 
-import io.vertx.core.buffer.Buffer;
+import io.bilberrygrade.serving.answer.AnswerBody;
 import java.time.Instant;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -71,11 +71,11 @@
         mLastId = Optional.of(id.getAsLong());
     }
 
-    /** Ends the answer; sends the head if there were no events. */
-    void end(AnswerHead head) {
+    /** Ends the answer; sends the head and an empty body if there were no events. */
+    void end(AnswerHead head, AnswerBody emptyBody) {
         if (!mBegun) {
             mBegun = true;
-            mAnswer.writeWhole(head, Buffer.buffer());
+            mAnswer.writeWhole(head, emptyBody);
         } else {
             mAnswer.end();
         }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptOwner.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptOwner.java
@@ -1,7 +1,7 @@
 package io.bilberrygrade.serving.forward;
 
+import io.bilberrygrade.serving.answer.AnswerBody;
 import io.bilberrygrade.serving.error.Delivery;
-import io.vertx.core.buffer.Buffer;
 import java.time.Instant;
 
 /** Receives the result of an attempt. */
@@ -22,7 +22,10 @@
     void onRelayed(ForwardAttempt attempt);
 
     /** The endpoint ran the request and answered with an error status. */
-    void onErrorAnswer(ForwardAttempt attempt, AnswerHead head, Buffer body);
+    void onErrorAnswer(ForwardAttempt attempt, AnswerHead head, AnswerBody body);
+
+    /** Answers hold too much memory, and this one waits for its caller. */
+    void onCallerTooSlow();
 
     /** The complete answer was relayed to the caller. */
     void onAnswered(long eventCount, Instant firstEventAt);
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/CallerAnswer.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/CallerAnswer.java
@@ -1,10 +1,13 @@
 package io.bilberrygrade.serving.forward;
 
+import io.bilberrygrade.serving.answer.AnswerBody;
+import io.bilberrygrade.serving.http.Connections;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import java.time.Duration;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
@@ -24,6 +27,7 @@
     private boolean mCloseAfterEnd;
     private boolean mGone;
     private boolean mEnded;
+    private boolean mOnEndRun;
 
     /** Creates an answer; {@code stopping} tells whether this instance is about to stop. */
     CallerAnswer(HttpServerRequest request, BooleanSupplier stopping) {
@@ -42,17 +46,25 @@
         }
     }
 
-    /**
-     * Registers an action to run once the last byte has been written, or can't be written any more.
-     */
+    /** Adds an action to run once the last byte has been written, or can't be written any more. */
     void onEnd(Runnable action) {
-        mOnEnd = action;
+        if (mOnEndRun) {
+            action.run();
+            return;
+        }
+        Runnable before = mOnEnd;
+        mOnEnd =
+                () -> {
+                    before.run();
+                    action.run();
+                };
     }
 
     private void runOnEnd() {
-        Runnable action = mOnEnd;
-        mOnEnd = () -> {};
-        action.run();
+        if (!mOnEndRun) {
+            mOnEndRun = true;
+            mOnEnd.run();
+        }
     }
 
     /** Returns whether the head of the answer has been written. */
@@ -85,15 +97,23 @@
         return String.format(Locale.ROOT, "%.3f", span.toMillis() / MILLIS_PER_SECOND);
     }
 
-    /** Writes a complete answer of an endpoint. */
-    void writeWhole(AnswerHead head, Buffer body) {
+    /** Writes a complete answer of an endpoint, whose body is released once it is written. */
+    void writeWhole(AnswerHead head, AnswerBody body) {
+        onEnd(body::release);
         if (mEnded) {
             return;
         }
         mResponse.setStatusCode(head.status());
         mResponse.headers().addAll(head.passedOn());
         closeConnectionIfStopping();
-        finish(body);
+        List<Buffer> blocks = body.blocks();
+        if (blocks.isEmpty()) {
+            finish(Buffer.buffer());
+            return;
+        }
+        mResponse.putHeader("Content-Length", Integer.toString(body.length()));
+        blocks.subList(0, blocks.size() - 1).forEach(mResponse::write);
+        finish(blocks.getLast());
     }
 
     /** Keeps the caller from sending its next request into the stop. */
@@ -145,6 +165,18 @@
         }
     }
 
+    /**
+     * Closes the connection at once, also if all of the answer waits to be sent. Does nothing once
+     * it is sent.
+     */
+    void abortNow() {
+        if (!mOnEndRun) {
+            mEnded = true;
+            Connections.closeNow(mRequest.connection());
+            runOnEnd();
+        }
+    }
+
     private void finish(Buffer last) {
         mEnded = true;
         Future<Void> written = mResponse.end(last);
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointClient.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointClient.java
@@ -65,7 +65,7 @@
     }
 
     private static void onConnection(HttpConnection connection) {
-        AnswerValidationHandler.install(connection, AnswerLimits.relayed(MAX_HEADER_BYTES));
+        AnswerValidationHandler.install(connection, AnswerLimits.headOnly(MAX_HEADER_BYTES));
         connection.exceptionHandler(EndpointClient::logConnectionFailure);
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/EventStreamParser.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/EventStreamParser.java
@@ -43,6 +43,11 @@
         return events;
     }
 
+    /** Returns the bytes that are held of a partial event, whose buffer doubles as it grows. */
+    long heldBytes() {
+        return 2L * mPending.length();
+    }
+
     /** Returns whether no partial event is pending. */
     boolean atBoundary() {
         return mPending.length() == 0;
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
@@ -2,9 +2,12 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import io.bilberrygrade.core.answer.AnswerMemory;
 import io.bilberrygrade.core.forward.RegisteredEndpoint;
 import io.bilberrygrade.core.forward.RouteKind;
+import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.core.quarantine.Suspect;
+import io.bilberrygrade.serving.answer.AnswerBody;
 import io.bilberrygrade.serving.error.Delivery;
 import io.bilberrygrade.serving.room.EndWatch;
 import io.bilberrygrade.serving.room.SilenceWatch;
@@ -20,6 +23,9 @@
     /** Limit in bytes of an answer that is buffered before it is relayed. */
     private static final int MAX_BUFFERED_BYTES = 8 << 20;
 
+    /** Bytes that may wait for a caller before it counts as slow. */
+    private static final long WRITE_QUEUE_BYTES = 64 << 10;
+
     private static final int MISDIRECTED = 421;
 
     private final ForwardContext mContext;
@@ -36,7 +42,9 @@
     private final EndWatch mEngineEnd;
     private final RecordedWork mWork;
     private final Instant mStartedAt;
-    private Buffer mBufferedBody = Buffer.buffer();
+    private final AnswerMemory<EndpointId>.Holding mHolding;
+    private final AnswerBody mBody;
+    private long mUnsentBytes;
     private Optional<AnswerHead> mHead = Optional.empty();
     private EndpointCall mCall;
     private boolean mFinished;
@@ -64,6 +72,8 @@
                         context.timers(),
                         this::hasEngineEnded,
                         () -> fail(mProgress.delivery(), "its engine has ended", true));
+        mHolding = context.answerMemory().add(attemptPlan.endpoint().id(), this::onMemoryExhausted);
+        mBody = new AnswerBody(mHolding);
         mWork = new RecordedWork(context, attemptPlan);
         mStartedAt = context.clocks().now();
     }
@@ -116,10 +126,24 @@
     void cancel() {
         if (!mFinished) {
             finish();
+            mBody.release();
             mCall.cancel();
         }
     }
 
+    /** Ends the attempt since answers hold too much memory, and this one most of it. */
+    private void onMemoryExhausted() {
+        if (mUnsentBytes > 0) {
+            mOwner.onCallerTooSlow();
+        } else {
+            fail(
+                    Delivery.MAY_HAVE_RUN,
+                    "it holds most of the answers' "
+                            + mContext.answerMemory().maxBytes()
+                            + " bytes");
+        }
+    }
+
     @Override
     public void onConnected() {
         Optional<RegisteredEndpoint> evacuated = mPlan.findEvacuated(mContext.state().endpoints());
@@ -200,10 +224,10 @@
         mContext.tracker().recordBytes(mPlan.endpoint().id(), mContext.clocks().now());
         if (isStreaming()) {
             relayEvents(part);
-        } else if (mBufferedBody.length() + part.length() > MAX_BUFFERED_BYTES) {
+        } else if (mBody.length() + part.length() > MAX_BUFFERED_BYTES) {
             fail(Delivery.MAY_HAVE_RUN, "the answer is over " + MAX_BUFFERED_BYTES + " bytes");
         } else {
-            mBufferedBody.appendBuffer(part);
+            mBody.append(part);
         }
     }
 
@@ -220,11 +244,16 @@
                 onFirstEvent();
                 clearOnceSettled();
             }
+            boolean writable = true;
             for (StreamEvent event : events) {
                 if (mayRelay(event)) {
-                    relay(event);
+                    writable &= relay(event);
                 }
             }
+            if (!writable) {
+                mUnsentBytes = WRITE_QUEUE_BYTES + part.length();
+            }
+            mHolding.set(mParser.heldBytes() + mUnsentBytes);
             if (progress && !mFinished && mExchange.route().repeatable()) {
                 mSilence.start(ResponseTimeouts.betweenEvents(mExchange.route()));
             }
@@ -238,7 +267,8 @@
         return event.progress() || mProgress.isWriting() || mOwner.isOnlyAttempt();
     }
 
-    private void relay(StreamEvent event) throws MalformedStreamException {
+    /** Relays an event; returns whether the caller can take more. */
+    private boolean relay(StreamEvent event) throws MalformedStreamException {
         boolean writable = mRelay.relay(mHead.orElseThrow(), event, mContext.clocks().now());
         if (event.progress()) {
             mOwner.onRelayed(this);
@@ -248,9 +278,12 @@
             mSilence.suspend();
             mRelay.answer().onWritable(this::resumeReading);
         }
+        return writable;
     }
 
     private void resumeReading() {
+        mUnsentBytes = 0;
+        mHolding.set(mParser.heldBytes());
         mSilence.resume();
         mCall.resume();
     }
@@ -282,16 +315,18 @@
         }
         finish();
         if (!head.success()) {
-            mOwner.onErrorAnswer(this, head, mBufferedBody);
+            mOwner.onErrorAnswer(this, head, mBody);
             return;
         }
         mContext.tracker().recordSuccess(mPlan.endpoint().id());
         mContext.quarantine().recordAnswered(mExchange::suspects, mContext.clocks().now());
         mWork.learnFromAnswer(mRelay.eventCount());
+        mBody.onEnded(mOwner::onCallerTooSlow);
         if (isStreaming()) {
-            mRelay.end(head);
+            mExchange.answer().onEnd(mBody::release);
+            mRelay.end(head, mBody);
         } else {
-            mExchange.answer().writeWhole(head, mBufferedBody);
+            mExchange.answer().writeWhole(head, mBody);
         }
         mOwner.onAnswered(
                 mRelay.eventCount(), mRelay.firstEventAt().orElseGet(mContext.clocks()::now));
@@ -359,6 +394,7 @@
 
     private void end(Delivery delivery, String detail, boolean endpointAtFault) {
         finish();
+        mBody.release();
         mCall.cancel();
         Instant now = mContext.clocks().now();
         if (endpointAtFault) {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOperation.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOperation.java
@@ -8,10 +8,10 @@
 import io.bilberrygrade.core.request.Outcome;
 import io.bilberrygrade.core.request.Reason;
 import io.bilberrygrade.core.request.Step;
+import io.bilberrygrade.serving.answer.AnswerBody;
 import io.bilberrygrade.serving.error.Delivery;
 import io.bilberrygrade.serving.event.ForwardEvent;
 import io.smallrye.mutiny.subscription.Cancellable;
-import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
@@ -298,12 +298,13 @@
     }
 
     @Override
-    public void onErrorAnswer(ForwardAttempt attempt, AnswerHead head, Buffer body) {
+    public void onErrorAnswer(ForwardAttempt attempt, AnswerHead head, AnswerBody body) {
         if (mEnded) {
+            body.release();
             return;
         }
         mMayHaveRun = true;
-        mLastFailure = Optional.of(new ServerFailure(head, body));
+        replaceLastFailure(Optional.of(new ServerFailure(head, body)));
         if (mInFlight.endOne(attempt)) {
             return;
         }
@@ -314,6 +315,21 @@
         }
     }
 
+    /** Keeps the last error, unless answers come to hold too much memory meanwhile. */
+    private void replaceLastFailure(Optional<ServerFailure> failure) {
+        mLastFailure.ifPresent(f -> f.body().release());
+        mLastFailure = failure;
+        failure.ifPresent(f -> f.body().onEnded(() -> replaceLastFailure(Optional.empty())));
+    }
+
+    @Override
+    public void onCallerTooSlow() {
+        mAnswerEnd.cutSlowCaller(mHistory.count());
+        if (!mEnded) {
+            finish(Outcome.unknown(Step.RELAY, Reason.OVERLOADED, AnswerEnd.SLOW_CALLER, "caller"));
+        }
+    }
+
     @Override
     public void onAnswered(long eventCount, Instant firstEventAt) {
         if (!mEnded) {
@@ -334,6 +350,8 @@
                                     + " and may have run"));
             return;
         }
+        mLastFailure = Optional.empty();
+        failure.body().onEnded(this::onCallerTooSlow);
         mAnswerEnd.relayError(failure.head(), failure.body(), mHistory.count());
         finish(new Outcome.Done(0));
     }
@@ -384,6 +402,7 @@
 
     private void finish(Outcome outcome) {
         mEnded = true;
+        replaceLastFailure(Optional.empty());
         mInFlight.cancelAll();
         mDeadlineTimer.ifPresent(Cancellable::cancel);
         mExchange.admission().ifPresent(mContext.admission()::recordEnded);
@@ -391,5 +410,5 @@
         mOnOutcome.accept(outcome);
     }
 
-    private record ServerFailure(AnswerHead head, Buffer body) {}
+    private record ServerFailure(AnswerHead head, AnswerBody body) {}
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/http/HttpCalls.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/HttpCalls.java
@@ -24,7 +24,15 @@
     /** Time for which an idle connection is kept. */
     private static final Duration DEFAULT_IDLE_TIME = Duration.ofMinutes(1);
 
-    private final HttpClient mClient;
+    /** Limit in bytes of a body that is held whole; answers of the store are the largest. */
+    private static final long MAX_BODY_BYTES = 8 << 20;
+
+    private static final AnswerLimits BUFFERED =
+            new AnswerLimits(MAX_HEADER_BYTES, MAX_BODY_BYTES, MAX_BODY_BYTES);
+    private static final AnswerLimits STREAMED =
+            new AnswerLimits(MAX_HEADER_BYTES, Long.MAX_VALUE, MAX_BODY_BYTES);
+
+    private final HttpClient mStreamingClient;
     private final WebClient mWebClient;
     private final ControlTraffic mTraffic;
 
@@ -55,18 +63,21 @@
                         .setKeepAlive(true)
                         .setKeepAliveTimeout((int) idleTime.toSeconds());
         PoolOptions pool = new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_PEER);
-        mClient =
-                vertx.httpClientBuilder()
-                        .with(options)
-                        .with(pool)
-                        .withConnectHandler(HttpCalls::onConnection)
-                        .build();
-        mWebClient = WebClient.wrap(mClient);
+        mStreamingClient = client(vertx, options, pool, STREAMED);
+        mWebClient = WebClient.wrap(client(vertx, options, pool, BUFFERED));
+    }
+
+    private static HttpClient client(
+            Vertx vertx, HttpClientOptions options, PoolOptions pool, AnswerLimits limits) {
+        return vertx.httpClientBuilder()
+                .with(options)
+                .with(pool)
+                .withConnectHandler(c -> onConnection(c, limits))
+                .build();
     }
 
-    private static void onConnection(HttpConnection connection) {
-        AnswerValidationHandler.install(
-                connection.getDelegate(), AnswerLimits.relayed(MAX_HEADER_BYTES));
+    private static void onConnection(HttpConnection connection, AnswerLimits limits) {
+        AnswerValidationHandler.install(connection.getDelegate(), limits);
         connection.exceptionHandler(HttpCalls::connectionFailed);
     }
 
@@ -85,11 +96,12 @@
 
     /** Returns the client for streamed answers. */
     public HttpClient streamingClient() {
-        return mClient;
+        return mStreamingClient;
     }
 
     @Override
     public void close() {
         mWebClient.close();
+        mStreamingClient.closeAndForget();
     }
 }
--- a/serving/src/test/java/io/bilberrygrade/serving/answer/AnswerValidatorTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/answer/AnswerValidatorTest.java
@@ -12,7 +12,7 @@
 
 /** Answers that arrive in pieces of any size. */
 final class AnswerValidatorTest {
-    private static final AnswerLimits LIMITS = new AnswerLimits(200, 20);
+    private static final AnswerLimits LIMITS = new AnswerLimits(200, 20, 10);
     private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     private static final String SIZED = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
 
@@ -122,4 +122,12 @@
                 .isInstanceOf(MalformedAnswerException.class)
                 .hasMessageContaining("over 20 bytes");
     }
+
+    @Test
+    void bodyOfErrorHasItsOwnLimit() {
+        mValidator.expectAnswer(false);
+        assertThatThrownBy(() -> read("HTTP/1.1 500 Error\r\n\r\nxxxxxxxxxxx"))
+                .isInstanceOf(MalformedAnswerException.class)
+                .hasMessageContaining("over 10 bytes");
+    }
 }
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/EvacuatedSendTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/EvacuatedSendTest.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import io.bilberrygrade.core.answer.AnswerMemory;
 import io.bilberrygrade.core.exchange.FleetMember;
 import io.bilberrygrade.core.exchange.FleetView;
 import io.bilberrygrade.core.exchange.WorkLedger;
@@ -22,6 +23,7 @@
 import io.bilberrygrade.core.identity.RequestId;
 import io.bilberrygrade.core.identity.ServiceId;
 import io.bilberrygrade.core.room.FleetTraits;
+import io.bilberrygrade.serving.answer.AnswerBody;
 import io.bilberrygrade.serving.cost.CostController;
 import io.bilberrygrade.serving.error.Delivery;
 import io.bilberrygrade.serving.event.Event;
@@ -52,6 +54,8 @@
  * evacuated. Guards against requests that are written in that moment.
  */
 final class EvacuatedSendTest {
+    private static final long MAX_ANSWER_BYTES = 1 << 20;
+
     private static final ServiceId SERVICE = new ServiceId("s");
     private static final int TIMEOUT_SECONDS = 15;
 
@@ -114,6 +118,7 @@
                 null,
                 null,
                 new EndpointClient(mVertx, new NoHeaders()),
+                new AnswerMemory<>(MAX_ANSWER_BYTES),
                 null,
                 null,
                 new QuarantineController(fleet, mEvents::add),
@@ -241,7 +246,10 @@
         public void onRelayed(ForwardAttempt attempt) {}
 
         @Override
-        public void onErrorAnswer(ForwardAttempt attempt, AnswerHead head, Buffer body) {}
+        public void onErrorAnswer(ForwardAttempt attempt, AnswerHead head, AnswerBody body) {}
+
+        @Override
+        public void onCallerTooSlow() {}
 
         @Override
         public void onAnswered(long eventCount, Instant firstEventAt) {}
