Close the connection of an attempt that is given up at once

Found by the test of endless answers with a long upload: an attempt that had failed ("the answer is over 8388608 bytes") kept its connection, and the endpoint went on writing to it, for as long as it didn't read the rest of the request (seen for 25 s, the test's bound; the socket stood open with 3 MB to send).

Cause: Vert.x closes a connection only once what was written to it is flushed, also when a request is reset and when the channel is closed by its last handler.

Change: Connections.closeNow closes from the first handler on. Used for attempts that are given up, cancelled or not needed any more, and for callers that are cut for their slowness, which had the same wait.

--- a/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointClient.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointClient.java
@@ -4,6 +4,7 @@
 import io.bilberrygrade.serving.answer.AnswerLimits;
 import io.bilberrygrade.serving.answer.AnswerValidationHandler;
 import io.bilberrygrade.serving.error.Delivery;
+import io.bilberrygrade.serving.http.Connections;
 import io.netty.channel.ConnectTimeoutException;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.MultiMap;
@@ -140,13 +141,13 @@
             mRequest = request;
             request.exceptionHandler(this::failSent);
             if (mDone) {
-                closeUnused();
+                Connections.closeNow(request.connection());
                 return;
             }
             request.response().onSuccess(this::onResponse).onFailure(this::failSent);
             mListener.onConnected();
             if (mDone) {
-                closeUnused();
+                Connections.closeNow(request.connection());
                 return;
             }
             if (body.length() == 0) {
@@ -156,11 +157,6 @@
             }
         }
 
-        /** Closes the connection; resetting a request of which nothing was sent leaves it open. */
-        private void closeUnused() {
-            mRequest.connection().close();
-        }
-
         private void onResponse(HttpClientResponse response) {
             if (mDone) {
                 return;
@@ -205,7 +201,7 @@
         private void abandon() {
             mDone = true;
             if (mRequest != null) {
-                mRequest.reset();
+                Connections.closeNow(mRequest.connection());
             }
         }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/http/Connections.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/Connections.java
@@ -13,6 +13,8 @@
      * if the other side doesn't read. Drops what waits to be sent.
      */
     public static void closeNow(HttpConnection connection) {
-        ChannelFuture unused = ((ConnectionBase) connection).channel().close();
+        // From the first handler on, past the one of Vert.x, which would wait.
+        ChannelFuture unused =
+                ((ConnectionBase) connection).channel().pipeline().firstContext().close();
     }
 }
