Move what is held of an answer into a class, and the last error into another

AnswerBody counts all that is held of an answer (its body, a partial event, what waits for the caller), LastFailure keeps the error of an endpoint, AnswerEnd records a caller that has gone, and EndpointClient owns the memory that the answers of all endpoints share. No behaviour changes.

--- a/serving/src/main/java/io/bilberrygrade/serving/forward/AnswerEnd.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AnswerEnd.java
@@ -3,14 +3,15 @@
 import io.bilberrygrade.core.forward.ForwardingConfig;
 import io.bilberrygrade.core.request.Outcome;
 import io.bilberrygrade.core.request.Reason;
+import io.bilberrygrade.core.request.Step;
 import io.bilberrygrade.serving.answer.AnswerBody;
 import io.bilberrygrade.serving.event.ForwardEvent;
 import java.time.Instant;
 
 /** Ends the answer to one request, and logs how it ended. */
 final class AnswerEnd {
-    /** Detail of an answer that was cut for its caller's slowness. */
-    static final String SLOW_CALLER = "the caller takes its answer too slowly";
+    private static final String CALLER = "caller";
+    private static final String SLOW_CALLER = "the caller takes its answer too slowly";
 
     private static final int SUCCESS = 200;
 
@@ -72,10 +73,25 @@
         }
     }
 
-    /** Closes the connection of a caller that takes its answer too slowly for the memory held. */
-    void cutSlowCaller(int attempts) {
+    /**
+     * Closes the connection of a caller that takes its answer too slowly for the memory that it
+     * holds.
+     */
+    Outcome cutSlowCaller(int attempts) {
         recordCut(Reason.OVERLOADED, SLOW_CALLER, attempts);
         mExchange.answer().abortNow();
+        return Outcome.unknown(Step.RELAY, Reason.OVERLOADED, SLOW_CALLER, CALLER);
+    }
+
+    /** Logs that the caller has disconnected before its answer had ended. */
+    Outcome recordCallerGone(int attempts) {
+        mContext.events()
+                .record(
+                        new ForwardEvent.CallerGone(
+                                mExchange.id().value(),
+                                attempts,
+                                mExchange.millisSinceArrival(mContext.clocks().now())));
+        return Outcome.unknown(Step.RELAY, Reason.CALLER_GONE, "the caller has gone", CALLER);
     }
 
     private void cut(Reason reason, String detail, int attempts) {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/AnswerRelay.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AnswerRelay.java
@@ -71,12 +71,16 @@
         mLastId = Optional.of(id.getAsLong());
     }
 
-    /** Ends the answer; sends the head and an empty body if there were no events. */
-    void end(AnswerHead head, AnswerBody emptyBody) {
+    /**
+     * Ends the answer; sends the head and an empty body if there were no events. What the body
+     * holds is released once all is sent.
+     */
+    void end(AnswerHead head, AnswerBody body) {
         if (!mBegun) {
             mBegun = true;
-            mAnswer.writeWhole(head, emptyBody);
+            mAnswer.writeWhole(head, body);
         } else {
+            mAnswer.onEnd(body::release);
             mAnswer.end();
         }
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointClient.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointClient.java
@@ -1,6 +1,9 @@
 package io.bilberrygrade.serving.forward;
 
+import io.bilberrygrade.core.answer.AnswerMemory;
 import io.bilberrygrade.core.identity.Address;
+import io.bilberrygrade.core.identity.EndpointId;
+import io.bilberrygrade.serving.answer.AnswerBody;
 import io.bilberrygrade.serving.answer.AnswerLimits;
 import io.bilberrygrade.serving.answer.AnswerValidationHandler;
 import io.bilberrygrade.serving.error.Delivery;
@@ -42,6 +45,11 @@
 
     private static final int MAX_HEADER_BYTES = 64 << 10;
 
+    /** The heap is so many times what answers under way may hold. */
+    private static final int HEAP_PER_ANSWER_MEMORY = 4;
+
+    private final AnswerMemory<EndpointId> mAnswerMemory =
+            new AnswerMemory<>(Runtime.getRuntime().maxMemory() / HEAP_PER_ANSWER_MEMORY);
     private final HttpClient mClient;
     private final NetClient mProbes;
     private final ForwardProtocol mProtocol;
@@ -78,6 +86,16 @@
         LOGGER.debugf("a connection to an endpoint failed: %s", e.getMessage());
     }
 
+    /** Returns the memory that the answers of all endpoints share. */
+    AnswerMemory<EndpointId> answerMemory() {
+        return mAnswerMemory;
+    }
+
+    /** Creates the body of an answer; {@code end} ends the answer if answers hold too much. */
+    AnswerBody newBody(EndpointId endpoint, Runnable end) {
+        return new AnswerBody(mAnswerMemory.add(endpoint, end));
+    }
+
     /** Sends a request; the listener gets the answer. */
     EndpointCall send(
             RequestHead head,
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
@@ -2,10 +2,8 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
-import io.bilberrygrade.core.answer.AnswerMemory;
 import io.bilberrygrade.core.forward.RegisteredEndpoint;
 import io.bilberrygrade.core.forward.RouteKind;
-import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.core.quarantine.Suspect;
 import io.bilberrygrade.serving.answer.AnswerBody;
 import io.bilberrygrade.serving.error.Delivery;
@@ -20,12 +18,6 @@
 
 /** One attempt of a request at one endpoint: validates the answer and relays it. */
 final class ForwardAttempt implements EndpointListener, QuarantineController.Quarantinable {
-    /** Limit in bytes of an answer that is buffered before it is relayed. */
-    private static final int MAX_BUFFERED_BYTES = 8 << 20;
-
-    /** Bytes that may wait for a caller before it counts as slow. */
-    private static final long WRITE_QUEUE_BYTES = 64 << 10;
-
     private static final int MISDIRECTED = 421;
 
     private final ForwardContext mContext;
@@ -42,9 +34,7 @@
     private final EndWatch mEngineEnd;
     private final RecordedWork mWork;
     private final Instant mStartedAt;
-    private final AnswerMemory<EndpointId>.Holding mHolding;
     private final AnswerBody mBody;
-    private long mUnsentBytes;
     private Optional<AnswerHead> mHead = Optional.empty();
     private EndpointCall mCall;
     private boolean mFinished;
@@ -72,8 +62,7 @@
                         context.timers(),
                         this::hasEngineEnded,
                         () -> fail(mProgress.delivery(), "its engine has ended", true));
-        mHolding = context.answerMemory().add(attemptPlan.endpoint().id(), this::onMemoryExhausted);
-        mBody = new AnswerBody(mHolding);
+        mBody = context.client().newBody(attemptPlan.endpoint().id(), this::onMemoryExhausted);
         mWork = new RecordedWork(context, attemptPlan);
         mStartedAt = context.clocks().now();
     }
@@ -131,16 +120,12 @@
         }
     }
 
-    /** Ends the attempt since answers hold too much memory, and this one most of it. */
+    /** Ends the attempt, since it holds most of the memory that answers may hold. */
     private void onMemoryExhausted() {
-        if (mUnsentBytes > 0) {
+        if (mBody.waitsForCaller()) {
             mOwner.onCallerTooSlow();
         } else {
-            fail(
-                    Delivery.MAY_HAVE_RUN,
-                    "it holds most of the answers' "
-                            + mContext.answerMemory().maxBytes()
-                            + " bytes");
+            fail(Delivery.MAY_HAVE_RUN, "it holds most of the memory for answers");
         }
     }
 
@@ -224,8 +209,8 @@
         mContext.tracker().recordBytes(mPlan.endpoint().id(), mContext.clocks().now());
         if (isStreaming()) {
             relayEvents(part);
-        } else if (mBody.length() + part.length() > MAX_BUFFERED_BYTES) {
-            fail(Delivery.MAY_HAVE_RUN, "the answer is over " + MAX_BUFFERED_BYTES + " bytes");
+        } else if (mBody.length() + part.length() > AnswerBody.MAX_BYTES) {
+            fail(Delivery.MAY_HAVE_RUN, "the answer is over " + AnswerBody.MAX_BYTES + " bytes");
         } else {
             mBody.append(part);
         }
@@ -244,16 +229,12 @@
                 onFirstEvent();
                 clearOnceSettled();
             }
-            boolean writable = true;
             for (StreamEvent event : events) {
                 if (mayRelay(event)) {
-                    writable &= relay(event);
+                    relay(event);
                 }
             }
-            if (!writable) {
-                mUnsentBytes = WRITE_QUEUE_BYTES + part.length();
-            }
-            mHolding.set(mParser.heldBytes() + mUnsentBytes);
+            mBody.setPartial(mParser.heldBytes());
             if (progress && !mFinished && mExchange.route().repeatable()) {
                 mSilence.start(ResponseTimeouts.betweenEvents(mExchange.route()));
             }
@@ -267,8 +248,7 @@
         return event.progress() || mProgress.isWriting() || mOwner.isOnlyAttempt();
     }
 
-    /** Relays an event; returns whether the caller can take more. */
-    private boolean relay(StreamEvent event) throws MalformedStreamException {
+    private void relay(StreamEvent event) throws MalformedStreamException {
         boolean writable = mRelay.relay(mHead.orElseThrow(), event, mContext.clocks().now());
         if (event.progress()) {
             mOwner.onRelayed(this);
@@ -276,14 +256,13 @@
         if (!writable) {
             mCall.pause();
             mSilence.suspend();
+            mBody.onCallerBlocked(event.bytes());
             mRelay.answer().onWritable(this::resumeReading);
         }
-        return writable;
     }
 
     private void resumeReading() {
-        mUnsentBytes = 0;
-        mHolding.set(mParser.heldBytes());
+        mBody.onCallerReady();
         mSilence.resume();
         mCall.resume();
     }
@@ -323,7 +302,6 @@
         mWork.learnFromAnswer(mRelay.eventCount());
         mBody.onEnded(mOwner::onCallerTooSlow);
         if (isStreaming()) {
-            mExchange.answer().onEnd(mBody::release);
             mRelay.end(head, mBody);
         } else {
             mExchange.answer().writeWhole(head, mBody);
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardContext.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardContext.java
@@ -1,7 +1,5 @@
 package io.bilberrygrade.serving.forward;
 
-import io.bilberrygrade.core.answer.AnswerMemory;
-import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.core.room.FleetTraits;
 import io.bilberrygrade.serving.contention.AdmissionController;
 import io.bilberrygrade.serving.cost.CostController;
@@ -18,7 +16,6 @@
         AttemptPlanner planner,
         RetryBudgets budgets,
         EndpointClient client,
-        AnswerMemory<EndpointId> answerMemory,
         MemoryReservations memory,
         PermitSource permits,
         QuarantineController quarantine,
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -2,11 +2,9 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.collect.ImmutableList;
-import io.bilberrygrade.core.answer.AnswerMemory;
 import io.bilberrygrade.core.exchange.FleetMember;
 import io.bilberrygrade.core.exchange.FleetView;
 import io.bilberrygrade.core.exchange.WorkLedger;
-import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.room.FleetCapacities;
 import io.bilberrygrade.core.room.FleetTraits;
@@ -47,9 +45,6 @@
     /** Stands for the request in events about answers to orders. */
     private static final String ORDER = "order";
 
-    /** Share of the heap that answers under way may hold. */
-    private static final int HEAP_PER_ANSWER_MEMORY = 4;
-
     private static final Duration IDLE_CHECK_PERIOD = Duration.ofSeconds(1);
 
     private final ActiveSettings mSettings;
@@ -62,8 +57,6 @@
     private final DrainController mDrain = new DrainController();
     private final RunningRequests mRunning = new RunningRequests();
     private final WorkLedger mWork = new WorkLedger();
-    private final AnswerMemory<EndpointId> mAnswerMemory =
-            new AnswerMemory<>(Runtime.getRuntime().maxMemory() / HEAP_PER_ANSWER_MEMORY);
     private final PeerIdentity mSelf;
     private final FleetView mFleet;
     private final FleetMember mSelfMember;
@@ -229,7 +222,6 @@
                                 () -> mFleet.size(mClocks.now()),
                                 () -> mFleet.peakSize(mClocks.now())),
                         mClient,
-                        mAnswerMemory,
                         memory(endpointStatus),
                         () -> mExchange.requestPermits(),
                         mQuarantine,
@@ -311,8 +303,8 @@
         mEvents.registerGauge(
                 "rate_limit_share_percent",
                 () -> Math.round(PERCENT * mRateLimits.fraction(mClocks.now())));
-        mEvents.registerGauge("answer_bytes_held", mAnswerMemory::heldBytes);
-        mEvents.registerGauge("answers_ended_for_memory_total", mAnswerMemory::endedCount);
+        mEvents.registerGauge("answer_bytes_held", mClient.answerMemory()::heldBytes);
+        mEvents.registerGauge("answers_ended_for_memory_total", mClient.answerMemory()::endedCount);
         mEvents.registerGauge("cold_endpoints", () -> mTracker.cold().runs().size());
         mEvents.registerGauge(
                 "evacuated_data_centres", () -> mState.endpoints().evacuated().size());
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOperation.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOperation.java
@@ -10,7 +10,6 @@
 import io.bilberrygrade.core.request.Step;
 import io.bilberrygrade.serving.answer.AnswerBody;
 import io.bilberrygrade.serving.error.Delivery;
-import io.bilberrygrade.serving.event.ForwardEvent;
 import io.smallrye.mutiny.subscription.Cancellable;
 import java.time.Duration;
 import java.time.Instant;
@@ -41,7 +40,7 @@
     private final AttemptHistory mHistory;
     private final AttemptsInFlight mInFlight = new AttemptsInFlight();
     private Optional<Cancellable> mDeadlineTimer = Optional.empty();
-    private Optional<ServerFailure> mLastFailure = Optional.empty();
+    private final LastFailure mLastFailure = new LastFailure();
     private int mReservationAttempts;
     private boolean mMayHaveRun;
     private boolean mAwaitedPermit;
@@ -127,7 +126,7 @@
                 now)) {
             case NoEndpointDecision.AwaitPermit w ->
                     mContext.permits().request().subscribe().with(v -> continueUnlessEnded());
-            case NoEndpointDecision.RefuseUntil r when mLastFailure.isEmpty() && !mMayHaveRun ->
+            case NoEndpointDecision.RefuseUntil r when !mLastFailure.isPresent() && !mMayHaveRun ->
                     endWithoutAnswer(r.outcome());
             default -> giveUp(Reason.NO_ENDPOINT, "no endpoint of the service may get it");
         }
@@ -304,7 +303,7 @@
             return;
         }
         mMayHaveRun = true;
-        replaceLastFailure(Optional.of(new ServerFailure(head, body)));
+        mLastFailure.replace(head, body);
         if (mInFlight.endOne(attempt)) {
             return;
         }
@@ -315,18 +314,11 @@
         }
     }
 
-    /** Keeps the last error, unless answers come to hold too much memory meanwhile. */
-    private void replaceLastFailure(Optional<ServerFailure> failure) {
-        mLastFailure.ifPresent(f -> f.body().release());
-        mLastFailure = failure;
-        failure.ifPresent(f -> f.body().onEnded(() -> replaceLastFailure(Optional.empty())));
-    }
-
     @Override
     public void onCallerTooSlow() {
-        mAnswerEnd.cutSlowCaller(mHistory.count());
+        Outcome outcome = mAnswerEnd.cutSlowCaller(mHistory.count());
         if (!mEnded) {
-            finish(Outcome.unknown(Step.RELAY, Reason.OVERLOADED, AnswerEnd.SLOW_CALLER, "caller"));
+            finish(outcome);
         }
     }
 
@@ -339,8 +331,9 @@
     }
 
     private void relayLastFailure() {
-        ServerFailure failure = mLastFailure.orElseThrow();
+        LastFailure.ErrorAnswer failure = mLastFailure.take();
         if (failure.head().impliesNotRun()) {
+            failure.body().release();
             endWithoutAnswer(
                     failure(
                             Step.DISPATCH,
@@ -350,7 +343,6 @@
                                     + " and may have run"));
             return;
         }
-        mLastFailure = Optional.empty();
         failure.body().onEnded(this::onCallerTooSlow);
         mAnswerEnd.relayError(failure.head(), failure.body(), mHistory.count());
         finish(new Outcome.Done(0));
@@ -383,15 +375,7 @@
 
     private void onCallerGone() {
         if (!mEnded) {
-            mContext.events()
-                    .record(
-                            new ForwardEvent.CallerGone(
-                                    mExchange.id().value(),
-                                    mHistory.count(),
-                                    mExchange.millisSinceArrival(mContext.clocks().now())));
-            finish(
-                    Outcome.unknown(
-                            Step.RELAY, Reason.CALLER_GONE, "the caller has gone", "caller"));
+            finish(mAnswerEnd.recordCallerGone(mHistory.count()));
         }
     }
 
@@ -402,13 +386,11 @@
 
     private void finish(Outcome outcome) {
         mEnded = true;
-        replaceLastFailure(Optional.empty());
+        mLastFailure.drop();
         mInFlight.cancelAll();
         mDeadlineTimer.ifPresent(Cancellable::cancel);
         mExchange.admission().ifPresent(mContext.admission()::recordEnded);
         mExchange.setAdmission(Optional.empty());
         mOnOutcome.accept(outcome);
     }
-
-    private record ServerFailure(AnswerHead head, AnswerBody body) {}
 }
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/EvacuatedSendTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/EvacuatedSendTest.java
@@ -6,7 +6,6 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
-import io.bilberrygrade.core.answer.AnswerMemory;
 import io.bilberrygrade.core.exchange.FleetMember;
 import io.bilberrygrade.core.exchange.FleetView;
 import io.bilberrygrade.core.exchange.WorkLedger;
@@ -54,8 +53,6 @@
  * evacuated. Guards against requests that are written in that moment.
  */
 final class EvacuatedSendTest {
-    private static final long MAX_ANSWER_BYTES = 1 << 20;
-
     private static final ServiceId SERVICE = new ServiceId("s");
     private static final int TIMEOUT_SECONDS = 15;
 
@@ -118,7 +115,6 @@
                 null,
                 null,
                 new EndpointClient(mVertx, new NoHeaders()),
-                new AnswerMemory<>(MAX_ANSWER_BYTES),
                 null,
                 null,
                 new QuarantineController(fleet, mEvents::add),
