Remove a method that nothing calls any more

AnswerMemory#maxBytes was for a message that doesn't state the limit since the held bytes were moved into AnswerBody. No behaviour changes.

Measured: formatter, linter and compiler checks of core, serving, daemon and platform; AnswerMemoryTest, AnswerValidatorTest, HeldAnswersTest, CallAnswerTest and EarlyAnswerTest, 80 of 80 green (arm64).

--- a/core/src/main/java/io/bilberrygrade/core/answer/AnswerMemory.java
+++ b/core/src/main/java/io/bilberrygrade/core/answer/AnswerMemory.java
@@ -30,11 +30,6 @@
         mMaxBytes = maxBytes;
     }
 
-    /** Returns the limit in bytes. */
-    public long maxBytes() {
-        return mMaxBytes;
-    }
-
     /** Returns the number of bytes that all answers hold. */
     public long heldBytes() {
         return mHeld;
