Accept only IP addresses as addresses of other processes

Callers waited until their deadline and got 503 while an entry with an odd address was registered (31 of 39 forms in OddAddressTest, 3 s a request). Cause: any text without blanks was accepted as a host, and a host that is no literal is looked up by the JDK on the one event loop; a failed lookup fails the call before it has returned.

--- a/serving/src/main/java/io/bilberrygrade/serving/controller/MembershipController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/controller/MembershipController.java
@@ -101,7 +101,7 @@
     public Optional<Address> address(InstanceId instance) {
         return mList.instances().stream()
                 .filter(i -> i.kind().equals(ENTRY) && i.id().equals(instance.value()))
-                .map(i -> new Address(i.host(), i.port()))
+                .flatMap(i -> i.address().stream())
                 .findFirst();
     }
 
@@ -122,7 +122,7 @@
     public Uni<Void> refresh() {
         return mInstances
                 .read()
-                .invoke(list -> mList = list)
+                .invoke(list -> mList = list.withAddressesOnly())
                 .onFailure()
                 .invoke(
                         e ->
@@ -181,7 +181,7 @@
 
     private static GossipController.Partner partner(InstanceDocument peer) {
         return new GossipController.Partner(
-                new InstanceId(peer.id()), new Address(peer.host(), peer.port()));
+                new InstanceId(peer.id()), peer.address().orElseThrow());
     }
 
     @Override
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/StoreRelay.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/StoreRelay.java
@@ -139,7 +139,7 @@
 
     private static Optional<RegisteredEndpoint> endpoint(EndpointId id, EndpointChangeEntry e) {
         Optional<ServiceId> service = Identifier.tryCreate(e.service(), ServiceId::new);
-        Optional<Address> address = Address.tryParse(e.address());
+        Optional<Address> address = Address.tryParseRemote(e.address());
         Optional<DataCentreId> dataCentre = Identifier.tryCreate(e.dataCentre(), DataCentreId::new);
         if (service.isEmpty() || address.isEmpty() || dataCentre.isEmpty()) {
             return Optional.empty();
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/WorkCodec.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/WorkCodec.java
@@ -71,7 +71,7 @@
     }
 
     static Optional<FleetMember> member(String address, long startedAtMillis) {
-        return Address.tryParse(address).map(a -> new FleetMember(a, startedAtMillis));
+        return Address.tryParseRemote(address).map(a -> new FleetMember(a, startedAtMillis));
     }
 
     static ImmutableList<LeavingRunEntry> leaving(Collection<EndpointRun> runs) {
--- a/serving/src/main/java/io/bilberrygrade/serving/report/ReportController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/report/ReportController.java
@@ -2,7 +2,6 @@
 
 import com.google.common.collect.ImmutableList;
 import io.bilberrygrade.core.config.Deployment;
-import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.report.ReportHistory;
 import io.bilberrygrade.serving.peer.PeerIdentity;
 import io.bilberrygrade.serving.peer.PeerMessage;
@@ -87,7 +86,7 @@
 
     private Uni<Answer> ask(InstanceDocument peer, int periodMinutes) {
         return mPeers.call(
-                        new Address(peer.host(), peer.port()),
+                        peer.address().orElseThrow(),
                         new PeerMessage.ReportRequest(periodMinutes),
                         PEER_TIMEOUT)
                 .map(reply -> answer(peer, reply))
--- a/serving/src/main/java/io/bilberrygrade/serving/room/CapacityCodec.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/room/CapacityCodec.java
@@ -86,7 +86,7 @@
     private static void recordNamed(
             FleetCapacities capacities, AggregatorEntry member, CapacityEntry entry, Instant now) {
         Optional<Address> address =
-                Optional.ofNullable(member).flatMap(m -> Address.tryParse(m.address()));
+                Optional.ofNullable(member).flatMap(m -> Address.tryParseRemote(m.address()));
         if (address.isPresent()) {
             statement(entry).ifPresent(c -> capacities.recordNamed(address.get(), c, now));
         }
