--- a/serving/src/test/java/io/bilberrygrade/serving/forward/EvacuatedSendTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/EvacuatedSendTest.java
@@ -107,7 +107,7 @@
         StateController state =
                 new StateController(Duration.ofSeconds(5), clocks, timers, mEvents::add);
         FleetView fleet =
-                new FleetView(new FleetMember(new Address("i", 1), 1), ImmutableList.of());
+                new FleetView(new FleetMember(new Address("10.0.0.1", 1), 1), ImmutableList.of());
         return new ForwardContext(
                 state,
                 new EndpointTracker(state.endpoints(), new WorkLedger()),
