Log why a daemon could not start before its process ends

Operators saw processes that had ended without a line. Cause: a failed start ended the process at once, while its line BG1099 could still be queued for the thread that writes the log; and an exception before the daemon was deployed, such as one of the adapter, was never recorded as an event.

ForwardProcess closes the log, which writes the queued lines, on each way out of a failed start, and records exceptions of the main thread alike. The drain closes it also if the stop fails.

--- a/daemon/src/main/java/io/bilberrygrade/daemon/ForwardProcess.java
+++ b/daemon/src/main/java/io/bilberrygrade/daemon/ForwardProcess.java
@@ -42,8 +42,20 @@
     }
 
     private int run(ForwardSettings settings) {
-        Vertx vertx = vertx();
         LogSetup.LogOutput log = LogSetup.toStandardOutput(LogLevel.INFO);
+        try {
+            runUntilFailed(settings, log);
+        } catch (RuntimeException | Error e) {
+            recordFailure(log.events(), e);
+        } finally {
+            log.close().run();
+        }
+        return ExitCodes.FAILED;
+    }
+
+    /** Runs the daemon; returns only if its start fails, once that is logged. */
+    private void runUntilFailed(ForwardSettings settings, LogSetup.LogOutput log) {
+        Vertx vertx = vertx();
         ForwardDaemon daemon = daemon(settings, mAdapter.apply(settings), log);
         EventLog events = daemon.events();
         SettingsWatcher watcher = new SettingsWatcher(mSettings, settings, daemon::reload, events);
@@ -58,12 +70,14 @@
                         })
                 .onFailure(
                         e -> {
-                            events.record(
-                                    new LifecycleEvent.UnexpectedError("start", e.toString()));
+                            recordFailure(events, e);
                             failed.countDown();
                         });
         await(failed);
-        return ExitCodes.FAILED;
+    }
+
+    private static void recordFailure(EventLog events, Throwable e) {
+        events.record(new LifecycleEvent.UnexpectedError("start", e.toString()));
     }
 
     /** Creates a daemon without starting it. */
@@ -92,8 +106,11 @@
     }
 
     private static void drain(ForwardDaemon daemon, Vertx vertx, LogSetup.LogOutput log) {
-        stop(daemon, vertx);
-        log.close().run();
+        try {
+            stop(daemon, vertx);
+        } finally {
+            log.close().run();
+        }
     }
 
     /**
