Wait for a held port instead of failing the start

A predecessor that is still stopping has the same effect, and so has any outgoing connection with that local port.

PortOpener tries all three addresses again every 100 ms, for stopGrace in sum, as long as a predecessor may take to stop; ListenRetry decides by the failure and the time. BG1005 names the address once. After that the start fails as before. The callers' port is opened after the peers', so that a start that fails at the peers' port has read no request, and the shutdown hook is there before the deployment, so that a stop signal meanwhile drains and is logged.

A connection that its own end closes first and that doesn't allow reuse holds its port for a minute in TIME_WAIT, longer than the retries; such a start still fails.

--- a/daemon/src/main/java/io/bilberrygrade/daemon/ForwardProcess.java
+++ b/daemon/src/main/java/io/bilberrygrade/daemon/ForwardProcess.java
@@ -61,13 +61,11 @@
         SettingsWatcher watcher = new SettingsWatcher(mSettings, settings, daemon::reload, events);
         HangupSignal.handle(watcher::reloadIfChanged);
         CountDownLatch failed = new CountDownLatch(1);
-        Thread shutdownHook = new Thread(() -> drain(daemon, vertx, log), "drain");
+        // Before the deployment, which lasts as long as ports are held by others.
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(() -> drain(failed, daemon, vertx, log), "drain"));
         vertx.deployVerticle(daemon)
-                .onSuccess(
-                        id -> {
-                            Runtime.getRuntime().addShutdownHook(shutdownHook);
-                            watcher.start();
-                        })
+                .onSuccess(id -> watcher.start())
                 .onFailure(
                         e -> {
                             recordFailure(events, e);
@@ -105,9 +103,12 @@
                                         .setClassPathResolvingEnabled(false)));
     }
 
-    private static void drain(ForwardDaemon daemon, Vertx vertx, LogSetup.LogOutput log) {
+    private static void drain(
+            CountDownLatch failed, ForwardDaemon daemon, Vertx vertx, LogSetup.LogOutput log) {
         try {
-            stop(daemon, vertx);
+            if (failed.getCount() > 0) {
+                stop(daemon, vertx);
+            }
         } finally {
             log.close().run();
         }
--- a/serving/src/main/java/io/bilberrygrade/serving/event/LifecycleEvent.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/LifecycleEvent.java
@@ -21,6 +21,10 @@
     @EventInfo(number = 1004, level = EventLevel.INFO, audited = true)
     record Stopped(int abandonedRequests) implements LifecycleEvent {}
 
+    /** An address at which the daemon listens is held by others; it is tried again for a while. */
+    @EventInfo(number = 1005, level = EventLevel.WARN)
+    record PortHeld(String address, String error) implements LifecycleEvent {}
+
     /** An error that no other event describes. */
     @EventInfo(number = 1099, level = EventLevel.ERROR)
     record UnexpectedError(String step, String error) implements LifecycleEvent {}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -18,6 +18,7 @@
 import io.bilberrygrade.serving.filter.FilterChain;
 import io.bilberrygrade.serving.http.HttpCalls;
 import io.bilberrygrade.serving.http.ReconnectingCalls;
+import io.bilberrygrade.serving.listen.PortOpener;
 import io.bilberrygrade.serving.metrics.ControlTraffic;
 import io.bilberrygrade.serving.metrics.PrometheusPage;
 import io.bilberrygrade.serving.peer.PeerIdentity;
@@ -129,16 +130,17 @@
         PeerServer peers = peers();
         registerGauges();
         mReader.start();
-        mFront.listen(mSettings.get().callers())
-                .chain(() -> readiness.listen(mSettings.get().readiness()))
-                .chain(
-                        () ->
-                                peers.listen(
-                                        mSettings.get().peers().host(),
-                                        mSettings.get().peers().port()))
+        open(readiness, peers).subscribe().with(v -> onListening(started), started::fail);
+    }
+
+    /** Opens the callers' port after the peers', so that a failed start has read no request. */
+    private Uni<Void> open(ReadinessServer readiness, PeerServer peers) {
+        ForwardSettings settings = mSettings.get();
+        PortOpener ports = new PortOpener(settings.stopGrace(), mClocks.steady(), mTimers, mEvents);
+        return ports.open(settings.peers(), a -> peers.listen(a.host(), a.port()).replaceWithVoid())
                 .invoke(mExchange::start)
-                .subscribe()
-                .with(v -> onListening(started), started::fail);
+                .chain(() -> ports.open(settings.callers(), mFront::listen))
+                .chain(() -> ports.open(settings.readiness(), readiness::listen));
     }
 
     private StateReader reader() {
--- /dev/null
+++ b/serving/src/main/java/io/bilberrygrade/serving/listen/package-info.java
@@ -0,0 +1,2 @@
+/** Opens the ports of a daemon. */
+package io.bilberrygrade.serving.listen;
