End an attempt whose call fails before it is sent

What callers saw: beside an endpoint to which nothing can be sent, requests waited until their deadline and got 503, or 502 and 504 on other routes, although other endpoints of the service were sound.

Cause: starting a call could fail in three ways that nothing handled. - The call reported its failure before it had returned, and the attempt didn't know its call yet (NullPointerException in ForwardAttempt.end). - It threw, as a client does once it is closed. - The HTTP client copies the headers of its request options in a continuation of its own. A value that it refuses, such as the id of an endpoint with a control character, ended that continuation with an exception in the log. The call got no result, and its connection stayed open.

The same was found in calls of other kinds: HttpCall threw for a header that can't be sent, where callers handle only a failed call (orders that reserve memory); a peer's connection that failed to start by throwing stayed in use without ever becoming ready; the probe of a crashed endpoint could fail, although its answer is then defined as false.

Change: an attempt's call exists before it is sent. What is thrown while it is sent, and headers that are refused, end it as not delivered, so that the request goes on to its next attempt. HttpCall, PeerConnection and the probe report what is thrown as their failures do.

--- a/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointCall.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointCall.java
@@ -1,7 +1,12 @@
 package io.bilberrygrade.serving.forward;
 
+import io.vertx.core.buffer.Buffer;
+
 /** An attempt in flight. */
 interface EndpointCall {
+    /** Sends the request; the listener gets the answer, and may get a failure at once. */
+    void send(RequestHead head, Buffer body, AttemptRequest attemptRequest);
+
     /** Closes the connection, so that the endpoint stops; the listener gets no further calls. */
     void cancel();
 
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointClient.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointClient.java
@@ -96,25 +96,9 @@
         return new AnswerBody(mAnswerMemory.add(endpoint, end));
     }
 
-    /** Sends a request; the listener gets the answer. */
-    EndpointCall send(
-            RequestHead head,
-            Buffer body,
-            AttemptRequest attemptRequest,
-            EndpointListener listener) {
-        HttpExchange exchange = new HttpExchange(listener);
-        Address address = attemptRequest.endpoint().address();
-        MultiMap headers = mProtocol.writeRequest(head, attemptRequest);
-        mClient.request(
-                        new RequestOptions()
-                                .setMethod(head.method())
-                                .setHost(address.host())
-                                .setPort(address.port())
-                                .setURI(head.uri())
-                                .setHeaders(headers))
-                .onSuccess(r -> exchange.onConnected(r, body))
-                .onFailure(e -> exchange.fail(Delivery.NOT_DELIVERED, e));
-        return exchange;
+    /** Creates a call, which isn't sent yet; the listener gets its progress. */
+    EndpointCall newCall(EndpointListener listener) {
+        return new HttpExchange(listener);
     }
 
     /**
@@ -122,7 +106,10 @@
      * if that can't be told.
      */
     Uni<Boolean> refusesConnections(Address address) {
-        return Uni.createFrom().emitter(e -> connect(address, e::complete));
+        return Uni.createFrom()
+                .<Boolean>emitter(e -> connect(address, e::complete))
+                .onFailure()
+                .recoverWithItem(false);
     }
 
     private void connect(Address address, Consumer<Boolean> onResult) {
@@ -155,13 +142,43 @@
             mListener = listener;
         }
 
-        void onConnected(HttpClientRequest request, Buffer body) {
+        @Override
+        public void send(RequestHead head, Buffer body, AttemptRequest attemptRequest) {
+            try {
+                connect(head, body, attemptRequest);
+            } catch (RuntimeException e) {
+                fail(Delivery.NOT_DELIVERED, e);
+            }
+        }
+
+        private void connect(RequestHead head, Buffer body, AttemptRequest attemptRequest) {
+            Address address = attemptRequest.endpoint().address();
+            MultiMap headers = mProtocol.writeRequest(head, attemptRequest);
+            RequestOptions options =
+                    new RequestOptions()
+                            .setMethod(head.method())
+                            .setHost(address.host())
+                            .setPort(address.port())
+                            .setURI(head.uri());
+            mClient.request(options)
+                    .onSuccess(r -> onConnected(r, headers, body))
+                    .onFailure(e -> fail(Delivery.NOT_DELIVERED, e));
+        }
+
+        private void onConnected(HttpClientRequest request, MultiMap headers, Buffer body) {
             mRequest = request;
             request.exceptionHandler(this::failSent);
             if (mDone) {
                 Connections.closeNow(request.connection());
                 return;
             }
+            try {
+                // Refused headers among the options would leave the call without a result.
+                request.headers().setAll(headers);
+            } catch (IllegalArgumentException e) {
+                fail(Delivery.NOT_DELIVERED, e);
+                return;
+            }
             request.response().onSuccess(this::onResponse).onFailure(this::failSent);
             mListener.onConnected();
             if (mDone) {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
@@ -35,8 +35,8 @@
     private final RecordedWork mWork;
     private final Instant mStartedAt;
     private final AnswerBody mBody;
+    private final EndpointCall mCall;
     private Optional<AnswerHead> mHead = Optional.empty();
-    private EndpointCall mCall;
     private boolean mFinished;
 
     ForwardAttempt(
@@ -65,6 +65,7 @@
         mBody = context.client().newBody(attemptPlan.endpoint().id(), this::onMemoryExhausted);
         mWork = new RecordedWork(context, attemptPlan);
         mStartedAt = context.clocks().now();
+        mCall = context.client().newCall(this);
     }
 
     /** Starts the attempt; the endpoint has the given time. */
@@ -84,7 +85,7 @@
         if (!mMemory.isEmpty()) {
             mEngineEnd.start();
         }
-        mCall = mContext.client().send(mExchange.head(), mExchange.body(), attemptRequest, this);
+        mCall.send(mExchange.head(), mExchange.body(), attemptRequest);
     }
 
     @Override
@@ -371,9 +372,7 @@
     }
 
     private void end(Delivery delivery, String detail, boolean endpointAtFault) {
-        finish();
-        mBody.release();
-        mCall.cancel();
+        cancel();
         Instant now = mContext.clocks().now();
         if (endpointAtFault) {
             mContext.tracker().recordFailure(mPlan.endpoint().run(), now);
--- a/serving/src/main/java/io/bilberrygrade/serving/http/HttpCall.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/HttpCall.java
@@ -86,6 +86,15 @@
                             new CallException(
                                     mStep, mPeer.toString(), Delivery.NOT_DELIVERED, "timed out"));
         }
+        try {
+            return sendChecked(method, path, body, timeout);
+        } catch (RuntimeException e) {
+            return Uni.createFrom().failure(failure(Delivery.NOT_DELIVERED, e));
+        }
+    }
+
+    private Uni<HttpAnswer> sendChecked(
+            HttpMethod method, String path, Buffer body, Duration timeout) {
         HttpRequest<io.vertx.mutiny.core.buffer.Buffer> request =
                 mClient.request(method, mPeer.port(), mPeer.host(), path)
                         .timeout(timeout.toMillis());
--- a/serving/src/main/java/io/bilberrygrade/serving/peer/PeerConnection.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/PeerConnection.java
@@ -49,9 +49,13 @@
     }
 
     void connect(NetClient client) {
-        client.connect(mPeer.port(), mPeer.host())
-                .onSuccess(this::onConnected)
-                .onFailure(e -> fail(e.toString()));
+        try {
+            client.connect(mPeer.port(), mPeer.host())
+                    .onSuccess(this::onConnected)
+                    .onFailure(e -> fail(e.toString()));
+        } catch (RuntimeException e) {
+            fail(e.toString());
+        }
     }
 
     /** Returns whether further calls may be made on this connection. */
--- a/serving/src/test/java/io/bilberrygrade/serving/http/HttpCallsTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/http/HttpCallsTest.java
@@ -4,6 +4,9 @@
 
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.request.Step;
+import io.bilberrygrade.serving.error.CallException;
+import io.bilberrygrade.serving.error.Delivery;
+import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
@@ -14,6 +17,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 final class HttpCallsTest {
     private static final String HOST = "127.0.0.1";
@@ -53,6 +58,46 @@
         }
     }
 
+    // Guards against an exception where the caller handles only a failed call.
+    @ParameterizedTest
+    @ValueSource(strings = {"a\0b", "a\fb", "a\nb"})
+    void headerThatCannotBeSentFailsTheCall(String value) {
+        try (HttpCalls calls =
+                new HttpCalls(io.vertx.mutiny.core.Vertx.newInstance(mVertx), IDLE_TIME)) {
+            Uni<HttpAnswer> call =
+                    calls.to(mServer, Step.ORDER)
+                            .header("Name", value)
+                            .send(HttpMethod.GET, "/", TIMEOUT);
+            checkNotDelivered(call);
+        }
+    }
+
+    // Guards against the same after the client was closed.
+    @Test
+    void closedClientFailsTheCall() {
+        HttpCalls calls = new HttpCalls(io.vertx.mutiny.core.Vertx.newInstance(mVertx), IDLE_TIME);
+        calls.close();
+        Throwable failure =
+                failure(calls.to(mServer, Step.ORDER).send(HttpMethod.GET, "/", TIMEOUT));
+        assertThat(failure).isInstanceOf(CallException.class);
+    }
+
+    private static void checkNotDelivered(Uni<HttpAnswer> call) {
+        assertThat(failure(call))
+                .isInstanceOfSatisfying(
+                        CallException.class,
+                        e -> assertThat(e.delivery()).isEqualTo(Delivery.NOT_DELIVERED));
+    }
+
+    private static Throwable failure(Uni<HttpAnswer> call) {
+        return call.onItem()
+                .transform(a -> new Throwable("status " + a.status()))
+                .onFailure()
+                .recoverWithItem(e -> e)
+                .await()
+                .atMost(TIMEOUT);
+    }
+
     private void call(HttpCalls calls) {
         calls.to(mServer, Step.ORDER).send(HttpMethod.GET, "/", TIMEOUT).await().atMost(TIMEOUT);
     }
--- a/serving/src/test/java/io/bilberrygrade/serving/peer/TcpPeerNetworkTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/peer/TcpPeerNetworkTest.java
@@ -79,6 +79,21 @@
                 .isInstanceOf(MembershipEvent.FrameRejected.class);
     }
 
+    // Guards against a connection that is kept after it failed to start, so that calls wait.
+    @Test
+    void closedNetworkFailsEachCall() {
+        TcpPeerNetwork network = network(KEY);
+        network.close();
+        for (int i = 0; i < 2; i++) {
+            Uni<PeerMessage> call = call(network, gossip());
+            assertThatThrownBy(() -> call.await().atMost(TIMEOUT))
+                    .hasCauseInstanceOf(CallException.class)
+                    .cause()
+                    .extracting(e -> ((CallException) e).delivery())
+                    .isEqualTo(Delivery.NOT_DELIVERED);
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {-1, 0, PeerFrames.MAX_FRAME_BYTES + 1, 3})
     void closesConnectionAfterBadFrame(int length) throws InterruptedException {
