Let daemons name peers that take over requests

A daemon that is cut off from all endpoints refuses its callers, although its peers reach the endpoints: it knows the aggregator, the standby and the seeds only, and none of them says which members would take its requests.

Each daemon states the port of its relay listener in its report of work, and leaves it out while it can't serve others. The aggregator and the standby get all reports; they name members to a daemon that asks, in random rounds, so that half a fleet that asks at once doesn't fall on a few (RelayMembers). Nothing is stated, and messages stay as they were, without the setting (DeploymentOptions.relay).

--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -24,6 +24,7 @@
 import io.bilberrygrade.serving.peer.PeerIdentity;
 import io.bilberrygrade.serving.peer.PeerServer;
 import io.bilberrygrade.serving.peer.TcpPeerNetwork;
+import io.bilberrygrade.serving.relay.RelayNaming;
 import io.bilberrygrade.serving.room.ColdController;
 import io.bilberrygrade.serving.room.RecentSumsFilter;
 import io.bilberrygrade.serving.room.SlownessWatch;
@@ -190,6 +191,8 @@
                 mRateLimits,
                 new CrashExchange(mFleet, mQuarantine),
                 new SlownessWatch(mFleet, mEvents),
+                new RelayNaming(
+                        mSelfMember, mSettings.get().options(), () -> false, mClocks::now, mRandom),
                 mClocks,
                 mTimers);
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardSettings.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardSettings.java
@@ -91,7 +91,10 @@
                 repeatWindow,
                 repeatSlack,
                 new DeploymentOptions(
-                        newer.options.contended(), options.capacity(), options.room()));
+                        newer.options.contended(),
+                        options.capacity(),
+                        options.room(),
+                        options.relay()));
     }
 
     /** Returns the names of the settings that differ. */
@@ -112,6 +115,7 @@
         addIf(names, "contention", options.contended() != other.options.contended());
         addIf(names, "capacity", !options.capacity().equals(other.options.capacity()));
         addIf(names, "room bounds", !options.room().equals(other.options.room()));
+        addIf(names, "relay", !options.relay().equals(other.options.relay()));
         return names.build();
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/PeerCallDispatcher.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/PeerCallDispatcher.java
@@ -21,6 +21,7 @@
                 switch (message) {
                     case PeerMessage.Work work -> mWorkExchange.answer(from, work);
                     case PeerMessage.ConfigWanted wanted -> mConfigExchange.answer(wanted);
+                    case PeerMessage.RelaysWanted wanted -> mWorkExchange.relays().answer(wanted);
                     default ->
                             new PeerMessage.Failure(
                                     "work and configurations are exchanged here only");
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
@@ -18,6 +18,7 @@
 import io.bilberrygrade.serving.peer.PeerIdentity;
 import io.bilberrygrade.serving.peer.PeerMessage;
 import io.bilberrygrade.serving.peer.PeerNetwork;
+import io.bilberrygrade.serving.relay.RelayNaming;
 import io.bilberrygrade.serving.room.CapacityCodec;
 import io.bilberrygrade.serving.room.RecentSumsFilter;
 import io.bilberrygrade.serving.room.SlownessWatch;
@@ -59,6 +60,7 @@
     private final RateLimitExchange mRateLimits;
     private final CrashExchange mCrashes;
     private final SlownessWatch mSlowness;
+    private final RelayNaming mRelays;
     private final Clocks mClocks;
     private final Timers mTimers;
     private final WorkSums mSums = new WorkSums();
@@ -81,6 +83,7 @@
             RateLimitExchange rateLimits,
             CrashExchange crashes,
             SlownessWatch slowness,
+            RelayNaming relays,
             Clocks clocks,
             Timers timers) {
         mNetwork = network;
@@ -93,6 +96,7 @@
         mRateLimits = rateLimits;
         mCrashes = crashes;
         mSlowness = slowness;
+        mRelays = relays;
         mClocks = clocks;
         mTimers = timers;
     }
@@ -235,7 +239,8 @@
                         store.revision(),
                         mRateLimits.report(peer, now),
                         mCrashes.report(peer, now),
-                        CapacityCodec.own(mFleet.capacities()));
+                        CapacityCodec.own(mFleet.capacities()),
+                        mRelays.ownPort());
         return mNetwork.call(peer, statement, CALL_TIMEOUT)
                 .onTermination()
                 .invoke(() -> mCallInFlight &= !primary)
@@ -337,12 +342,18 @@
         mFleet.capacities()
                 .recordOwnStatement(
                         member.get().address(), CapacityCodec.statement(work.capacity()), now);
+        mRelays.onReport(member.get().address(), work.relay());
         mSums.recordReport(member.get().address(), WorkCodec.work(work.entries()), now);
         applyLeaving(work.leaving(), work.address());
         mRelay.onPeerPosition(new StorePosition(work.storeEra(), work.storeRevision()));
         return reply(member.get().address(), work, now);
     }
 
+    /** Returns what names the members that take over requests. */
+    RelayNaming relays() {
+        return mRelays;
+    }
+
     private void applyLeaving(List<LeavingRunEntry> leaving, String source) {
         WorkCodec.runs(leaving).forEach(r -> mState.onEndpointLeaving(r, source));
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/peer/PeerMessage.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/PeerMessage.java
@@ -31,6 +31,8 @@
     @JsonSubTypes.Type(value = PeerMessage.WorkHeard.class, name = "work-heard"),
     @JsonSubTypes.Type(value = PeerMessage.ConfigWanted.class, name = "config-wanted"),
     @JsonSubTypes.Type(value = PeerMessage.ConfigHanded.class, name = "config-handed"),
+    @JsonSubTypes.Type(value = PeerMessage.RelaysWanted.class, name = "relays-wanted"),
+    @JsonSubTypes.Type(value = PeerMessage.RelaysNamed.class, name = "relays-named"),
     @JsonSubTypes.Type(value = PeerMessage.Failure.class, name = "failure")
 })
 public sealed interface PeerMessage {
@@ -117,6 +119,8 @@
      * @param rateLimits what the sender reports of rate-limited endpoints; null if it knows of none
      * @param crashes crashes of endpoints that prompts may have caused; null if it knows of none
      * @param capacity the sender's own capacity; null if it states none
+     * @param relay port at which the sender takes over requests of peers, on the host of its
+     *     address; null if it takes none at present
      */
     record Work(
             String address,
@@ -127,7 +131,8 @@
             long storeRevision,
             @JsonInclude(JsonInclude.Include.NON_NULL) RateLimitReport rateLimits,
             @JsonInclude(JsonInclude.Include.NON_NULL) CrashReport crashes,
-            @JsonInclude(JsonInclude.Include.NON_NULL) CapacityEntry capacity)
+            @JsonInclude(JsonInclude.Include.NON_NULL) CapacityEntry capacity,
+            @JsonInclude(JsonInclude.Include.NON_NULL) Integer relay)
             implements PeerMessage {
         /** Version from a sender that reports its own work and requests no sums. */
         public static final long NO_SUMS = -1;
@@ -187,6 +192,17 @@
     record ConfigHanded(long version, long storeEra, long storeRevision, Bytes document)
             implements PeerMessage {}
 
+    /**
+     * Requests peers that take over requests, from a daemon that is cut off from the endpoints.
+     *
+     * @param address address at which the sender accepts calls of peers
+     * @param count maximum number of peers to name
+     */
+    record RelaysWanted(String address, int count) implements PeerMessage {}
+
+    /** Addresses of peers that take over requests. */
+    record RelaysNamed(List<String> addresses) implements PeerMessage {}
+
     /** Reply to a call that failed. */
     record Failure(String message) implements PeerMessage {}
 }
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/ExchangeTestFleet.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/ExchangeTestFleet.java
@@ -11,7 +11,9 @@
 import io.bilberrygrade.core.identity.InstanceId;
 import io.bilberrygrade.core.room.Capacity;
 import io.bilberrygrade.core.room.ColdBounds;
+import io.bilberrygrade.core.room.DeploymentOptions;
 import io.bilberrygrade.core.room.FleetCapacities;
+import io.bilberrygrade.core.room.RoomBounds;
 import io.bilberrygrade.serving.event.Event;
 import io.bilberrygrade.serving.fuzz.SimulatedNetwork;
 import io.bilberrygrade.serving.fuzz.SimulatedPeer;
@@ -19,6 +21,8 @@
 import io.bilberrygrade.serving.fuzz.VirtualTime;
 import io.bilberrygrade.serving.peer.PeerIdentity;
 import io.bilberrygrade.serving.peer.PeerMessage;
+import io.bilberrygrade.serving.relay.RelayDirectory;
+import io.bilberrygrade.serving.relay.RelayNaming;
 import io.bilberrygrade.serving.room.ColdController;
 import io.bilberrygrade.serving.room.SlownessWatch;
 import io.smallrye.mutiny.Uni;
@@ -45,6 +49,9 @@
     /** Capacity that a member states, by its number. */
     IntFunction<Optional<Capacity>> mCapacity = number -> Optional.empty();
 
+    /** Address at which a member takes over requests, by its number. */
+    IntFunction<Optional<Address>> mRelay = number -> Optional.empty();
+
     private final Optional<ColdBounds> mColdBounds;
     private final Optional<ForwardingConfig> mConfig;
 
@@ -118,10 +125,14 @@
         final StateController mState;
         final EndpointTracker mTracker;
         final QuarantineController mQuarantine;
+        final RelayNaming mRelays;
+        final RelayDirectory mDirectory;
         final WorkExchange mExchange;
         final List<Event> mEvents = new ArrayList<>();
         long mHandled;
+        boolean mCutOff;
         private final PeerIdentity mIdentity;
+        private final PeerCallDispatcher mDispatcher;
 
         private Member(int number) {
             mNumber = number;
@@ -145,14 +156,11 @@
                             mProcess,
                             e -> {});
             mTracker = new EndpointTracker(mState.endpoints(), mLedger, cold);
-            mExchange = exchange(self, clocks);
-            mQuarantine.onNews(mExchange::reportNow);
-        }
-
-        private WorkExchange exchange(FleetMember self, Clocks clocks) {
-            StateReader reader =
-                    new StateReader(
-                            new SilentStore(), mState, clocks, mProcess, mRandom, () -> false);
+            mRelays =
+                    new RelayNaming(
+                            self, options(number), () -> mCutOff, mProcess::instant, mRandom);
+            mDirectory =
+                    new RelayDirectory(this::call, mFleet, mRelays, mProcess::instant, mRandom);
             ConfigExchange configExchange =
                     new ConfigExchange(
                             mState,
@@ -160,11 +168,18 @@
                             Configs::decode,
                             mProcess,
                             e -> {});
+            mExchange = exchange(self, clocks, configExchange);
+            mDispatcher = new PeerCallDispatcher(mExchange, configExchange);
+            mQuarantine.onNews(mExchange::reportNow);
+        }
+
+        private WorkExchange exchange(
+                FleetMember self, Clocks clocks, ConfigExchange configExchange) {
+            StateReader reader =
+                    new StateReader(
+                            new SilentStore(), mState, clocks, mProcess, mRandom, () -> false);
             return new WorkExchange(
-                    (peer, message, timeout) -> {
-                        mCalls++;
-                        return mNetwork.of(this).call(peer, message, timeout);
-                    },
+                    this::call,
                     mFleet,
                     self,
                     mLedger,
@@ -174,10 +189,21 @@
                     new RateLimitExchange(mFleet, self, mTracker, e -> {}),
                     new CrashExchange(mFleet, mQuarantine),
                     new SlownessWatch(mFleet, mEvents::add),
+                    mRelays,
                     clocks,
                     mProcess);
         }
 
+        private DeploymentOptions options(int number) {
+            return new DeploymentOptions(
+                    false, mCapacity.apply(number), RoomBounds.NONE, mRelay.apply(number));
+        }
+
+        private Uni<PeerMessage> call(Address peer, PeerMessage message, Duration timeout) {
+            mCalls++;
+            return mNetwork.of(this).call(peer, message, timeout);
+        }
+
         private void start() {
             mNetwork.attach(address(), this);
             mProcess.schedule(
@@ -202,7 +228,7 @@
         @Override
         public Uni<PeerMessage> handle(PeerIdentity from, PeerMessage message) {
             mHandled++;
-            return Uni.createFrom().item(mExchange.answer(from, (PeerMessage.Work) message));
+            return mDispatcher.handle(from, message);
         }
     }
 
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/RestoreTestDaemon.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/RestoreTestDaemon.java
@@ -12,12 +12,14 @@
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.identity.InstanceId;
+import io.bilberrygrade.core.room.DeploymentOptions;
 import io.bilberrygrade.serving.fuzz.SimulatedNetwork;
 import io.bilberrygrade.serving.fuzz.SimulatedPeer;
 import io.bilberrygrade.serving.fuzz.SimulatedProcess;
 import io.bilberrygrade.serving.fuzz.VirtualTime;
 import io.bilberrygrade.serving.peer.PeerIdentity;
 import io.bilberrygrade.serving.peer.PeerMessage;
+import io.bilberrygrade.serving.relay.RelayNaming;
 import io.bilberrygrade.serving.room.SlownessWatch;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
@@ -78,12 +80,18 @@
                         new RateLimitExchange(fleet, self, tracker, e -> {}),
                         new CrashExchange(fleet, new QuarantineController(fleet, e -> {})),
                         new SlownessWatch(fleet, e -> {}),
+                        noRelays(self, time, random),
                         clocks,
                         process);
         mCalls = new PeerCallDispatcher(mExchange, configExchange);
         network.attach(mAddress, this);
     }
 
+    private static RelayNaming noRelays(
+            FleetMember self, VirtualTime time, UniformRandomProvider random) {
+        return new RelayNaming(self, DeploymentOptions.NONE, () -> false, time::now, random);
+    }
+
     private static PeerIdentity identity(int number, VirtualTime time) {
         return new PeerIdentity(
                 new InstanceId("i" + number), new Incarnation(time.now().toEpochMilli()));
