--- a/serving/src/test/java/io/bilberrygrade/serving/forward/ExchangeIntervalFleetTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/ExchangeIntervalFleetTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.bilberrygrade.core.forward.EndpointWork;
+import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.core.room.Capacity;
 import io.bilberrygrade.serving.forward.ExchangeTestFleet.Member;
@@ -12,9 +13,9 @@
 import java.util.Optional;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
-import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Age of the sums and control traffic of fleets under 75 short and 1.2 long requests a second at 45
@@ -99,8 +100,12 @@
     }
 
     // Guards against a shorter interval where the limit of the control traffic holds.
-    @Test
-    void controlTrafficStaysWithinItsLimit() {
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void controlTrafficStaysWithinItsLimit(boolean relays) {
+        if (relays) {
+            mFleet.mRelay = n -> Optional.of(new Address("0.0.0.0", 65_535));
+        }
         int members = 410;
         fleet(members);
         long before = mFleet.mNetwork.totalSentBytes();
