--- a/serving/src/test/java/io/bilberrygrade/serving/forward/ActiveSettingsTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/ActiveSettingsTest.java
@@ -6,12 +6,20 @@
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.identity.DataCentreId;
 import io.bilberrygrade.core.identity.InstanceId;
+import io.bilberrygrade.core.room.DeploymentOptions;
+import io.bilberrygrade.core.room.RoomBounds;
 import io.bilberrygrade.serving.settings.PeerKey;
 import java.time.Duration;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 final class ActiveSettingsTest {
     private static ForwardSettings settings(int callerPort, int staleSeconds, int seedPort) {
+        return settings(callerPort, staleSeconds, seedPort, DeploymentOptions.NONE);
+    }
+
+    private static ForwardSettings settings(
+            int callerPort, int staleSeconds, int seedPort, DeploymentOptions options) {
         return new ForwardSettings(
                 new InstanceId("i"),
                 new DataCentreId("z"),
@@ -25,7 +33,8 @@
                 Duration.ofSeconds(8),
                 0.2,
                 Duration.ofSeconds(10),
-                100);
+                100,
+                options);
     }
 
     @Test
@@ -52,4 +61,23 @@
         assertThat(change.pendingRestart()).containsExactly("callers");
         assertThat(active.get()).isEqualTo(settings(1, 5, 9));
     }
+
+    /** Its listener is open; a reload must neither move the stated port nor forget it. */
+    @Test
+    void relayNeedsRestart() {
+        ForwardSettings before = settings(1, 5, 9, relay(5));
+        ActiveSettings active = new ActiveSettings(before);
+        ActiveSettings.Change change = active.replace(settings(1, 5, 9, relay(6)));
+        assertThat(change.applied()).isEmpty();
+        assertThat(change.pendingRestart()).containsExactly("relay");
+        assertThat(active.get()).isEqualTo(before);
+    }
+
+    private static DeploymentOptions relay(int port) {
+        return new DeploymentOptions(
+                false,
+                Optional.empty(),
+                RoomBounds.NONE,
+                Optional.of(new Address("127.0.0.1", port)));
+    }
 }
