--- a/core/src/main/java/io/bilberrygrade/core/relay/RelayChoice.java
+++ b/core/src/main/java/io/bilberrygrade/core/relay/RelayChoice.java
@@ -62,6 +62,11 @@
         return valid(now).isEmpty();
     }
 
+    /** Returns the number of relays that are known, also of those that are left out for a while. */
+    public int size(Instant now) {
+        return valid(now).size();
+    }
+
     /** Returns the relay for the next request; empty if there is none or all are left out. */
     public Optional<Address> choose(Instant now) {
         ImmutableList<Address> usable =
--- a/serving/src/main/java/io/bilberrygrade/serving/answer/EventStreamParser.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/answer/EventStreamParser.java
@@ -1,4 +1,4 @@
-package io.bilberrygrade.serving.forward;
+package io.bilberrygrade.serving.answer;
 
 import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
@@ -10,7 +10,7 @@
  * Splits the bytes of a {@code text/event-stream} into complete events, so that an event that was
  * truncated by a broken connection is never relayed.
  */
-final class EventStreamParser {
+public final class EventStreamParser {
     /** Limit of one event in bytes; an event holds a few tokens of text. */
     private static final int MAX_EVENT_BYTES = 1 << 20;
 
@@ -23,7 +23,7 @@
     private boolean mBlank = true;
 
     /** Adds bytes and returns the events that they complete. */
-    List<StreamEvent> feed(Buffer bytes) throws MalformedStreamException {
+    public List<StreamEvent> feed(Buffer bytes) throws MalformedStreamException {
         mPending.appendBuffer(bytes);
         List<StreamEvent> events = new ArrayList<>();
         int start = 0;
@@ -44,12 +44,12 @@
     }
 
     /** Returns the bytes that are held of a partial event, whose buffer doubles as it grows. */
-    long heldBytes() {
+    public long heldBytes() {
         return 2L * mPending.length();
     }
 
     /** Returns whether no partial event is pending. */
-    boolean atBoundary() {
+    public boolean atBoundary() {
         return mPending.length() == 0;
     }
 
--- a/serving/src/main/java/io/bilberrygrade/serving/answer/MalformedStreamException.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/answer/MalformedStreamException.java
@@ -1,14 +1,16 @@
-package io.bilberrygrade.serving.forward;
+package io.bilberrygrade.serving.answer;
 
 /** Thrown if a stream violates its format or the order of its events. */
-final class MalformedStreamException extends Exception {
+public final class MalformedStreamException extends Exception {
     private static final long serialVersionUID = 1L;
 
-    MalformedStreamException(String message) {
+    /** Creates an exception that tells what was violated. */
+    public MalformedStreamException(String message) {
         super(message);
     }
 
-    MalformedStreamException(String message, Throwable cause) {
+    /** Creates an exception with its cause. */
+    public MalformedStreamException(String message, Throwable cause) {
         super(message, cause);
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/answer/StreamEvent.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/answer/StreamEvent.java
@@ -1,4 +1,4 @@
-package io.bilberrygrade.serving.forward;
+package io.bilberrygrade.serving.answer;
 
 import io.vertx.core.buffer.Buffer;
 import java.util.OptionalLong;
@@ -9,4 +9,4 @@
  * @param progress whether it has any field; comments aren't progress, since an endpoint may send
  *     them while its work is stalled
  */
-record StreamEvent(OptionalLong id, boolean progress, Buffer bytes) {}
+public record StreamEvent(OptionalLong id, boolean progress, Buffer bytes) {}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/EngineMemory.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/engine/EngineMemory.java
@@ -1,4 +1,4 @@
-package io.bilberrygrade.serving.forward;
+package io.bilberrygrade.serving.engine;
 
 import io.bilberrygrade.core.forward.RegisteredEndpoint;
 import io.smallrye.mutiny.Uni;
--- a/serving/src/main/java/io/bilberrygrade/serving/event/Event.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/Event.java
@@ -9,6 +9,7 @@
                 LifecycleEvent,
                 MembershipEvent,
                 OrderEvent,
+                RelayEvent,
                 RequestEvent,
                 RoomEvent,
                 ShareEvent {}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/AnswerRelay.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AnswerRelay.java
@@ -1,6 +1,9 @@
 package io.bilberrygrade.serving.forward;
 
 import io.bilberrygrade.serving.answer.AnswerBody;
+import io.bilberrygrade.serving.answer.MalformedStreamException;
+import io.bilberrygrade.serving.answer.StreamEvent;
+import io.bilberrygrade.serving.room.SilenceWatch;
 import java.time.Instant;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -48,8 +51,17 @@
         return mAnswer;
     }
 
-    /** Relays an event; returns whether the caller can take more. */
-    boolean relay(AnswerHead head, StreamEvent event, Instant now) throws MalformedStreamException {
+    /** Relays an event; its source isn't read until the caller can take more. */
+    void relay(AnswerHead head, StreamEvent event, Source source, Instant now)
+            throws MalformedStreamException {
+        if (!relay(head, event, now)) {
+            source.pause(event);
+            mAnswer.onWritable(source::resume);
+        }
+    }
+
+    private boolean relay(AnswerHead head, StreamEvent event, Instant now)
+            throws MalformedStreamException {
         checkOrder(event.id());
         if (!mBegun) {
             mBegun = true;
@@ -60,6 +72,21 @@
         return mAnswer.write(event.bytes());
     }
 
+    /** What an attempt's answer is read from, with what counts while it is read. */
+    record Source(EndpointCall call, SilenceWatch silence, AnswerBody body) {
+        private void pause(StreamEvent event) {
+            call.pause();
+            silence.suspend();
+            body.onCallerBlocked(event.bytes());
+        }
+
+        private void resume() {
+            body.onCallerReady();
+            silence.resume();
+            call.resume();
+        }
+    }
+
     private void checkOrder(OptionalLong id) throws MalformedStreamException {
         if (id.isEmpty()) {
             return;
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptHistory.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptHistory.java
@@ -31,6 +31,22 @@
         mFailedConnects++;
     }
 
+    /** Returns how many endpoints a peer may use, which leaves one for another attempt. */
+    int attemptsForPeer() {
+        int left = mMaxAttempts - mCount;
+        return left > 1 ? left - 1 : left;
+    }
+
+    /** Records that the request is handed over to a peer, which may use so many endpoints. */
+    void recordHandOver(int attempts) {
+        mCount += attempts;
+    }
+
+    /** Records that the peer used none of them. */
+    void recordNotHandedOver(int attempts) {
+        mCount -= attempts;
+    }
+
     /** Returns the number of attempts that may have reached an endpoint. */
     int count() {
         return mCount;
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptOwner.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptOwner.java
@@ -7,10 +7,13 @@
 /** Receives the result of an attempt. */
 interface AttemptOwner {
     /** The attempt ended without a usable answer. */
-    void onFailed(ForwardAttempt attempt, Delivery delivery, String detail);
+    void onFailed(AttemptsInFlight.Attempt attempt, Delivery delivery, String detail);
+
+    /** A peer refused the request, and no endpoint has run it there. */
+    void onPeerRefusal(AttemptsInFlight.Attempt attempt, AnswerHead head, AnswerBody body);
 
     /** The endpoint crashed just as it began to answer. */
-    void onCrashedEndpoint(ForwardAttempt attempt, String detail);
+    void onCrashedEndpoint(AttemptsInFlight.Attempt attempt, String detail);
 
     /** Sends the request to another endpoint as well; returns whether that is possible. */
     boolean trySendElsewhere(Instant now);
@@ -19,10 +22,10 @@
     boolean isOnlyAttempt();
 
     /** Content that the endpoint sent was relayed. */
-    void onRelayed(ForwardAttempt attempt);
+    void onRelayed(AttemptsInFlight.Attempt attempt);
 
     /** The endpoint ran the request and answered with an error status. */
-    void onErrorAnswer(ForwardAttempt attempt, AnswerHead head, AnswerBody body);
+    void onErrorAnswer(AttemptsInFlight.Attempt attempt, AnswerHead head, AnswerBody body);
 
     /** Answers hold too much memory, and this one waits for its caller. */
     void onCallerTooSlow();
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptsInFlight.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AttemptsInFlight.java
@@ -1,6 +1,7 @@
 package io.bilberrygrade.serving.forward;
 
 import com.google.common.collect.ImmutableList;
+import io.bilberrygrade.serving.error.Delivery;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -11,16 +12,16 @@
 final class AttemptsInFlight {
     private static final int MAX_ATTEMPTS = 2;
 
-    private final List<ForwardAttempt> mAttempts = new ArrayList<>();
+    private final List<Attempt> mAttempts = new ArrayList<>();
 
-    void add(ForwardAttempt attempt) {
+    void add(Attempt attempt) {
         mAttempts.add(attempt);
     }
 
     /** Removes an attempt that has ended; returns whether the request goes on without it. */
-    boolean endOne(ForwardAttempt attempt) {
+    boolean endOne(Attempt attempt) {
         mAttempts.remove(attempt);
-        mAttempts.forEach(ForwardAttempt::watchForSilence);
+        mAttempts.forEach(Attempt::watchForSilence);
         return !mAttempts.isEmpty();
     }
 
@@ -31,11 +32,11 @@
 
     /** Returns whether an endpoint may have started to run the request. */
     boolean mayHaveRun() {
-        return mAttempts.stream().anyMatch(ForwardAttempt::mayHaveRun);
+        return mAttempts.stream().anyMatch(Attempt::mayHaveRun);
     }
 
     /** Cancels all attempts but the given one. */
-    void keepOnly(ForwardAttempt attempt) {
+    void keepOnly(Attempt attempt) {
         ImmutableList.copyOf(mAttempts).stream()
                 .filter(a -> a != attempt)
                 .forEach(
@@ -46,8 +47,27 @@
     }
 
     void cancelAll() {
-        ImmutableList<ForwardAttempt> attempts = ImmutableList.copyOf(mAttempts);
+        ImmutableList<Attempt> attempts = ImmutableList.copyOf(mAttempts);
         mAttempts.clear();
-        attempts.forEach(ForwardAttempt::cancel);
+        attempts.forEach(Attempt::cancel);
+    }
+
+    /** An attempt at an endpoint, or through a peer. */
+    interface Attempt {
+        /** Returns whether an endpoint may have started to run the request. */
+        boolean mayHaveRun();
+
+        /** Records in the request's history that the attempt failed. */
+        default void recordFailed(AttemptHistory history, Delivery delivery) {
+            if (delivery == Delivery.NOT_DELIVERED) {
+                history.recordNotDelivered();
+            }
+        }
+
+        /** Watches for a silence again, unless the attempt has ended. */
+        void watchForSilence();
+
+        /** Cancels the attempt; the endpoint stops when it detects that the connection closed. */
+        void cancel();
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/CallerAnswer.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/CallerAnswer.java
@@ -2,6 +2,7 @@
 
 import io.bilberrygrade.serving.answer.AnswerBody;
 import io.bilberrygrade.serving.http.Connections;
+import io.bilberrygrade.serving.relay.HandOver;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
@@ -82,6 +83,13 @@
         }
     }
 
+    /** Marks a refusal as one of this daemon alone, so that a peer may ask another daemon. */
+    void markAsPeerRefusal() {
+        if (!hasBegun() && !mEnded) {
+            mResponse.putHeader(HandOver.REFUSED, "1");
+        }
+    }
+
     /** Writes a plain-text answer of this daemon itself. */
     void writeRefusal(int status, String text, Optional<Duration> retryAfter) {
         if (mEnded) {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointClient.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointClient.java
@@ -23,10 +23,12 @@
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetSocket;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.time.Duration;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.jboss.logging.Logger;
 
 /**
@@ -40,6 +42,9 @@
     /** Time limit of connecting; a round trip between data centres takes a few ms. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
 
+    /** Time after which a connection that was accepted isn't reset by what accepted it. */
+    private static final Duration RESET_TIME = Duration.ofMillis(100);
+
     /** Limit of connections to one endpoint; the endpoint's own limit is lower. */
     private static final int MAX_CONNECTIONS_PER_ENDPOINT = 1_024;
 
@@ -50,11 +55,13 @@
 
     private final AnswerMemory<EndpointId> mAnswerMemory =
             new AnswerMemory<>(Runtime.getRuntime().maxMemory() / HEAP_PER_ANSWER_MEMORY);
+    private final Vertx mVertx;
     private final HttpClient mClient;
     private final NetClient mProbes;
     private final ForwardProtocol mProtocol;
 
     EndpointClient(Vertx vertx, ForwardProtocol protocol) {
+        mVertx = vertx;
         mProtocol = protocol;
         HttpClientOptions options =
                 new HttpClientOptions()
@@ -112,6 +119,35 @@
                 .recoverWithItem(false);
     }
 
+    /** Returns whether an endpoint accepts a connection and doesn't reset it at once. */
+    Uni<Boolean> acceptsConnections(Address address) {
+        return Uni.createFrom()
+                .<Boolean>emitter(
+                        e ->
+                                mProbes.connect(address.port(), address.host())
+                                        .onSuccess(s -> checkStaysOpen(s, e::complete))
+                                        .onFailure(f -> e.complete(false)))
+                .onFailure()
+                .recoverWithItem(false);
+    }
+
+    private void checkStaysOpen(NetSocket socket, Consumer<Boolean> onResult) {
+        long timer =
+                mVertx.setTimer(
+                        RESET_TIME.toMillis(),
+                        t -> {
+                            socket.closeHandler(v -> {});
+                            socket.close();
+                            onResult.accept(true);
+                        });
+        socket.exceptionHandler(e -> {});
+        socket.closeHandler(
+                v -> {
+                    mVertx.cancelTimer(timer);
+                    onResult.accept(false);
+                });
+    }
+
     private void connect(Address address, Consumer<Boolean> onResult) {
         mProbes.connect(address.port(), address.host())
                 .onSuccess(
@@ -144,16 +180,25 @@
 
         @Override
         public void send(RequestHead head, Buffer body, AttemptRequest attemptRequest) {
+            Address address = attemptRequest.endpoint().address();
+            send(address, head, body, () -> mProtocol.writeRequest(head, attemptRequest));
+        }
+
+        @Override
+        public void send(Address address, RequestHead head, MultiMap headers, Buffer body) {
+            send(address, head, body, () -> headers);
+        }
+
+        private void send(
+                Address address, RequestHead head, Buffer body, Supplier<MultiMap> headers) {
             try {
-                connect(head, body, attemptRequest);
+                connect(address, head, headers.get(), body);
             } catch (RuntimeException e) {
                 fail(Delivery.NOT_DELIVERED, e);
             }
         }
 
-        private void connect(RequestHead head, Buffer body, AttemptRequest attemptRequest) {
-            Address address = attemptRequest.endpoint().address();
-            MultiMap headers = mProtocol.writeRequest(head, attemptRequest);
+        private void connect(Address address, RequestHead head, MultiMap headers, Buffer body) {
             RequestOptions options =
                     new RequestOptions()
                             .setMethod(head.method())
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointTracker.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointTracker.java
@@ -17,8 +17,10 @@
 import io.bilberrygrade.core.ratelimit.RateLimit;
 import io.bilberrygrade.core.ratelimit.RateLimitPermits;
 import io.bilberrygrade.core.room.EngineEnd;
+import io.bilberrygrade.core.room.RoomBounds;
 import io.bilberrygrade.core.routing.EjectionBound;
 import io.bilberrygrade.core.routing.EndpointHealth;
+import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.room.ColdController;
 import java.time.Duration;
 import java.time.Instant;
@@ -60,6 +62,25 @@
                         e -> {}));
     }
 
+    /** Creates the tracker of a daemon whose deployment may bound cold endpoints. */
+    EndpointTracker(
+            StateController state,
+            WorkLedger work,
+            RoomBounds bounds,
+            Clocks clocks,
+            EventLog events) {
+        this(
+                state.endpoints(),
+                work,
+                new ColdController(
+                        state.endpoints(),
+                        state::config,
+                        bounds.cold(),
+                        clocks.steady(),
+                        clocks.timeOfDay(),
+                        events));
+    }
+
     EndpointTracker(EndpointDirectory directory, WorkLedger work, ColdController cold) {
         mDirectory = directory;
         mWork = work;
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
@@ -6,8 +6,12 @@
 import io.bilberrygrade.core.forward.RouteKind;
 import io.bilberrygrade.core.quarantine.Suspect;
 import io.bilberrygrade.serving.answer.AnswerBody;
+import io.bilberrygrade.serving.answer.EventStreamParser;
+import io.bilberrygrade.serving.answer.MalformedStreamException;
+import io.bilberrygrade.serving.answer.StreamEvent;
 import io.bilberrygrade.serving.error.Delivery;
 import io.bilberrygrade.serving.room.EndWatch;
+import io.bilberrygrade.serving.room.ResponseTimeouts;
 import io.bilberrygrade.serving.room.SilenceWatch;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.buffer.Buffer;
@@ -17,7 +21,8 @@
 import java.util.Optional;
 
 /** One attempt of a request at one endpoint: validates the answer and relays it. */
-final class ForwardAttempt implements EndpointListener, QuarantineController.Quarantinable {
+final class ForwardAttempt
+        implements EndpointListener, AttemptsInFlight.Attempt, QuarantineController.Quarantinable {
     private static final int MISDIRECTED = 421;
 
     private final ForwardContext mContext;
@@ -36,6 +41,7 @@
     private final Instant mStartedAt;
     private final AnswerBody mBody;
     private final EndpointCall mCall;
+    private final AnswerRelay.Source mSource;
     private Optional<AnswerHead> mHead = Optional.empty();
     private boolean mFinished;
 
@@ -66,6 +72,7 @@
         mWork = new RecordedWork(context, attemptPlan);
         mStartedAt = context.clocks().now();
         mCall = context.client().newCall(this);
+        mSource = new AnswerRelay.Source(mCall, mSilence, mBody);
     }
 
     /** Starts the attempt; the endpoint has the given time. */
@@ -107,13 +114,13 @@
         return mContext.tracker().hasEnded(mPlan.endpoint(), mStartedAt, mContext.clocks().now());
     }
 
-    /** Returns whether the endpoint may have started to run the request. */
-    boolean mayHaveRun() {
+    @Override
+    public boolean mayHaveRun() {
         return mProgress.isSent();
     }
 
-    /** Cancels the attempt; the endpoint stops when it detects that the connection was closed. */
-    void cancel() {
+    @Override
+    public void cancel() {
         if (!mFinished) {
             finish();
             mBody.release();
@@ -145,8 +152,8 @@
         }
     }
 
-    /** Watches for a silence again, unless the attempt has ended. */
-    void watchForSilence() {
+    @Override
+    public void watchForSilence() {
         if (!mFinished) {
             mSilence.restart();
         }
@@ -180,19 +187,15 @@
     public void onHead(AnswerHead head) {
         mHead = Optional.of(head);
         mProgress.recordHead();
-        mContext.tracker()
-                .recordFirstByte(mPlan.endpoint().id(), mStartedAt, mContext.clocks().now());
+        mContext.reach().recordAnswer(mPlan.endpoint().service(), mStartedAt);
+        Instant now = mContext.clocks().now();
+        mContext.tracker().recordFirstByte(mPlan.endpoint().id(), mStartedAt, now);
         if (!mExchange.head().attemptId().equals(head.attemptId())) {
             fail(Delivery.MAY_HAVE_RUN, "the answer is to another request");
             return;
         }
         mContext.endpointStatus()
-                .apply(
-                        mPlan.endpoint().run(),
-                        head,
-                        mExchange.id().value(),
-                        mStartedAt,
-                        mContext.clocks().now());
+                .apply(mPlan.endpoint().run(), head, mExchange.id().value(), mStartedAt, now);
         if (head.notRun() || head.status() == MISDIRECTED) {
             onRefusal(head);
         } else if (head.success() && !head.sealed()) {
@@ -250,22 +253,10 @@
     }
 
     private void relay(StreamEvent event) throws MalformedStreamException {
-        boolean writable = mRelay.relay(mHead.orElseThrow(), event, mContext.clocks().now());
+        mRelay.relay(mHead.orElseThrow(), event, mSource, mContext.clocks().now());
         if (event.progress()) {
             mOwner.onRelayed(this);
         }
-        if (!writable) {
-            mCall.pause();
-            mSilence.suspend();
-            mBody.onCallerBlocked(event.bytes());
-            mRelay.answer().onWritable(this::resumeReading);
-        }
-    }
-
-    private void resumeReading() {
-        mBody.onCallerReady();
-        mSilence.resume();
-        mCall.resume();
     }
 
     private void onFirstEvent() {
@@ -313,11 +304,17 @@
 
     @Override
     public void onFailed(Delivery delivery, String detail) {
+        if (delivery == Delivery.NOT_DELIVERED) {
+            mContext.reach().recordUnreachable(mPlan.endpoint(), detail);
+        }
         fail(delivery, detail);
     }
 
     @Override
     public void onClosed(String detail) {
+        if (mHead.isEmpty() && !mFinished) {
+            mContext.reach().recordUnreachable(mPlan.endpoint(), detail);
+        }
         boolean closedEarly =
                 !mFinished
                         && !mContext.state().endpoints().leaving().contains(mPlan.endpoint().run())
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardContext.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardContext.java
@@ -4,6 +4,8 @@
 import io.bilberrygrade.serving.contention.AdmissionController;
 import io.bilberrygrade.serving.cost.CostController;
 import io.bilberrygrade.serving.event.EventLog;
+import io.bilberrygrade.serving.relay.ReachController;
+import io.bilberrygrade.serving.relay.RelayAuthenticator;
 import io.bilberrygrade.serving.time.Timers;
 import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -26,4 +28,7 @@
         UniformRandomProvider random,
         EventLog events,
         Supplier<FleetTraits> traits,
-        AdmissionController admission) {}
+        AdmissionController admission,
+        ForwardProtocol protocol,
+        ReachController reach,
+        RelayAuthenticator relayAuthenticator) {}
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -8,6 +8,7 @@
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.room.FleetCapacities;
 import io.bilberrygrade.core.room.FleetTraits;
+import io.bilberrygrade.core.room.RoomBounds;
 import io.bilberrygrade.serving.contention.AdmissionController;
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.cost.CostController;
@@ -16,18 +17,16 @@
 import io.bilberrygrade.serving.event.ForwardEvent;
 import io.bilberrygrade.serving.event.LifecycleEvent;
 import io.bilberrygrade.serving.filter.FilterChain;
+import io.bilberrygrade.serving.filter.RequestFilter;
 import io.bilberrygrade.serving.http.HttpCalls;
 import io.bilberrygrade.serving.http.ReconnectingCalls;
 import io.bilberrygrade.serving.listen.PortOpener;
 import io.bilberrygrade.serving.metrics.ControlTraffic;
 import io.bilberrygrade.serving.metrics.PrometheusPage;
 import io.bilberrygrade.serving.peer.PeerIdentity;
-import io.bilberrygrade.serving.peer.PeerServer;
 import io.bilberrygrade.serving.peer.TcpPeerNetwork;
-import io.bilberrygrade.serving.relay.RelayNaming;
-import io.bilberrygrade.serving.room.ColdController;
+import io.bilberrygrade.serving.relay.HandOver;
 import io.bilberrygrade.serving.room.RecentSumsFilter;
-import io.bilberrygrade.serving.room.SlownessWatch;
 import io.bilberrygrade.serving.time.Timers;
 import io.bilberrygrade.serving.time.VertxTimers;
 import io.smallrye.mutiny.Uni;
@@ -42,8 +41,6 @@
 
 /** A forwarding daemon. All its state is confined to one event loop, so that it needs no locks. */
 public final class ForwardDaemon extends AbstractVerticle {
-    private static final double PERCENT = 100;
-
     /** Stands for the request in events about answers to orders. */
     private static final String ORDER = "order";
 
@@ -63,15 +60,14 @@
     private final FleetView mFleet;
     private final FleetMember mSelfMember;
     private TcpPeerNetwork mPeers;
-    private WorkExchange mExchange;
-    private RateLimitExchange mRateLimits;
+    private DaemonPeers mExchanges;
     private StateController mState;
     private StateReader mReader;
     private ReadinessController mReadiness;
     private FrontServer mFront;
+    private RelayService mRelays;
     private EndpointTracker mTracker;
-    private QuarantineController mQuarantine;
-    private CostController mCost;
+    private ForwardContext mContext;
     private EndpointClient mClient;
     private Timers mTimers;
     private PeriodicTasks mTasks;
@@ -111,6 +107,9 @@
         mTimers = new VertxTimers(vertx);
         mTasks = new PeriodicTasks(mTimers, mRandom, mEvents);
         mClient = new EndpointClient(vertx, mPlatform.protocol());
+        mPeers =
+                new TcpPeerNetwork(
+                        vertx, mSelf, mSettings.get().peerKey(), ControlTraffic.unexported());
         mState = new StateController(mSettings.get().keyStaleness(), mClocks, mTimers, mEvents);
         mReader = reader();
         if (mSettings.get().options().room().evacuation().isPresent()) {
@@ -119,34 +118,62 @@
         mReadiness = new ReadinessController(mState, mEvents);
         RequestJournal journal =
                 new RequestJournal(mSettings.get().instance(), mClocks, mRandom, mEvents);
-        mFront =
-                new FrontServer(
-                        vertx, mPlatform.protocol(), mState, chain(), journal, mDrain, mClocks);
+        mRelays = relays();
+        mContext = context();
+        ImmutableList<RequestFilter<ForwardExchange>> filters = filters();
+        mFront = front(filters, journal, 0);
+        FrontServer peersFront =
+                front(
+                        mRelays.filters(filters, mReadiness::isReady),
+                        journal,
+                        HandOver.MAX_HEADER_BYTES);
         ReadinessServer readiness =
                 new ReadinessServer(
                         vertx,
                         mPlatform.readinessPath(),
                         mReadiness::isReady,
                         new PrometheusPage(mMetrics));
-        PeerServer peers = peers();
+        mExchanges = peers();
         registerGauges();
         mReader.start();
-        open(readiness, peers).subscribe().with(v -> onListening(started), started::fail);
+        open(readiness, peersFront).subscribe().with(v -> onListening(started), started::fail);
     }
 
     /** Opens the callers' port after the peers', so that a failed start has read no request. */
-    private Uni<Void> open(ReadinessServer readiness, PeerServer peers) {
+    private Uni<Void> open(ReadinessServer readiness, FrontServer peersFront) {
         ForwardSettings settings = mSettings.get();
         PortOpener ports = new PortOpener(settings.stopGrace(), mClocks.steady(), mTimers, mEvents);
-        return ports.open(settings.peers(), a -> peers.listen(a.host(), a.port()).replaceWithVoid())
-                .invoke(mExchange::start)
+        return ports.open(settings.peers(), mExchanges::listen)
+                .invoke(mExchanges.exchange()::start)
+                .chain(() -> mRelays.open(ports, peersFront))
                 .chain(() -> ports.open(settings.callers(), mFront::listen))
                 .chain(() -> ports.open(settings.readiness(), readiness::listen));
     }
 
+    private FrontServer front(
+            ImmutableList<RequestFilter<ForwardExchange>> filters,
+            RequestJournal journal,
+            int extraHeaderBytes) {
+        return new FrontServer(
+                vertx,
+                mPlatform.protocol(),
+                mState,
+                new FilterChain<>(filters),
+                journal,
+                mDrain,
+                mClocks,
+                extraHeaderBytes);
+    }
+
     private StateReader reader() {
+        ReconnectingCalls storeCalls =
+                new ReconnectingCalls(
+                        () -> new HttpCalls(io.vertx.mutiny.core.Vertx.newInstance(vertx)),
+                        mClocks::now,
+                        mTimers,
+                        reason -> mEvents.record(new ForwardEvent.StoreReconnected(reason)));
         return new StateReader(
-                mPlatform.store(storeCalls()),
+                mPlatform.store(storeCalls),
                 mState,
                 mClocks,
                 mTimers,
@@ -154,105 +181,92 @@
                 () -> mFleet.isAggregator(mClocks.now()));
     }
 
-    private ReconnectingCalls storeCalls() {
-        return new ReconnectingCalls(
-                () -> new HttpCalls(io.vertx.mutiny.core.Vertx.newInstance(vertx)),
-                mClocks::now,
-                mTimers,
-                reason -> mEvents.record(new ForwardEvent.StoreReconnected(reason)));
-    }
-
-    private PeerServer peers() {
-        mPeers =
-                new TcpPeerNetwork(
-                        vertx, mSelf, mSettings.get().peerKey(), ControlTraffic.unexported());
-        ConfigExchange configExchange =
-                new ConfigExchange(mState, mPeers, mPlatform.configDecoder(), mTimers, mEvents);
-        mRateLimits = new RateLimitExchange(mFleet, mSelfMember, mTracker, mEvents);
-        mExchange = exchange(new ConfirmationExchange(mState, mReader, configExchange));
-        return new PeerServer(
+    private DaemonPeers peers() {
+        return new DaemonPeers(
                 vertx,
+                mSettings.get(),
                 mSelf,
-                mSettings.get().peerKey(),
-                new PeerCallDispatcher(mExchange, configExchange),
-                ControlTraffic.unexported(),
-                mEvents);
-    }
-
-    private WorkExchange exchange(ConfirmationExchange confirmations) {
-        return new WorkExchange(
+                mSelfMember,
                 mPeers,
                 mFleet,
-                mSelfMember,
                 mWork,
-                confirmations,
-                mState,
-                new StoreRelay(mState, mReader, mClocks),
-                mRateLimits,
-                new CrashExchange(mFleet, mQuarantine),
-                new SlownessWatch(mFleet, mEvents),
-                new RelayNaming(
-                        mSelfMember, mSettings.get().options(), () -> false, mClocks::now, mRandom),
-                mClocks,
-                mTimers);
+                mReader,
+                mPlatform.configDecoder(),
+                mRelays.naming(),
+                mContext);
     }
 
     private EndpointTracker tracker() {
-        ColdController cold =
-                new ColdController(
-                        mState.endpoints(),
-                        mState::config,
-                        mSettings.get().options().room().cold(),
-                        mClocks.steady(),
-                        mClocks.timeOfDay(),
-                        mEvents);
-        return new EndpointTracker(mState.endpoints(), mWork, cold);
+        RoomBounds bounds = mSettings.get().options().room();
+        return new EndpointTracker(mState, mWork, bounds, mClocks, mEvents);
+    }
+
+    private RelayService relays() {
+        return new RelayService(
+                mSettings.get(),
+                mSelfMember,
+                mPeers,
+                mFleet,
+                mState,
+                mClient,
+                mClocks,
+                mTimers,
+                mRandom,
+                mEvents);
     }
 
-    private FilterChain<ForwardExchange> chain() {
+    private ForwardContext context() {
         mTracker = tracker();
-        mCost = new CostController(this::traits, mWork.receivedSums(), mEvents, mMetrics);
-        mQuarantine = new QuarantineController(mFleet, mEvents);
-        mQuarantine.onNews(() -> mExchange.reportNow());
+        CostController cost =
+                new CostController(this::traits, mWork.receivedSums(), mEvents, mMetrics);
+        QuarantineController quarantine = new QuarantineController(mFleet, mEvents);
+        quarantine.onNews(() -> mExchanges.exchange().reportNow());
         EndpointStatusUpdater endpointStatus =
                 new EndpointStatusUpdater(mState, mTracker, mRandom, mEvents);
-        ForwardContext forwardContext =
-                new ForwardContext(
-                        mState,
-                        mTracker,
-                        endpointStatus,
-                        planner(),
-                        new RetryBudgets(
-                                mSettings.get(),
-                                () -> mFleet.size(mClocks.now()),
-                                () -> mFleet.peakSize(mClocks.now())),
-                        mClient,
-                        memory(endpointStatus),
-                        () -> mExchange.requestPermits(),
-                        mQuarantine,
-                        new CrashDetector(
-                                mQuarantine, mClient::refusesConnections, mClocks, mTimers),
-                        mCost,
-                        mClocks,
-                        mTimers,
-                        mRandom,
-                        mEvents,
-                        this::traits,
-                        admission());
-        return new FilterChain<>(
-                ImmutableList.of(
-                        new DrainFilter(mDrain, mRunning),
-                        new AwaitStateFilter(mState, mReader),
-                        new FindRouteFilter(mState),
-                        new FindTeamFilter(mState),
-                        new AcceptFilter(mEvents),
-                        recentSums(),
-                        new DispatchFilter(forwardContext)));
+        return new ForwardContext(
+                mState,
+                mTracker,
+                endpointStatus,
+                planner(cost),
+                new RetryBudgets(
+                        mSettings.get(),
+                        () -> mFleet.size(mClocks.now()),
+                        () -> mFleet.peakSize(mClocks.now())),
+                mClient,
+                memory(endpointStatus),
+                () -> mExchanges.exchange().requestPermits(),
+                quarantine,
+                crashes(quarantine),
+                cost,
+                mClocks,
+                mTimers,
+                mRandom,
+                mEvents,
+                this::traits,
+                new AdmissionController(
+                        this::traits, () -> mFleet.size(mClocks.now()), mRandom, mEvents),
+                mPlatform.protocol(),
+                mRelays.reach(),
+                mRelays.authenticator());
     }
 
-    private AdmissionController admission() {
-        return new AdmissionController(
-                this::traits, () -> mFleet.size(mClocks.now()), mRandom, mEvents);
+    private ImmutableList<RequestFilter<ForwardExchange>> filters() {
+        return ImmutableList.of(
+                new DrainFilter(mDrain, mRunning),
+                new AwaitStateFilter(mState, mReader),
+                new FindRouteFilter(mState),
+                new FindTeamFilter(mState),
+                new AcceptFilter(mEvents),
+                recentSums(),
+                new DispatchFilter(mContext));
+    }
+
+    private CrashDetector crashes(QuarantineController quarantine) {
+        return new CrashDetector(
+                quarantine,
+                mClient::refusesConnections,
+                mClocks,
+                mTimers);
     }
 
     private RecentSumsFilter<ForwardExchange> recentSums() {
@@ -261,22 +275,20 @@
                         e -> e.head().prompt().map(p -> e.route().goal()),
                         this::traits,
                         () -> mFleet.size(mClocks.now()),
-                        () -> mExchange,
+                        () -> mExchanges.exchange(),
                         mClocks::now,
                         mTimers);
-        mEvents.registerGauge("sums_on_demand_calls_total", filter::calls);
-        mEvents.registerGauge("sums_on_demand_late_total", filter::lateAnswers);
-        mEvents.registerGauge("sums_on_demand_over_budget_total", filter::overBudget);
+        filter.registerGauges(mEvents::registerGauge);
         return filter;
     }
 
-    private AttemptPlanner planner() {
+    private AttemptPlanner planner(CostController cost) {
         AttemptPlanner planner =
                 new AttemptPlanner(
                         mTracker,
                         mSettings.get().dataCentre(),
                         mRandom,
-                        mCost,
+                        cost,
                         this::traits,
                         mEvents);
         mEvents.registerGauge("strict_stream_engines", planner::strictEngines);
@@ -284,39 +296,24 @@
     }
 
     private MemoryReservations memory(EndpointStatusUpdater endpointStatus) {
-        EngineMemory memory =
-                mPlatform.memory(
-                        vertx,
-                        (engine, head) ->
-                                endpointStatus.apply(
-                                        engine.run(), head, ORDER, mClocks.now(), mClocks.now()));
+        EndpointAnswerListener listener =
+                (engine, head) ->
+                        endpointStatus.apply(
+                                engine.run(), head, ORDER, mClocks.now(), mClocks.now());
         return new MemoryReservations(
-                memory, mSettings.get().instance(), mRandom, mTimers, mClocks, mEvents);
+                mPlatform.memory(vertx, listener),
+                mSettings.get().instance(),
+                mRandom,
+                mTimers,
+                mClocks,
+                mEvents);
     }
 
     private void registerGauges() {
+        mRelays.registerGauges(mEvents);
+        new ForwardGauges(mContext, mExchanges.rateLimits(), mFleet).register(mEvents);
         mEvents.registerGauge("running_requests", mDrain::runningRequests);
-        mEvents.registerGauge(
-                "config_version", () -> mState.config().map(c -> c.version()).orElse(0L));
-        mEvents.registerGauge("store_era", mState::era);
-        mEvents.registerGauge(
-                "confirmed_ago_millis",
-                () -> mState.confirmationAge().map(Duration::toMillis).orElse(-1L));
-        mEvents.registerGauge(
-                "rate_limited_endpoints", () -> mTracker.rateLimits().limitedRuns().size());
-        mEvents.registerGauge("rate_permits_used_total", () -> mTracker.permits().used());
-        mEvents.registerGauge(
-                "rate_limit_share_percent",
-                () -> Math.round(PERCENT * mRateLimits.fraction(mClocks.now())));
-        mEvents.registerGauge("answer_bytes_held", mClient.answerMemory()::heldBytes);
-        mEvents.registerGauge("answers_ended_for_memory_total", mClient.answerMemory()::endedCount);
-        mEvents.registerGauge("cold_endpoints", () -> mTracker.cold().runs().size());
-        mEvents.registerGauge(
-                "evacuated_data_centres", () -> mState.endpoints().evacuated().size());
-        mEvents.registerGauge(
-                "endpoint_crashes_known", () -> mQuarantine.evidence().records().size());
         mEvents.registerGauge("uneven_fleet", () -> traits().uneven() ? 1 : 0);
-        mEvents.registerGauge("peers", () -> mFleet.size(mClocks.now()) - 1);
         mEvents.registerGauge("log_lines_dropped_total", mDroppedLines);
     }
 
@@ -337,9 +334,10 @@
                 IDLE_CHECK_PERIOD,
                 () -> {
                     mFront.enforceIdleLimit(mClocks.now());
+                    mRelays.enforceIdleLimit(mClocks.now());
                     mReadiness.isReady();
                     mTracker.removeUnknown(mClocks.now());
-                    mCost.retain(mTracker::isRegistered);
+                    mContext.cost().retain(mTracker::isRegistered);
                     mTracker.cold().logChanges();
                     return Uni.createFrom().voidItem();
                 });
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardExchange.java
@@ -31,6 +31,7 @@
     private ImmutableSet<Suspect> mSuspects = ImmutableSet.of();
     private Runnable mOnAbandoned = () -> {};
     private boolean mAbandoned;
+    private Optional<Integer> mAttemptsLeft = Optional.empty();
 
     ForwardExchange(
             RequestId id,
@@ -113,6 +114,21 @@
         return Rank.of(mTeam.flatMap(t -> mConfig.flatMap(c -> c.keys().rank(t))), route().rank());
     }
 
+    /** Records that a peer handed the request over, and how many endpoints may still get it. */
+    void setAttemptsLeft(int attempts) {
+        mAttemptsLeft = Optional.of(attempts);
+    }
+
+    /** Returns whether a peer handed the request over. */
+    boolean isHandedOver() {
+        return mAttemptsLeft.isPresent();
+    }
+
+    /** Returns the number of endpoints that may get the request. */
+    int maxAttempts() {
+        return Math.min(route().maxAttempts(), mAttemptsLeft.orElse(Integer.MAX_VALUE));
+    }
+
     /** Registers how to end the request if the process ends first; replaces the action before. */
     void onAbandoned(Runnable action) {
         mOnAbandoned = action;
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOperation.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOperation.java
@@ -1,15 +1,15 @@
 package io.bilberrygrade.serving.forward;
 
 import com.google.common.collect.ImmutableList;
-import io.bilberrygrade.core.forward.ForwardService;
-import io.bilberrygrade.core.forward.ForwardingConfig;
 import io.bilberrygrade.core.forward.Route;
+import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.identity.ServiceId;
 import io.bilberrygrade.core.request.Outcome;
 import io.bilberrygrade.core.request.Reason;
 import io.bilberrygrade.core.request.Step;
 import io.bilberrygrade.serving.answer.AnswerBody;
 import io.bilberrygrade.serving.error.Delivery;
+import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.Cancellable;
 import java.time.Duration;
 import java.time.Instant;
@@ -38,6 +38,8 @@
     private final AnswerEnd mAnswerEnd;
     private final QuarantineCheck mQuarantine;
     private final AttemptHistory mHistory;
+    private final HandOvers mHandOvers;
+    private final AttemptSource mSource;
     private final AttemptsInFlight mInFlight = new AttemptsInFlight();
     private Optional<Cancellable> mDeadlineTimer = Optional.empty();
     private final LastFailure mLastFailure = new LastFailure();
@@ -54,7 +56,9 @@
         mRoute = exchange.route();
         mService = mRoute.service(context.random().nextDouble());
         mRelay = new AnswerRelay(exchange.answer(), exchange.head().resumeAfter());
-        mHistory = new AttemptHistory(mRoute.maxAttempts());
+        mHistory = new AttemptHistory(exchange.maxAttempts());
+        mHandOvers = new HandOvers(context, exchange, mService, mHistory);
+        mSource = new AttemptSource(context, exchange, mService, mHandOvers);
         mAnswerEnd = new AnswerEnd(context, exchange, mRelay);
         mQuarantine = new QuarantineCheck(context.quarantine(), exchange::suspects);
     }
@@ -67,23 +71,17 @@
         }
         Instant now = mContext.clocks().now();
         mContext.budgets().of(mService).recordRequest(now);
-        mDeadlineTimer =
-                Optional.of(
-                        mContext.timers()
-                                .after(Duration.between(now, mExchange.deadline()))
-                                .subscribe()
-                                .with(
-                                        v ->
-                                                endNow(
-                                                        Reason.DEADLINE_PAST,
-                                                        "the request's time is up")));
+        Uni<Void> deadline = mContext.timers().after(Duration.between(now, mExchange.deadline()));
+        mDeadlineTimer = Optional.of(deadline.subscribe().with(v -> onDeadline()));
         sendUnlessRefused();
     }
 
+    private void onDeadline() {
+        endNow(Reason.DEADLINE_PAST, "the request's time is up");
+    }
+
     private void sendUnlessRefused() {
-        Optional<Outcome> refusal =
-                service().flatMap(s -> Refusals.onArrival(mContext, mExchange, s));
-        refusal.ifPresentOrElse(this::endWithoutAnswer, this::sendNext);
+        mSource.refusalOnArrival().ifPresentOrElse(this::endWithoutAnswer, this::sendNext);
     }
 
     /** Starts the next attempt. */
@@ -99,8 +97,8 @@
             endWithoutAnswer(rejection.get());
             return;
         }
-        Optional<AttemptPlan> attemptPlan = plan(now);
-        if (attemptPlan.isEmpty()) {
+        Optional<AttemptSource.Target> target = mSource.next(mHistory.tried(), now);
+        if (target.isEmpty()) {
             onNoEndpoint(now);
             return;
         }
@@ -108,7 +106,20 @@
             giveUp(Reason.REPEATS_EXHAUSTED, "the service's repeats are used up");
             return;
         }
-        send(attemptPlan.get(), remaining, now);
+        send(target.get(), remaining, now);
+    }
+
+    private void send(AttemptSource.Target target, Duration remaining, Instant now) {
+        switch (target) {
+            case AttemptSource.Target.Peer p -> handOver(p.address(), remaining);
+            case AttemptSource.Target.Endpoint e -> send(e.plan(), remaining, now);
+        }
+    }
+
+    private void handOver(Address peer, Duration remaining) {
+        RelayAttempt attempt = mHandOvers.create(peer, remaining, mRelay, this);
+        mInFlight.add(attempt);
+        attempt.start();
     }
 
     /** Waits once for a permit of a rate-limited endpoint, or refuses the request. */
@@ -139,25 +150,6 @@
                 .map(r -> failure(Step.IDENTIFY, r, "the key can't be honoured any more"));
     }
 
-    private Optional<AttemptPlan> plan(Instant now) {
-        return service()
-                .flatMap(
-                        s ->
-                                mContext.planner()
-                                        .plan(
-                                                mRoute,
-                                                s,
-                                                mExchange.head().prompt(),
-                                                mHistory.tried(),
-                                                now));
-    }
-
-    private Optional<ForwardService> service() {
-        Optional<ForwardingConfig> newest = mContext.state().config();
-        return newest.map(c -> c.services().get(mService))
-                .or(() -> mExchange.config().map(c -> c.services().get(mService)));
-    }
-
     private void send(AttemptPlan attemptPlan, Duration remaining, Instant now) {
         if (attemptPlan.reservations().isEmpty()) {
             send(attemptPlan, ImmutableList.of(), remaining, now);
@@ -226,20 +218,17 @@
     }
 
     @Override
-    public void onFailed(ForwardAttempt attempt, Delivery delivery, String detail) {
+    public void onFailed(AttemptsInFlight.Attempt attempt, Delivery delivery, String detail) {
         if (mEnded) {
             return;
         }
-        switch (delivery) {
-            case NOT_DELIVERED -> mHistory.recordNotDelivered();
-            case REFUSED -> {}
-            case MAY_HAVE_RUN -> mMayHaveRun = true;
-        }
+        attempt.recordFailed(mHistory, delivery);
+        mMayHaveRun |= delivery == Delivery.MAY_HAVE_RUN;
         if (mInFlight.endOne(attempt)) {
             return;
         }
         boolean mayRepeat = mRoute.repeatable() || delivery != Delivery.MAY_HAVE_RUN;
-        if (mayRepeat && !mustNotRepeat() && mHistory.hasAttemptsLeft()) {
+        if (mayRepeat && !mustNotRepeat() && hasAttemptsLeft()) {
             sendNext();
         } else {
             giveUp(
@@ -250,8 +239,23 @@
         }
     }
 
+    private boolean hasAttemptsLeft() {
+        return mHistory.hasAttemptsLeft() || mHandOvers.relay().isPresent();
+    }
+
+    @Override
+    public void onPeerRefusal(AttemptsInFlight.Attempt attempt, AnswerHead head, AnswerBody body) {
+        if (mEnded || mMayHaveRun) {
+            onErrorAnswer(attempt, head, body);
+            return;
+        }
+        body.onEnded(this::onCallerTooSlow);
+        mAnswerEnd.relayError(head, body, mHistory.count());
+        finish(new Outcome.Done(0));
+    }
+
     @Override
-    public void onCrashedEndpoint(ForwardAttempt attempt, String detail) {
+    public void onCrashedEndpoint(AttemptsInFlight.Attempt attempt, String detail) {
         if (mEnded) {
             return;
         }
@@ -276,13 +280,16 @@
                         && keyRejection().isEmpty()
                         && mQuarantine.mayStillSend(now)
                         && !mQuarantine.isTrial();
-        Optional<AttemptPlan> attemptPlan =
-                allowed ? plan(now).filter(p -> p.reservations().isEmpty()) : Optional.empty();
-        if (attemptPlan.isEmpty() || !mContext.budgets().of(mService).tryRetry(now)) {
+        if (!allowed) {
+            return false;
+        }
+        Optional<AttemptSource.Target> target =
+                mSource.next(mHistory.tried(), now).filter(t -> !t.needsReservation());
+        if (target.isEmpty() || !mContext.budgets().of(mService).tryRetry(now)) {
             return false;
         }
         mMayHaveRun = true;
-        send(attemptPlan.get(), ImmutableList.of(), remaining, now);
+        send(target.get(), remaining, now);
         return true;
     }
 
@@ -292,12 +299,12 @@
     }
 
     @Override
-    public void onRelayed(ForwardAttempt attempt) {
+    public void onRelayed(AttemptsInFlight.Attempt attempt) {
         mInFlight.keepOnly(attempt);
     }
 
     @Override
-    public void onErrorAnswer(ForwardAttempt attempt, AnswerHead head, AnswerBody body) {
+    public void onErrorAnswer(AttemptsInFlight.Attempt attempt, AnswerHead head, AnswerBody body) {
         if (mEnded) {
             body.release();
             return;
@@ -334,13 +341,9 @@
         LastFailure.ErrorAnswer failure = mLastFailure.take();
         if (failure.head().impliesNotRun()) {
             failure.body().release();
-            endWithoutAnswer(
-                    failure(
-                            Step.DISPATCH,
-                            Reason.ENDPOINT_FAILED,
-                            "the endpoint answered "
-                                    + failure.head().status()
-                                    + " and may have run"));
+            String detail =
+                    "the endpoint answered " + failure.head().status() + " and may have run";
+            endWithoutAnswer(failure(Step.DISPATCH, Reason.ENDPOINT_FAILED, detail));
             return;
         }
         failure.body().onEnded(this::onCallerTooSlow);
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/FrontServer.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/FrontServer.java
@@ -8,6 +8,7 @@
 import io.bilberrygrade.core.request.Step;
 import io.bilberrygrade.serving.controller.DrainController;
 import io.bilberrygrade.serving.filter.FilterChain;
+import io.bilberrygrade.serving.http.HeaderSize;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpConnection;
@@ -37,10 +38,16 @@
     private final StateController mState;
     private final FilterChain<ForwardExchange> mChain;
     private final RequestJournal mJournal;
+    private final int mExtraHeaderBytes;
     private final Uploads mUploads;
     private final CallerConnections mConnections;
     private boolean mStopping;
 
+    /**
+     * Creates the server.
+     *
+     * @param extraHeaderBytes bytes by which a head may exceed the published limit
+     */
     FrontServer(
             Vertx vertx,
             ForwardProtocol protocol,
@@ -48,11 +55,13 @@
             FilterChain<ForwardExchange> chain,
             RequestJournal journal,
             DrainController drain,
-            Clocks clocks) {
+            Clocks clocks,
+            int extraHeaderBytes) {
         mProtocol = protocol;
         mState = state;
         mChain = chain;
         mJournal = journal;
+        mExtraHeaderBytes = extraHeaderBytes;
         mUploads = new Uploads(clocks);
         mConnections = new CallerConnections(drain, clocks);
         mServer =
@@ -102,8 +111,8 @@
 
     private void onReceived(Uploads.Upload upload) {
         ForwardExchange exchange = exchange(upload);
-        if (limits().filter(l -> HeaderSize.of(upload.request()) > l.maxHeaderBytes())
-                .isPresent()) {
+        int headerBytes = HeaderSize.of(upload.request()) - mExtraHeaderBytes;
+        if (limits().filter(l -> headerBytes > l.maxHeaderBytes()).isPresent()) {
             refuse(exchange, Reason.HEADERS_TOO_LARGE, "the headers are too long");
         } else if (upload.body().isTooLarge()) {
             refuse(exchange, Reason.TOO_LARGE, "the body is too long");
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/MemoryReservation.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/MemoryReservation.java
@@ -1,6 +1,7 @@
 package io.bilberrygrade.serving.forward;
 
 import io.bilberrygrade.core.forward.RegisteredEndpoint;
+import io.bilberrygrade.serving.engine.EngineMemory;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.event.ForwardEvent;
 import io.bilberrygrade.serving.time.Timers;
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/MemoryReservations.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/MemoryReservations.java
@@ -4,6 +4,7 @@
 import io.bilberrygrade.core.forward.RegisteredEndpoint;
 import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.core.identity.InstanceId;
+import io.bilberrygrade.serving.engine.EngineMemory;
 import io.bilberrygrade.serving.event.EventLog;
 import io.bilberrygrade.serving.time.Timers;
 import io.smallrye.mutiny.Uni;
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/PlatformBindings.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/PlatformBindings.java
@@ -1,5 +1,6 @@
 package io.bilberrygrade.serving.forward;
 
+import io.bilberrygrade.serving.engine.EngineMemory;
 import io.bilberrygrade.serving.http.ReconnectingCalls;
 import io.vertx.core.Vertx;
 
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/Uploads.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/Uploads.java
@@ -1,6 +1,7 @@
 package io.bilberrygrade.serving.forward;
 
 import com.google.common.collect.ImmutableList;
+import io.bilberrygrade.serving.http.BodyReader;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
--- a/serving/src/main/java/io/bilberrygrade/serving/http/BodyReader.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/http/BodyReader.java
@@ -1,29 +1,33 @@
-package io.bilberrygrade.serving.forward;
+package io.bilberrygrade.serving.http;
 
 import io.vertx.core.buffer.Buffer;
 
 /** Buffers a request body up to a size limit; reads and discards the rest. */
-final class BodyReader {
+public final class BodyReader {
     private final long mMaxBytes;
     private final Buffer mBody = Buffer.buffer();
     private long mBytes;
 
-    BodyReader(long maxBytes) {
+    /** Creates a reader of a body of at most the given length in bytes. */
+    public BodyReader(long maxBytes) {
         mMaxBytes = maxBytes;
     }
 
-    void add(Buffer part) {
+    /** Adds a part of the body. */
+    public void add(Buffer part) {
         mBytes += part.length();
         if (!isTooLarge()) {
             mBody.appendBuffer(part);
         }
     }
 
-    boolean isTooLarge() {
+    /** Returns whether the body exceeds the limit. */
+    public boolean isTooLarge() {
         return mBytes > mMaxBytes;
     }
 
-    Buffer body() {
+    /** Returns what was read up to the limit. */
+    public Buffer body() {
         return mBody;
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/relay/RelayDirectory.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/relay/RelayDirectory.java
@@ -143,6 +143,11 @@
         return mChoice.isEmpty(mNow.get());
     }
 
+    /** Returns the number of relays that are known, also of those that are left out for a while. */
+    public int size() {
+        return mChoice.size(mNow.get());
+    }
+
     /** Records that a request was handed over. */
     public void recordStarted(Address relay) {
         mChoice.recordStarted(relay);
--- a/serving/src/main/java/io/bilberrygrade/serving/room/RecentSumsFilter.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/room/RecentSumsFilter.java
@@ -11,8 +11,10 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import java.util.function.Function;
 import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 /**
@@ -121,6 +123,13 @@
                         });
     }
 
+    /** Registers the counts of this filter as metrics. */
+    public void registerGauges(BiConsumer<String, LongSupplier> registry) {
+        registry.accept("sums_on_demand_calls_total", this::calls);
+        registry.accept("sums_on_demand_late_total", this::lateAnswers);
+        registry.accept("sums_on_demand_over_budget_total", this::overBudget);
+    }
+
     /** Returns the number of calls for recent sums. */
     public long calls() {
         return mCalls;
--- a/serving/src/main/java/io/bilberrygrade/serving/room/ResponseTimeouts.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/room/ResponseTimeouts.java
@@ -1,4 +1,4 @@
-package io.bilberrygrade.serving.forward;
+package io.bilberrygrade.serving.room;
 
 import io.bilberrygrade.core.forward.Route;
 import io.bilberrygrade.core.forward.RouteKind;
@@ -8,7 +8,7 @@
  * Times of silence after which an endpoint loses a request that may be retried elsewhere. They must
  * be shorter than the caller's own timeout, and long enough for a busy endpoint.
  */
-final class ResponseTimeouts {
+public final class ResponseTimeouts {
     /** Callers abandon a stream after a gap of this many goals, pauses, or two seconds. */
     private static final int CALLER_GAP_GOALS = 4;
 
@@ -24,14 +24,14 @@
     private ResponseTimeouts() {}
 
     /** Returns the longest silence before the first byte of an answer. */
-    static Duration firstByte(Route route) {
+    public static Duration firstByte(Route route) {
         return route.kind() == RouteKind.STREAMING
                 ? endpointShare(callerGap(route))
                 : route.goal().multipliedBy(PLAIN_TIMEOUT_GOALS);
     }
 
     /** Returns the longest silence between two events of a stream. */
-    static Duration betweenEvents(Route route) {
+    public static Duration betweenEvents(Route route) {
         return endpointShare(callerGap(route));
     }
 
--- a/serving/src/test/java/io/bilberrygrade/serving/answer/EventStreamParserTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/answer/EventStreamParserTest.java
@@ -1,4 +1,4 @@
-package io.bilberrygrade.serving.forward;
+package io.bilberrygrade.serving.answer;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/AttemptFixture.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/AttemptFixture.java
@@ -23,7 +23,9 @@
 import io.bilberrygrade.serving.cost.CostController;
 import io.bilberrygrade.serving.error.Delivery;
 import io.bilberrygrade.serving.event.Event;
+import io.bilberrygrade.serving.relay.ReachController;
 import io.bilberrygrade.serving.time.VertxTimers;
+import io.smallrye.mutiny.Uni;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -127,9 +129,24 @@
                 null,
                 mEvents::add,
                 () -> FleetTraits.NONE,
+                null,
+                protocol,
+                reach(clocks, timers),
                 null);
     }
 
+    /** Returns a controller that hands nothing over. */
+    private ReachController reach(Clocks clocks, VertxTimers timers) {
+        return new ReachController(
+                Optional.empty(),
+                ImmutableList::of,
+                a -> Uni.createFrom().item(true),
+                clocks::now,
+                timers,
+                null,
+                mEvents::add);
+    }
+
     private static ForwardExchange exchange() {
         RequestHead head =
                 new RequestHead(
@@ -170,12 +187,12 @@
 
     private record FailureListener(CompletableFuture<Delivery> failed) implements AttemptOwner {
         @Override
-        public void onFailed(ForwardAttempt attempt, Delivery delivery, String detail) {
+        public void onFailed(AttemptsInFlight.Attempt attempt, Delivery delivery, String detail) {
             failed.complete(delivery);
         }
 
         @Override
-        public void onCrashedEndpoint(ForwardAttempt attempt, String detail) {}
+        public void onCrashedEndpoint(AttemptsInFlight.Attempt attempt, String detail) {}
 
         @Override
         public boolean trySendElsewhere(Instant now) {
@@ -188,10 +205,15 @@
         }
 
         @Override
-        public void onRelayed(ForwardAttempt attempt) {}
+        public void onRelayed(AttemptsInFlight.Attempt attempt) {}
+
+        @Override
+        public void onErrorAnswer(
+                AttemptsInFlight.Attempt attempt, AnswerHead head, AnswerBody body) {}
 
         @Override
-        public void onErrorAnswer(ForwardAttempt attempt, AnswerHead head, AnswerBody body) {}
+        public void onPeerRefusal(
+                AttemptsInFlight.Attempt attempt, AnswerHead head, AnswerBody body) {}
 
         @Override
         public void onCallerTooSlow() {}
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/MemoryReservationTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/MemoryReservationTest.java
@@ -8,6 +8,7 @@
 import io.bilberrygrade.core.identity.EndpointId;
 import io.bilberrygrade.core.identity.ServiceId;
 import io.bilberrygrade.core.request.Step;
+import io.bilberrygrade.serving.engine.EngineMemory;
 import io.bilberrygrade.serving.error.CallException;
 import io.bilberrygrade.serving.error.Delivery;
 import io.smallrye.mutiny.Uni;
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/UnsentAttemptTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/UnsentAttemptTest.java
@@ -12,6 +12,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.net.NetServer;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -86,6 +87,12 @@
             return MultiMap.caseInsensitiveMultiMap().set("name", "a\0b");
         }
 
+        @Override
+        public MultiMap writeHandOver(
+                RequestHead head, Duration timeLeft, Optional<Long> resumeAfter) {
+            throw new UnsupportedOperationException();
+        }
+
         @Override
         public AnswerHead readAnswer(int status, MultiMap headers) {
             throw new UnsupportedOperationException();
