Take no refusal for a crash while no endpoint can be reached

An endpoint that closed a connection and then refuses another one is taken to have crashed, and the requests on it are blamed.

A refusal is no evidence now while no endpoint of the service can be reached from here.

--- a/serving/src/main/java/io/bilberrygrade/serving/forward/CrashDetector.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/CrashDetector.java
@@ -5,6 +5,7 @@
 import io.bilberrygrade.core.forward.EndpointRun;
 import io.bilberrygrade.core.forward.RegisteredEndpoint;
 import io.bilberrygrade.core.identity.Address;
+import io.bilberrygrade.core.identity.ServiceId;
 import io.bilberrygrade.core.quarantine.CrashRecord;
 import io.bilberrygrade.core.quarantine.Suspect;
 import io.bilberrygrade.serving.time.Timers;
@@ -14,10 +15,12 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 /**
  * Finds out whether an endpoint that closed a connection has crashed: then it refuses new
- * connections too, whereas one that only broke off an answer accepts them.
+ * connections too, whereas one that only broke off an answer accepts them. While this daemon is cut
+ * off from all endpoints of a service, a refusal shows nothing.
  */
 final class CrashDetector {
     /**
@@ -27,6 +30,7 @@
 
     private final QuarantineController mQuarantine;
     private final Function<Address, Uni<Boolean>> mRefusesConnections;
+    private final Predicate<ServiceId> mCutFrom;
     private final Clocks mClocks;
     private final Timers mTimers;
     private final Map<EndpointRun, Probe> mProbes = new HashMap<>();
@@ -34,10 +38,12 @@
     CrashDetector(
             QuarantineController quarantine,
             Function<Address, Uni<Boolean>> refusesConnections,
+            Predicate<ServiceId> cutFrom,
             Clocks clocks,
             Timers timers) {
         mQuarantine = quarantine;
         mRefusesConnections = refusesConnections;
+        mCutFrom = cutFrom;
         mClocks = clocks;
         mTimers = timers;
     }
@@ -67,15 +73,16 @@
                         .chain(() -> mRefusesConnections.apply(endpoint.address()));
         return new Probe(
                 first.chain(refused -> refused ? Uni.createFrom().item(true) : second)
+                        .map(refused -> refused && !mCutFrom.test(endpoint.service()))
                         .onItem()
-                        .invoke(refused -> finish(endpoint.run(), refused))
+                        .invoke(crashed -> finish(endpoint.run(), crashed))
                         .memoize()
                         .indefinitely());
     }
 
-    private void finish(EndpointRun run, boolean refused) {
+    private void finish(EndpointRun run, boolean crashed) {
         Probe probe = mProbes.remove(run);
-        if (refused && probe != null) {
+        if (crashed && probe != null) {
             record(run, probe.mBegun, probe.mWaiting);
         }
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardDaemon.java
@@ -265,6 +265,7 @@
         return new CrashDetector(
                 quarantine,
                 mClient::refusesConnections,
+                mRelays.reach()::isCutFrom,
                 mClocks,
                 mTimers);
     }
