End a request at once after an unexpected exception in one of its steps

What callers saw: a request that was under way when the daemon threw an unexpected exception waited until its deadline and got 503 or 504. Its attempt stayed open at the endpoint, and what it held stayed counted. If the log of a refusal failed, the caller got no answer at all.

Cause: the steps of a request follow each other in callbacks (the answer's head, data and end, timers, reservations, permits, memory). Only the first ones, in the filters, ran where an exception ended the request. In the others it was logged as "Unhandled exception" and nothing else happened.

Change: each request has a guard in which its callbacks run, registered where a callback is handed over. The first exception ends the request: 502, or a closed connection if the answer has begun; BG1099 is logged, attempts are cancelled, memory and counters are released. An answer that was written whole before stays whole and isn't logged as refused. An attempt is now in flight before it is logged as sent, so that its reservations are released; reservations are also released if one of several fails. Refusals and cuts reach the caller if logging them throws.

--- a/serving/src/main/java/io/bilberrygrade/serving/forward/AnswerEnd.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AnswerEnd.java
@@ -6,7 +6,9 @@
 import io.bilberrygrade.core.request.Step;
 import io.bilberrygrade.serving.answer.AnswerBody;
 import io.bilberrygrade.serving.event.ForwardEvent;
+import io.bilberrygrade.serving.event.LifecycleEvent;
 import java.time.Instant;
+import java.util.function.Consumer;
 
 /** Ends the answer to one request, and logs how it ended. */
 final class AnswerEnd {
@@ -54,8 +56,8 @@
             body.release();
             cut(Reason.ENDPOINT_FAILED, "the endpoint answered " + head.status(), attempts);
         } else {
-            recordAnswered(head.status(), attempts, mContext.clocks().now());
             mExchange.answer().writeWhole(head, body);
+            recordAnswered(head.status(), attempts, mContext.clocks().now());
         }
     }
 
@@ -94,9 +96,37 @@
         return Outcome.unknown(Step.RELAY, Reason.CALLER_GONE, "the caller has gone", CALLER);
     }
 
+    /**
+     * Logs an unexpected exception, and cuts the answer if the caller has a part of it. The outcome
+     * is the answer if all of it was written before.
+     */
+    void endAfterError(Throwable e, int attempts, Consumer<Outcome> finish) {
+        CallerAnswer answer = mExchange.answer();
+        boolean whole = answer.hasEnded();
+        try {
+            recordError(e);
+            if (!whole && (mRelay.hasBegun() || answer.hasBegun())) {
+                cut(Reason.ENDPOINT_FAILED, "internal error", attempts);
+            }
+        } finally {
+            finish.accept(
+                    whole
+                            ? new Outcome.Done((int) mRelay.eventCount())
+                            : RequestJournal.INTERNAL_ERROR);
+        }
+    }
+
+    /** Logs an unexpected exception. */
+    void recordError(Throwable e) {
+        mContext.events().record(new LifecycleEvent.UnexpectedError("forward", e.toString()));
+    }
+
     private void cut(Reason reason, String detail, int attempts) {
-        recordCut(reason, detail, attempts);
-        mExchange.answer().abort();
+        try {
+            recordCut(reason, detail, attempts);
+        } finally {
+            mExchange.answer().abort();
+        }
     }
 
     private void recordCut(Reason reason, String detail, int attempts) {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/AnswerRelay.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/AnswerRelay.java
@@ -3,6 +3,7 @@
 import io.bilberrygrade.serving.answer.AnswerBody;
 import io.bilberrygrade.serving.answer.MalformedStreamException;
 import io.bilberrygrade.serving.answer.StreamEvent;
+import io.bilberrygrade.serving.error.ErrorGuard;
 import io.bilberrygrade.serving.room.SilenceWatch;
 import java.time.Instant;
 import java.util.Optional;
@@ -56,7 +57,7 @@
             throws MalformedStreamException {
         if (!relay(head, event, now)) {
             source.pause(event);
-            mAnswer.onWritable(source::resume);
+            mAnswer.onWritable(source.guard().wrap(source::resume));
         }
     }
 
@@ -73,7 +74,7 @@
     }
 
     /** What an attempt's answer is read from, with what counts while it is read. */
-    record Source(EndpointCall call, SilenceWatch silence, AnswerBody body) {
+    record Source(EndpointCall call, SilenceWatch silence, AnswerBody body, ErrorGuard guard) {
         private void pause(StreamEvent event) {
             call.pause();
             silence.suspend();
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/CallerAnswer.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/CallerAnswer.java
@@ -73,6 +73,11 @@
         return mResponse.headWritten();
     }
 
+    /** Returns whether nothing more is written of the answer. */
+    boolean hasEnded() {
+        return mEnded;
+    }
+
     /**
      * Closes the connection after this answer, so that the caller reconnects to another instance.
      */
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/DispatchFilter.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/DispatchFilter.java
@@ -16,6 +16,11 @@
     @Override
     public Uni<Outcome> handle(ForwardExchange exchange, FilterChain<ForwardExchange> next) {
         return Uni.createFrom()
-                .emitter(e -> new ForwardOperation(mContext, exchange, e::complete).start());
+                .emitter(
+                        e -> {
+                            ForwardOperation operation =
+                                    new ForwardOperation(mContext, exchange, e::complete);
+                            exchange.guard().run(operation::start);
+                        });
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointClient.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/EndpointClient.java
@@ -7,6 +7,7 @@
 import io.bilberrygrade.serving.answer.AnswerLimits;
 import io.bilberrygrade.serving.answer.AnswerValidationHandler;
 import io.bilberrygrade.serving.error.Delivery;
+import io.bilberrygrade.serving.error.ErrorGuard;
 import io.bilberrygrade.serving.http.Connections;
 import io.netty.channel.ConnectTimeoutException;
 import io.smallrye.mutiny.Uni;
@@ -104,8 +105,8 @@
     }
 
     /** Creates a call, which isn't sent yet; the listener gets its progress. */
-    EndpointCall newCall(EndpointListener listener) {
-        return new HttpExchange(listener);
+    EndpointCall newCall(EndpointListener listener, ErrorGuard guard) {
+        return new HttpExchange(listener, guard);
     }
 
     /**
@@ -170,12 +171,14 @@
 
     private final class HttpExchange implements EndpointCall {
         private final EndpointListener mListener;
+        private final ErrorGuard mGuard;
         private HttpClientRequest mRequest;
         private HttpClientResponse mResponse;
         private boolean mDone;
 
-        HttpExchange(EndpointListener listener) {
+        HttpExchange(EndpointListener listener, ErrorGuard guard) {
             mListener = listener;
+            mGuard = guard;
         }
 
         @Override
@@ -225,7 +228,7 @@
                 return;
             }
             request.response().onSuccess(this::onResponse).onFailure(this::failSent);
-            mListener.onConnected();
+            mGuard.run(mListener::onConnected);
             if (mDone) {
                 Connections.closeNow(request.connection());
                 return;
@@ -245,26 +248,30 @@
             response.exceptionHandler(this::failSent);
             response.handler(this::onBodyPart);
             response.endHandler(v -> onBodyEnd());
-            mListener.onHead(mProtocol.readAnswer(response.statusCode(), response.headers()));
+            mGuard.run(
+                    () ->
+                            mListener.onHead(
+                                    mProtocol.readAnswer(
+                                            response.statusCode(), response.headers())));
         }
 
         private void onBodyPart(Buffer part) {
             if (!mDone) {
-                mListener.onData(part);
+                mGuard.run(() -> mListener.onData(part));
             }
         }
 
         private void onBodyEnd() {
             if (!mDone) {
                 mDone = true;
-                mListener.onEnd();
+                mGuard.run(mListener::onEnd);
             }
         }
 
         private void fail(Delivery delivery, Throwable cause) {
             if (!mDone) {
                 abandon();
-                mListener.onFailed(delivery, String.valueOf(cause.getMessage()));
+                mGuard.run(() -> mListener.onFailed(delivery, String.valueOf(cause.getMessage())));
             }
         }
 
@@ -272,7 +279,7 @@
         private void failSent(Throwable cause) {
             if (!mDone && (cause instanceof HttpClosedException || cause instanceof IOException)) {
                 abandon();
-                mListener.onClosed(String.valueOf(cause.getMessage()));
+                mGuard.run(() -> mListener.onClosed(String.valueOf(cause.getMessage())));
             } else {
                 fail(Delivery.MAY_HAVE_RUN, cause);
             }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardAttempt.java
@@ -10,6 +10,7 @@
 import io.bilberrygrade.serving.answer.MalformedStreamException;
 import io.bilberrygrade.serving.answer.StreamEvent;
 import io.bilberrygrade.serving.error.Delivery;
+import io.bilberrygrade.serving.error.ErrorGuard;
 import io.bilberrygrade.serving.room.EndWatch;
 import io.bilberrygrade.serving.room.ResponseTimeouts;
 import io.bilberrygrade.serving.room.SilenceWatch;
@@ -27,6 +28,7 @@
 
     private final ForwardContext mContext;
     private final ForwardExchange mExchange;
+    private final ErrorGuard mGuard;
     private final AttemptPlan mPlan;
     private final ImmutableList<MemoryReservation> mMemory;
     private final int mAttemptNumber;
@@ -56,23 +58,26 @@
             AttemptOwner owner) {
         mContext = context;
         mExchange = exchange;
+        mGuard = exchange.guard();
         mPlan = attemptPlan;
         mMemory = memory;
         mAttemptNumber = attemptNumber;
         mTrial = trial;
         mRelay = relay;
         mOwner = owner;
-        mSilence = new SilenceWatch(context.timers(), this::onSilence);
+        mSilence = new SilenceWatch(context.timers(), mGuard.wrapCondition(this::onSilence));
         mEngineEnd =
                 new EndWatch(
                         context.timers(),
                         this::hasEngineEnded,
-                        () -> fail(mProgress.delivery(), "its engine has ended", true));
-        mBody = context.client().newBody(attemptPlan.endpoint().id(), this::onMemoryExhausted);
+                        mGuard.wrap(
+                                () -> fail(mProgress.delivery(), "its engine has ended", true)));
+        Runnable onMemoryExhausted = mGuard.wrap(this::onMemoryExhausted);
+        mBody = context.client().newBody(attemptPlan.endpoint().id(), onMemoryExhausted);
         mWork = new RecordedWork(context, attemptPlan);
         mStartedAt = context.clocks().now();
-        mCall = context.client().newCall(this);
-        mSource = new AnswerRelay.Source(mCall, mSilence, mBody);
+        mCall = context.client().newCall(this, mGuard);
+        mSource = new AnswerRelay.Source(mCall, mSilence, mBody, mGuard);
     }
 
     /** Starts the attempt; the endpoint has the given time. */
@@ -107,7 +112,7 @@
 
     @Override
     public void cancelQuarantined() {
-        fail(mProgress.delivery(), "it was quarantined meanwhile", false);
+        mGuard.run(() -> fail(mProgress.delivery(), "it was quarantined meanwhile", false));
     }
 
     private boolean hasEngineEnded() {
@@ -197,17 +202,13 @@
         mContext.endpointStatus()
                 .apply(mPlan.endpoint().run(), head, mExchange.id().value(), mStartedAt, now);
         if (head.notRun() || head.status() == MISDIRECTED) {
-            onRefusal(head);
+            mContext.tracker().recordRefusal(mPlan.faultyEndpoint(head), now);
+            fail(Delivery.REFUSED, "the endpoint refused it with " + head.status());
         } else if (head.success() && !head.sealed()) {
             fail(Delivery.MAY_HAVE_RUN, "a success without the endpoint's mark");
         }
     }
 
-    private void onRefusal(AnswerHead head) {
-        mContext.tracker().recordRefusal(mPlan.faultyEndpoint(head), mContext.clocks().now());
-        fail(Delivery.REFUSED, "the endpoint refused it with " + head.status());
-    }
-
     @Override
     public void onData(Buffer part) {
         mContext.tracker().recordBytes(mPlan.endpoint().id(), mContext.clocks().now());
@@ -284,15 +285,16 @@
             fail(Delivery.MAY_HAVE_RUN, "the stream ended within an event");
             return;
         }
-        finish();
         if (!head.success()) {
+            finish();
             mOwner.onErrorAnswer(this, head, mBody);
             return;
         }
         mContext.tracker().recordSuccess(mPlan.endpoint().id());
         mContext.quarantine().recordAnswered(mExchange::suspects, mContext.clocks().now());
         mWork.learnFromAnswer(mRelay.eventCount());
-        mBody.onEnded(mOwner::onCallerTooSlow);
+        finish();
+        mBody.onEnded(mGuard.wrap(mOwner::onCallerTooSlow));
         if (isStreaming()) {
             mRelay.end(head, mBody);
         } else {
@@ -337,17 +339,17 @@
                 mContext.crashes().onConnectionClosed(mPlan.endpoint(), suspects(), begun);
         if (begun) {
             end(Delivery.MAY_HAVE_RUN, detail, true);
-            crashed.subscribe()
-                    .with(
-                            c -> {
-                                if (c) {
-                                    mOwner.onCrashedEndpoint(this, detail);
-                                } else {
-                                    mOwner.onFailed(this, Delivery.MAY_HAVE_RUN, detail);
-                                }
-                            });
+            mGuard.subscribe(
+                    crashed,
+                    c -> {
+                        if (c) {
+                            mOwner.onCrashedEndpoint(this, detail);
+                        } else {
+                            mOwner.onFailed(this, Delivery.MAY_HAVE_RUN, detail);
+                        }
+                    });
         } else {
-            crashed.subscribe().with(c -> {});
+            mGuard.subscribe(crashed, c -> {});
             fail(Delivery.MAY_HAVE_RUN, detail);
         }
     }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardExchange.java
@@ -8,6 +8,7 @@
 import io.bilberrygrade.core.identity.TeamId;
 import io.bilberrygrade.core.quarantine.Suspect;
 import io.bilberrygrade.serving.contention.Admission;
+import io.bilberrygrade.serving.error.ErrorGuard;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
 import java.time.Instant;
@@ -29,6 +30,7 @@
     private Optional<TeamId> mTeam = Optional.empty();
     private Optional<Admission> mAdmission = Optional.empty();
     private ImmutableSet<Suspect> mSuspects = ImmutableSet.of();
+    private final ErrorGuard mGuard = new ErrorGuard();
     private Runnable mOnAbandoned = () -> {};
     private boolean mAbandoned;
     private Optional<Integer> mAttemptsLeft = Optional.empty();
@@ -78,6 +80,11 @@
         return mAnswer;
     }
 
+    /** Returns the guard in which all callbacks of the request run. */
+    ErrorGuard guard() {
+        return mGuard;
+    }
+
     Route route() {
         return mRoute.orElseThrow();
     }
@@ -137,7 +144,7 @@
     /** Ends the request without waiting any longer, since the process ends. */
     void abandon() {
         mAbandoned = true;
-        mOnAbandoned.run();
+        mGuard.run(mOnAbandoned);
     }
 
     /** Returns whether the request may not be passed on any more. */
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOperation.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/ForwardOperation.java
@@ -2,7 +2,6 @@
 
 import com.google.common.collect.ImmutableList;
 import io.bilberrygrade.core.forward.Route;
-import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.identity.ServiceId;
 import io.bilberrygrade.core.request.Outcome;
 import io.bilberrygrade.core.request.Reason;
@@ -29,6 +28,8 @@
     /** Least remaining time in which an endpoint could do useful work. */
     private static final Duration MIN_ATTEMPT_TIME = Duration.ofMillis(20);
 
+    private static final String TIME_UP = "the request's time is up";
+
     private final ForwardContext mContext;
     private final ForwardExchange mExchange;
     private final Consumer<Outcome> mOnOutcome;
@@ -61,26 +62,19 @@
         mSource = new AttemptSource(context, exchange, mService, mHandOvers);
         mAnswerEnd = new AnswerEnd(context, exchange, mRelay);
         mQuarantine = new QuarantineCheck(context.quarantine(), exchange::suspects);
+        exchange.guard().onError(this::endAfterError);
     }
 
     void start() {
         mExchange.onAbandoned(() -> endNow(Reason.DRAINING, Refusals.STOPPING));
-        mExchange.answer().onGone(this::onCallerGone);
+        mExchange.answer().onGone(mExchange.guard().wrap(this::onCallerGone));
         if (mEnded) {
             return;
         }
         Instant now = mContext.clocks().now();
         mContext.budgets().of(mService).recordRequest(now);
         Uni<Void> deadline = mContext.timers().after(Duration.between(now, mExchange.deadline()));
-        mDeadlineTimer = Optional.of(deadline.subscribe().with(v -> onDeadline()));
-        sendUnlessRefused();
-    }
-
-    private void onDeadline() {
-        endNow(Reason.DEADLINE_PAST, "the request's time is up");
-    }
-
-    private void sendUnlessRefused() {
+        mDeadlineTimer = Optional.of(proceed(deadline, v -> endNow(Reason.DEADLINE_PAST, TIME_UP)));
         mSource.refusalOnArrival().ifPresentOrElse(this::endWithoutAnswer, this::sendNext);
     }
 
@@ -111,17 +105,12 @@
 
     private void send(AttemptSource.Target target, Duration remaining, Instant now) {
         switch (target) {
-            case AttemptSource.Target.Peer p -> handOver(p.address(), remaining);
+            case AttemptSource.Target.Peer p ->
+                    mHandOvers.start(p.address(), remaining, mRelay, mInFlight, this);
             case AttemptSource.Target.Endpoint e -> send(e.plan(), remaining, now);
         }
     }
 
-    private void handOver(Address peer, Duration remaining) {
-        RelayAttempt attempt = mHandOvers.create(peer, remaining, mRelay, this);
-        mInFlight.add(attempt);
-        attempt.start();
-    }
-
     /** Waits once for a permit of a rate-limited endpoint, or refuses the request. */
     private void onNoEndpoint(Instant now) {
         boolean mayWait = !mAwaitedPermit;
@@ -136,7 +125,7 @@
                 Duration.between(now, mExchange.deadline()),
                 now)) {
             case NoEndpointDecision.AwaitPermit w ->
-                    mContext.permits().request().subscribe().with(v -> continueUnlessEnded());
+                    proceed(mContext.permits().request(), v -> continueUnlessEnded());
             case NoEndpointDecision.RefuseUntil r when !mLastFailure.isPresent() && !mMayHaveRun ->
                     endWithoutAnswer(r.outcome());
             default -> giveUp(Reason.NO_ENDPOINT, "no endpoint of the service may get it");
@@ -156,10 +145,9 @@
             return;
         }
         mReservationAttempts++;
-        mContext.memory()
-                .reserve(mExchange.id().value(), attemptPlan)
-                .subscribe()
-                .with(r -> onReserved(attemptPlan, r));
+        proceed(
+                mContext.memory().reserve(mExchange.id().value(), attemptPlan),
+                r -> onReserved(attemptPlan, r));
     }
 
     /** Continues after the reservations; time has passed, so all is checked again. */
@@ -179,10 +167,7 @@
             memory.get().forEach(MemoryReservation::release);
             continueUnlessEnded();
         } else if (mReservationAttempts < MAX_RESERVATION_ATTEMPTS) {
-            mContext.timers()
-                    .after(RESERVATION_RETRY_DELAY)
-                    .subscribe()
-                    .with(v -> continueUnlessEnded());
+            proceed(mContext.timers().after(RESERVATION_RETRY_DELAY), v -> continueUnlessEnded());
         } else if (!mEnded) {
             giveUp(Reason.OVERLOADED, "no engines have the memory for it");
         }
@@ -202,7 +187,6 @@
         mHistory.recordSent(attemptPlan.endpoint().id());
         mContext.tracker().recordSent(attemptPlan.endpoint().id(), now);
         mContext.tracker().recordHelpers(attemptPlan.helpers(), now);
-        AttemptLog.recordSent(mContext, mExchange.id(), mHistory.count(), attemptPlan, remaining);
         ForwardAttempt attempt =
                 new ForwardAttempt(
                         mContext,
@@ -214,6 +198,7 @@
                         mRelay,
                         this);
         mInFlight.add(attempt);
+        AttemptLog.recordSent(mContext, mExchange.id(), mHistory.count(), attemptPlan, remaining);
         attempt.start(remaining);
     }
 
@@ -228,7 +213,8 @@
             return;
         }
         boolean mayRepeat = mRoute.repeatable() || delivery != Delivery.MAY_HAVE_RUN;
-        if (mayRepeat && !mustNotRepeat() && hasAttemptsLeft()) {
+        boolean attemptsLeft = mHistory.hasAttemptsLeft() || mHandOvers.relay().isPresent();
+        if (mayRepeat && !mustNotRepeat() && attemptsLeft) {
             sendNext();
         } else {
             giveUp(
@@ -239,19 +225,13 @@
         }
     }
 
-    private boolean hasAttemptsLeft() {
-        return mHistory.hasAttemptsLeft() || mHandOvers.relay().isPresent();
-    }
-
     @Override
     public void onPeerRefusal(AttemptsInFlight.Attempt attempt, AnswerHead head, AnswerBody body) {
         if (mEnded || mMayHaveRun) {
             onErrorAnswer(attempt, head, body);
             return;
         }
-        body.onEnded(this::onCallerTooSlow);
-        mAnswerEnd.relayError(head, body, mHistory.count());
-        finish(new Outcome.Done(0));
+        relayError(head, body);
     }
 
     @Override
@@ -346,8 +326,12 @@
             endWithoutAnswer(failure(Step.DISPATCH, Reason.ENDPOINT_FAILED, detail));
             return;
         }
-        failure.body().onEnded(this::onCallerTooSlow);
-        mAnswerEnd.relayError(failure.head(), failure.body(), mHistory.count());
+        relayError(failure.head(), failure.body());
+    }
+
+    private void relayError(AnswerHead head, AnswerBody body) {
+        body.onEnded(mExchange.guard().wrap(this::onCallerTooSlow));
+        mAnswerEnd.relayError(head, body, mHistory.count());
         finish(new Outcome.Done(0));
     }
 
@@ -382,6 +366,19 @@
         }
     }
 
+    private <T> Cancellable proceed(Uni<T> operation, Consumer<T> step) {
+        return mExchange.guard().subscribe(operation, step);
+    }
+
+    /** Ends the request after an unexpected exception in one of its steps. */
+    private void endAfterError(Throwable e) {
+        if (mEnded) {
+            mAnswerEnd.recordError(e);
+        } else {
+            mAnswerEnd.endAfterError(e, mHistory.count(), this::finish);
+        }
+    }
+
     private void endWithoutAnswer(Outcome outcome) {
         mAnswerEnd.cutIfBegun(outcome, mHistory.count());
         finish(outcome);
@@ -389,11 +386,14 @@
 
     private void finish(Outcome outcome) {
         mEnded = true;
-        mLastFailure.drop();
-        mInFlight.cancelAll();
-        mDeadlineTimer.ifPresent(Cancellable::cancel);
-        mExchange.admission().ifPresent(mContext.admission()::recordEnded);
-        mExchange.setAdmission(Optional.empty());
-        mOnOutcome.accept(outcome);
+        try {
+            mLastFailure.drop();
+            mInFlight.cancelAll();
+            mDeadlineTimer.ifPresent(Cancellable::cancel);
+            mExchange.admission().ifPresent(mContext.admission()::recordEnded);
+            mExchange.setAdmission(Optional.empty());
+        } finally {
+            mOnOutcome.accept(outcome);
+        }
     }
 }
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/HandOvers.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/HandOvers.java
@@ -57,8 +57,13 @@
                         "no endpoint can be reached from here either"));
     }
 
-    /** Creates an attempt through a peer, and counts the endpoints that it may use. */
-    RelayAttempt create(Address peer, Duration remaining, AnswerRelay relay, AttemptOwner owner) {
+    /** Starts an attempt through a peer, and counts the endpoints that it may use. */
+    void start(
+            Address peer,
+            Duration remaining,
+            AnswerRelay relay,
+            AttemptsInFlight inFlight,
+            AttemptOwner owner) {
         mPeerCount++;
         int attempts = mHistory.attemptsForPeer();
         mHistory.recordHandOver(attempts);
@@ -70,8 +75,11 @@
                                 mHistory.count(),
                                 peer.toString(),
                                 remaining.toMillis()));
-        return new RelayAttempt(
-                mContext, mExchange, peer, handOver(attempts), remaining, relay, owner);
+        RelayAttempt attempt =
+                new RelayAttempt(
+                        mContext, mExchange, peer, handOver(attempts), remaining, relay, owner);
+        inFlight.add(attempt);
+        attempt.start();
     }
 
     private HandOver handOver(int attempts) {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/MemoryReservations.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/MemoryReservations.java
@@ -50,6 +50,8 @@
         return Uni.join()
                 .all(orders)
                 .andCollectFailures()
+                .onFailure()
+                .invoke(() -> wanted.forEach(MemoryReservation::release))
                 .map(held -> held.stream().allMatch(h -> h))
                 .map(
                         all -> {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/RelayAttempt.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/RelayAttempt.java
@@ -9,6 +9,7 @@
 import io.bilberrygrade.serving.answer.MalformedStreamException;
 import io.bilberrygrade.serving.answer.StreamEvent;
 import io.bilberrygrade.serving.error.Delivery;
+import io.bilberrygrade.serving.error.ErrorGuard;
 import io.bilberrygrade.serving.event.RelayEvent;
 import io.bilberrygrade.serving.relay.HandOver;
 import io.bilberrygrade.serving.room.ResponseTimeouts;
@@ -55,11 +56,16 @@
         mTimeLeft = timeLeft;
         mRelay = relay;
         mOwner = owner;
-        mSilence = new SilenceWatch(context.timers(), this::onSilence);
-        mBody = context.client().newBody(new EndpointId(peer.toString()), this::onMemoryExhausted);
+        ErrorGuard guard = exchange.guard();
+        mSilence = new SilenceWatch(context.timers(), guard.wrapCondition(this::onSilence));
+        mBody =
+                context.client()
+                        .newBody(
+                                new EndpointId(peer.toString()),
+                                guard.wrap(this::onMemoryExhausted));
         mStartedAt = context.clocks().now();
-        mCall = context.client().newCall(this);
-        mSource = new AnswerRelay.Source(mCall, mSilence, mBody);
+        mCall = context.client().newCall(this, guard);
+        mSource = new AnswerRelay.Source(mCall, mSilence, mBody, guard);
     }
 
     /** Starts the attempt. */
@@ -192,7 +198,7 @@
             onErrorAnswer();
             return;
         }
-        mBody.onEnded(mOwner::onCallerTooSlow);
+        mBody.onEnded(mExchange.guard().wrap(mOwner::onCallerTooSlow));
         if (isStreaming()) {
             mRelay.end(mHead, mBody);
         } else {
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/RequestJournal.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/RequestJournal.java
@@ -15,6 +15,10 @@
 
 /** Assigns request ids, and writes the answer and the log line of requests that weren't served. */
 final class RequestJournal {
+    /** Outcome after an unexpected exception; it doesn't tell whether an endpoint was reached. */
+    static final Outcome INTERNAL_ERROR =
+            Outcome.unknown(Step.DISPATCH, Reason.ENDPOINT_FAILED, "internal error", "self");
+
     private static final int CALLER_ID_CHARS = 64;
 
     private final InstanceId mInstance;
@@ -57,9 +61,7 @@
     /** Answers a request that failed by an internal error. */
     void onInternalError(ForwardExchange exchange, Throwable e) {
         mEvents.record(new LifecycleEvent.UnexpectedError("forward", e.toString()));
-        onOutcome(
-                exchange,
-                Outcome.unknown(Step.DISPATCH, Reason.ENDPOINT_FAILED, "internal error", "self"));
+        onOutcome(exchange, INTERNAL_ERROR);
     }
 
     /** Records that a caller's connection failed. */
@@ -88,17 +90,20 @@
             Step step,
             Reason reason,
             String detail) {
-        mEvents.record(
-                new ForwardEvent.NotServed(
-                        exchange.id().value(),
-                        promise,
-                        step.name(),
-                        reason.name(),
-                        detail,
-                        Duration.between(exchange.arrival(), mClocks.now()).toMillis()));
-        int status = ForwardStatus.of(outcome);
-        Optional<Duration> retryAfter =
-                status == 503 ? Optional.of(retryAfter(outcome, reason)) : Optional.empty();
-        exchange.answer().writeRefusal(status, reason + ": " + detail, retryAfter);
+        try {
+            mEvents.record(
+                    new ForwardEvent.NotServed(
+                            exchange.id().value(),
+                            promise,
+                            step.name(),
+                            reason.name(),
+                            detail,
+                            Duration.between(exchange.arrival(), mClocks.now()).toMillis()));
+        } finally {
+            int status = ForwardStatus.of(outcome);
+            Optional<Duration> retryAfter =
+                    status == 503 ? Optional.of(retryAfter(outcome, reason)) : Optional.empty();
+            exchange.answer().writeRefusal(status, reason + ": " + detail, retryAfter);
+        }
     }
 }
