Bound the lines about unreadable entries

An operator saw a line for each unreadable entry, and saw all of them again at each full read once there were more than 1,024: the log kept the digests of the 1,024 keys seen last, so a read in the same order always evicted the key that came next.

The others of an answer are counted in one line (BG7076), which names one of them and is written again only if they change.

--- a/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/event/ForwardEvent.java
@@ -169,6 +169,13 @@
     @EventInfo(number = 7025, level = EventLevel.WARN)
     record EntryUnreadable(String key, int length) implements ForwardEvent {}
 
+    /**
+     * Entries of the store beyond those that are logged one by one can't be read and are ignored;
+     * logged again if they change. {@code count} is their number in one answer.
+     */
+    @EventInfo(number = 7076, level = EventLevel.WARN)
+    record MoreEntriesUnreadable(int count, String firstKey) implements ForwardEvent {}
+
     /**
      * The daemon follows another aggregator, in a fleet whose daemons state capacities. {@code
      * uneven} is whether these differ so widely that the class of capacity decides before the age.
