Sum slots and streams over endpoints without overflow

Callers of a contended service got 503 with waits of years once one entry of the store stated slots. The int sum over the endpoints became negative. Sums of slots, calls and strict streams now saturate, and the queue fraction is computed as a double.

--- a/core/src/main/java/io/bilberrygrade/core/contention/ServiceLoad.java
+++ b/core/src/main/java/io/bilberrygrade/core/contention/ServiceLoad.java
@@ -29,7 +29,7 @@
 
     /** Returns the number of requests that wait for a slot. */
     public int queued() {
-        return Math.max(0, calls - slots);
+        return Math.clamp((long) calls - slots, 0, Integer.MAX_VALUE);
     }
 
     /**
@@ -37,6 +37,6 @@
      * plain service, whose queues aren't known to be bounded.
      */
     public double queueFraction() {
-        return memoryTokens == 0 ? 0 : queued() / (double) (Math.max(1, slots) * QUEUE_PER_SLOT);
+        return memoryTokens == 0 ? 0 : queued() / ((double) Math.max(1, slots) * QUEUE_PER_SLOT);
     }
 }
--- a/core/src/main/java/io/bilberrygrade/core/contention/StrictStreamForecast.java
+++ b/core/src/main/java/io/bilberrygrade/core/contention/StrictStreamForecast.java
@@ -1,6 +1,7 @@
 package io.bilberrygrade.core.contention;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.primitives.Ints;
 import io.bilberrygrade.core.forward.Candidate;
 import io.bilberrygrade.core.forward.EngineCost;
 import io.bilberrygrade.core.forward.StrictStreamEngines;
@@ -50,7 +51,9 @@
             ImmutableList<Candidate> candidates,
             StrictStreamTrend trend,
             Instant now) {
-        int streams = candidates.stream().mapToInt(c -> c.work().strictCalls()).sum();
+        int streams =
+                Ints.saturatedCast(
+                        candidates.stream().mapToLong(c -> c.work().strictCalls()).sum());
         double prefilling = trend.prefilling();
         double reserve = candidates.size() * MIN_ARRIVALS_PER_ENGINE;
         double expected = streams + trend.growthWhileOneRuns() + reserve;
--- a/core/src/main/java/io/bilberrygrade/core/exchange/ReceivedSums.java
+++ b/core/src/main/java/io/bilberrygrade/core/exchange/ReceivedSums.java
@@ -1,6 +1,7 @@
 package io.bilberrygrade.core.exchange;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.primitives.Ints;
 import io.bilberrygrade.core.contention.StrictStreamTrend;
 import io.bilberrygrade.core.forward.EndpointWork;
 import io.bilberrygrade.core.forward.StrictStreamEngines;
@@ -57,7 +58,9 @@
         mVersion = update.version();
         mOwnAtRequest = ownAtRequest;
         mReceivedAt = now;
-        int streams = mSums.values().stream().mapToInt(EndpointWork::strictCalls).sum();
+        int streams =
+                Ints.saturatedCast(
+                        mSums.values().stream().mapToLong(EndpointWork::strictCalls).sum());
         int prefilling =
                 (int)
                         mSums.values().stream()
--- a/core/src/main/java/io/bilberrygrade/core/forward/StrictStreamEngines.java
+++ b/core/src/main/java/io/bilberrygrade/core/forward/StrictStreamEngines.java
@@ -37,7 +37,7 @@
      * Returns the engines with the lowest ids: enough for the current strict streams and one more.
      */
     static ImmutableSet<EndpointId> of(EngineCost cost, List<Candidate> candidates) {
-        int strictStreams = candidates.stream().mapToInt(c -> c.work().strictCalls()).sum();
+        double strictStreams = candidates.stream().mapToDouble(c -> c.work().strictCalls()).sum();
         return candidates.stream()
                 .filter(c -> c.work().readMillis() <= MAX_PREFILL_MILLIS)
                 .map(c -> c.endpoint().id())
--- a/core/src/test/java/io/bilberrygrade/core/forward/StrictStreamEnginesTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/forward/StrictStreamEnginesTest.java
@@ -45,6 +45,15 @@
         assertThat(StrictStreamEngines.of(COST, candidates(strictStreams))).hasSize(engines);
     }
 
+    // Guards against a sum of streams that overflows, with which no engine can be selected.
+    @ParameterizedTest
+    @CsvSource({"2147483647", "1"})
+    void anyNumberOfStreamsSelectsEngines(int others) {
+        List<Candidate> candidates =
+                List.of(candidate(0, Integer.MAX_VALUE, 0), candidate(1, others, 0));
+        assertThat(StrictStreamEngines.of(COST, candidates)).hasSize(2);
+    }
+
     @Test
     void selectionIsIndependentOfCandidateOrder() {
         List<Candidate> candidates = candidates(40);
--- a/serving/src/main/java/io/bilberrygrade/serving/contention/AdmissionController.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/contention/AdmissionController.java
@@ -1,6 +1,7 @@
 package io.bilberrygrade.serving.contention;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.primitives.Ints;
 import io.bilberrygrade.core.contention.AdmissionDecision;
 import io.bilberrygrade.core.contention.ContentionPolicy;
 import io.bilberrygrade.core.contention.ServiceLoad;
@@ -110,8 +111,8 @@
                         ? arrival.service().engine().map(EngineCost::memoryTokens).orElse(0L)
                         : 0;
         return new ServiceLoad(
-                candidates.stream().mapToInt(c -> c.endpoint().slots()).sum(),
-                candidates.stream().mapToInt(c -> c.work().calls()).sum(),
+                Ints.saturatedCast(candidates.stream().mapToLong(c -> c.endpoint().slots()).sum()),
+                Ints.saturatedCast(candidates.stream().mapToLong(c -> c.work().calls()).sum()),
                 candidates.stream().mapToDouble(c -> c.work().readMillis()).min().orElse(0),
                 memory * candidates.size(),
                 candidates.stream().mapToLong(c -> c.work().tokens()).sum(),
--- a/serving/src/test/java/io/bilberrygrade/serving/contention/AdmissionControllerTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/contention/AdmissionControllerTest.java
@@ -72,17 +72,20 @@
     }
 
     private static ImmutableList<Candidate> endpoint(int calls) {
-        return ImmutableList.of(
-                new Candidate(
-                        new RegisteredEndpoint(
-                                new EndpointId("e"),
-                                1,
-                                SERVICE,
-                                new Address("10.0.0.1", 1),
-                                new DataCentreId("z"),
-                                8,
-                                false),
-                        new EndpointWork(calls, 0, 0, 0, 0)));
+        return ImmutableList.of(endpoint("e", 8, calls));
+    }
+
+    private static Candidate endpoint(String id, int slots, int calls) {
+        return new Candidate(
+                new RegisteredEndpoint(
+                        new EndpointId(id),
+                        1,
+                        SERVICE,
+                        new Address("10.0.0.1", 1),
+                        new DataCentreId("z"),
+                        slots,
+                        false),
+                new EndpointWork(calls, 0, 0, 0, 0));
     }
 
     private Optional<Admission> decide(String id, int calls, long timeLeftMillis) {
@@ -149,4 +152,21 @@
         assertThat(decide("x", 8, 300).orElseThrow().decision())
                 .isInstanceOf(AdmissionDecision.Admit.class);
     }
+
+    // Guards against a sum over the endpoints that overflows, so that one entry of the store turns
+    // all of a service's requests away.
+    @ParameterizedTest
+    @CsvSource({"10, 2147483647, 0, 0, false", "10, 10, 0, 0, false"})
+    void sumsOverEndpointsDoNotOverflow(
+            int slots, int otherSlots, int calls, int otherCalls, boolean refused) {
+        teach();
+        ImmutableList<Candidate> endpoints =
+                ImmutableList.of(
+                        endpoint("e", slots, calls), endpoint("other", otherSlots, otherCalls));
+        Admission admission =
+                mController
+                        .decide(arrival("x", 900), endpoints, Duration.ofMillis(100), NOW)
+                        .orElseThrow();
+        assertThat(admission.decision() instanceof AdmissionDecision.Refuse).isEqualTo(refused);
+    }
 }
