Bound the fleet's size and the members that a peer states

The size is now at most 2,000 and the first four members count. Both cases of FleetViewTest failed before and pass.

--- a/core/src/main/java/io/bilberrygrade/core/exchange/FleetView.java
+++ b/core/src/main/java/io/bilberrygrade/core/exchange/FleetView.java
@@ -29,6 +29,12 @@
     /** Maximum number of members named to peers: the aggregator and those next in line. */
     private static final int MAX_NAMED_MEMBERS = 4;
 
+    /**
+     * Maximum size of a fleet that is taken from a peer; several times that of the largest fleet. A
+     * daemon waits in proportion to the size until its next report.
+     */
+    private static final int MAX_REPORTED_SIZE = 2_000;
+
     /**
      * Time after which a member is removed if it hasn't exchanged messages with this daemon and no
      * peer has named it.
@@ -88,9 +94,13 @@
         }
     }
 
-    /** Records the members that a peer named and the size of the fleet that it reported. */
+    /**
+     * Records the members that a peer named and the size of the fleet that it reported. Members
+     * beyond {@code MAX_NAMED_MEMBERS} are ignored, and the size is bounded.
+     */
     public void recordNamed(ImmutableList<FleetMember> members, int fleet, Instant now) {
         members.stream()
+                .limit(MAX_NAMED_MEMBERS)
                 .filter(m -> !m.address().equals(mSelf.address()))
                 .forEach(
                         m ->
@@ -98,7 +108,7 @@
                                         m.address(),
                                         new MemberRecord(m, Instant.MIN, now),
                                         (old, n) -> old.withNaming(m, now)));
-        mReportedSize = fleet;
+        mReportedSize = Math.min(fleet, MAX_REPORTED_SIZE);
         mSizeReportedAt = now;
     }
 
--- a/core/src/test/java/io/bilberrygrade/core/exchange/FleetViewTest.java
+++ b/core/src/test/java/io/bilberrygrade/core/exchange/FleetViewTest.java
@@ -7,8 +7,10 @@
 import io.bilberrygrade.core.room.Capacity;
 import io.bilberrygrade.core.room.CapacityStatement;
 import io.bilberrygrade.core.room.FleetCapacities;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -49,6 +51,27 @@
         assertThat(mView.size(T0)).isEqualTo(30);
     }
 
+    // Guards against a peer whose answer delays this daemon's next report by days.
+    @ParameterizedTest
+    @CsvSource({"410, 410", "1000, 1000", "2147483647, 2000", "-2147483648, 2"})
+    void statedSizeIsBounded(int stated, int size) {
+        mView.recordNamed(ImmutableList.of(OLDER), stated, T0);
+        assertThat(mView.size(T0)).isEqualTo(size);
+        assertThat(mView.peakSize(T0)).isLessThanOrEqualTo(2_001);
+        assertThat(mView.exchangeInterval(false, T0)).isLessThanOrEqualTo(Duration.ofSeconds(6));
+    }
+
+    // Guards against a peer that names more members than it may, all of which would be called.
+    @Test
+    void membersBeyondThoseNextInLineAreIgnored() {
+        ImmutableList<FleetMember> named =
+                IntStream.range(10, 22)
+                        .mapToObj(i -> member(i, i))
+                        .collect(ImmutableList.toImmutableList());
+        mView.recordNamed(named, 3, T0);
+        assertThat(mView.knownSize(T0)).isEqualTo(5);
+    }
+
     @Test
     void memberThatDoesNotAnswerIsSkippedUntilRetry() {
         mView.recordContact(OLDEST, T0);
