Repeat periodic tasks that throw before they return

A task that threw before it returned its Uni never ran again, without an event, since nothing was subscribed to that schedules the next run. The task is now called within a deferred Uni, so that a throw is a failure like any other. PeriodicTasksTest failed for the throw before and passes.

--- a/serving/src/main/java/io/bilberrygrade/serving/entry/PeriodicTasks.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/entry/PeriodicTasks.java
@@ -41,7 +41,8 @@
         if (mClosed || done.getAsBoolean()) {
             return;
         }
-        task.get()
+        Uni.createFrom()
+                .deferred(task::get)
                 .onTermination()
                 .invoke(
                         () ->
