Answer a peer's call with a failure if its handler throws

A peer waited until its timeout when the handler threw before it returned a Uni: nothing was sent. The handler is now called within a deferred Uni, whose failure is answered.

--- a/serving/src/main/java/io/bilberrygrade/serving/peer/PeerServer.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/peer/PeerServer.java
@@ -113,7 +113,8 @@
         }
 
         private void answer(PeerIdentity peer, Envelope call) {
-            mHandler.handle(peer, call.message())
+            Uni.createFrom()
+                    .deferred(() -> mHandler.handle(peer, call.message()))
                     .onFailure()
                     .recoverWithItem(e -> new PeerMessage.Failure(e.toString()))
                     .subscribe()
--- a/serving/src/test/java/io/bilberrygrade/serving/peer/TcpPeerNetworkTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/peer/TcpPeerNetworkTest.java
@@ -37,6 +37,7 @@
     private final Context mContext = mVertx.getOrCreateContext();
     private final BlockingQueue<Event> mEvents = new LinkedBlockingQueue<>();
     private Address mServer;
+    private volatile boolean mThrows;
 
     @BeforeEach
     void listen() {
@@ -45,12 +46,19 @@
                         mVertx,
                         identity("server"),
                         KEY,
-                        (from, message) -> Uni.createFrom().item(message),
+                        (from, message) -> handle(message),
                         ControlTraffic.unexported(),
                         mEvents::add);
         mServer = new Address("127.0.0.1", server.listen("127.0.0.1", 0).await().atMost(TIMEOUT));
     }
 
+    private Uni<PeerMessage> handle(PeerMessage message) {
+        if (mThrows) {
+            throw new IllegalStateException("fault of a handler");
+        }
+        return Uni.createFrom().item(message);
+    }
+
     @AfterEach
     void close() {
         mVertx.close().toCompletionStage().toCompletableFuture().join();
@@ -65,6 +73,18 @@
         assertThat(reply).isEqualTo(gossip);
     }
 
+    // Guards against a call without an answer, for which the peer waits until its timeout.
+    @Test
+    void answersWithFailureIfTheHandlerThrows() {
+        mThrows = true;
+
+        Uni<PeerMessage> call = call(network(KEY), gossip());
+
+        assertThatThrownBy(() -> call.await().atMost(TIMEOUT))
+                .hasCauseInstanceOf(CallException.class)
+                .hasMessageContaining("IllegalStateException: fault of a handler");
+    }
+
     @Test
     void rejectsPeerWithOtherKey() throws InterruptedException {
         PeerKey other = PeerKey.of("wrong".getBytes(StandardCharsets.UTF_8));
