Bound the ages that peers state where they are decoded

A crash record with an age of Long.MAX_VALUE ms couldn't be encoded again: Duration.toMillis overflowed in every later report. Ages of crashes and rate limits are now from zero to a year.

--- a/serving/src/main/java/io/bilberrygrade/serving/forward/CrashCodec.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/CrashCodec.java
@@ -8,6 +8,7 @@
 import io.bilberrygrade.core.quarantine.Suspect;
 import io.bilberrygrade.serving.peer.CrashEntry;
 import io.bilberrygrade.serving.peer.CrashReport;
+import io.bilberrygrade.serving.peer.StatedAge;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Collection;
@@ -57,7 +58,7 @@
     private static CrashRecord record(CrashEntry entry, SuspectNumbers numbers, Instant now) {
         return new CrashRecord(
                 new EndpointRun(new EndpointId(entry.endpoint()), entry.startedAtMillis()),
-                now.minusMillis(Math.max(0, entry.ageMillis())),
+                now.minus(StatedAge.ofMillis(entry.ageMillis())),
                 numbers.decode(entry.begun()),
                 numbers.decode(entry.waiting()),
                 numbers.decode(entry.cleared()));
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/RateLimitCodec.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/RateLimitCodec.java
@@ -11,6 +11,7 @@
 import io.bilberrygrade.serving.peer.PermitGrantEntry;
 import io.bilberrygrade.serving.peer.PermitRequestEntry;
 import io.bilberrygrade.serving.peer.RateLimitEntry;
+import io.bilberrygrade.serving.peer.StatedAge;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
@@ -44,7 +45,7 @@
                                         run(e.endpoint(), e.startedAtMillis()),
                                         Optional.of(new RateLimit(e.perSecond()))
                                                 .filter(l -> l.perSecond() >= 0),
-                                        now.minusMillis(e.ageMillis())))
+                                        now.minus(StatedAge.ofMillis(e.ageMillis()))))
                 .collect(ImmutableList.toImmutableList());
     }
 
