Continue the exchange with other daemons after a round that throws

A daemon reported nothing to its peers for good after one exception in a round, since the next timer was set last. Rounds are now repeated whatever one throws, BG1099 is recorded once a second at most, and a call counts as in flight only once it is made. WorkExchangeFleetTest failed for both daemons before and passes.

--- a/serving/src/main/java/io/bilberrygrade/serving/forward/DaemonPeers.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/DaemonPeers.java
@@ -5,6 +5,7 @@
 import io.bilberrygrade.core.exchange.WorkLedger;
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.serving.event.EventLog;
+import io.bilberrygrade.serving.exchange.ExchangeRounds;
 import io.bilberrygrade.serving.metrics.ControlTraffic;
 import io.bilberrygrade.serving.peer.PeerIdentity;
 import io.bilberrygrade.serving.peer.PeerNetwork;
@@ -53,7 +54,7 @@
                         new SlownessWatch(fleet, events),
                         naming,
                         clocks,
-                        timers);
+                        new ExchangeRounds(timers, clocks::now, events));
         mServer =
                 new PeerServer(
                         vertx,
--- a/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
+++ b/serving/src/main/java/io/bilberrygrade/serving/forward/WorkExchange.java
@@ -14,6 +14,7 @@
 import io.bilberrygrade.core.forward.StorePosition;
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.identity.EndpointId;
+import io.bilberrygrade.serving.exchange.ExchangeRounds;
 import io.bilberrygrade.serving.peer.LeavingRunEntry;
 import io.bilberrygrade.serving.peer.PeerIdentity;
 import io.bilberrygrade.serving.peer.PeerMessage;
@@ -22,7 +23,6 @@
 import io.bilberrygrade.serving.room.CapacityCodec;
 import io.bilberrygrade.serving.room.RecentSumsFilter;
 import io.bilberrygrade.serving.room.SlownessWatch;
-import io.bilberrygrade.serving.time.Timers;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
 import java.time.Instant;
@@ -62,7 +62,7 @@
     private final SlownessWatch mSlowness;
     private final RelayNaming mRelays;
     private final Clocks mClocks;
-    private final Timers mTimers;
+    private final ExchangeRounds mRounds;
     private final WorkSums mSums = new WorkSums();
     private ImmutableMap<EndpointId, EndpointWork> mLastStated = ImmutableMap.of();
     private boolean mCallInFlight;
@@ -85,7 +85,7 @@
             SlownessWatch slowness,
             RelayNaming relays,
             Clocks clocks,
-            Timers timers) {
+            ExchangeRounds rounds) {
         mNetwork = network;
         mFleet = fleet;
         mSelf = self;
@@ -98,7 +98,7 @@
         mSlowness = slowness;
         mRelays = relays;
         mClocks = clocks;
-        mTimers = timers;
+        mRounds = rounds;
     }
 
     /** Calls all seeds to discover the fleet, and starts the periodic exchange. */
@@ -109,7 +109,7 @@
             mState.onPeersAsked();
         }
         seeds.forEach(s -> call(s, mWork.ownWork()).subscribe().with(v -> onSeedDone()));
-        exchange();
+        mRounds.repeat(this::exchange);
     }
 
     /**
@@ -123,8 +123,8 @@
         }
     }
 
-    private void exchange() {
-        Instant now = mClocks.now();
+    /** Runs a round and returns the interval until the next one. */
+    private Duration exchange(Instant now) {
         ImmutableMap<EndpointId, EndpointWork> own = mWork.ownWork();
         boolean quiet = mNoNewSums && own.equals(mLastStated);
         mLastStated = own;
@@ -135,13 +135,14 @@
         if (mFleet.isAggregator(now)) {
             applyOwnSums(own, now);
         } else if (!mCallInFlight) {
+            Uni<Void> call = call(mFleet.aggregator(now).address(), own);
             mCallInFlight = true;
-            call(mFleet.aggregator(now).address(), own).subscribe().with(v -> {});
+            call.subscribe().with(v -> {});
         }
         callOthers(own, now);
         Duration interval = mFleet.exchangeInterval(quiet, now);
         mSlowness.onScheduled(now.plus(interval));
-        mTimers.after(interval).subscribe().with(v -> exchange());
+        return interval;
     }
 
     /**
@@ -187,9 +188,9 @@
     public void reportNow() {
         Instant now = mClocks.now();
         if (!mUrgentCallInFlight && !mFleet.isAggregator(now)) {
+            Uni<Void> call = call(mFleet.aggregator(now).address(), mWork.ownWork());
             mUrgentCallInFlight = true;
-            call(mFleet.aggregator(now).address(), mWork.ownWork())
-                    .onTermination()
+            call.onTermination()
                     .invoke(() -> mUrgentCallInFlight = false)
                     .subscribe()
                     .with(v -> {});
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/ExchangeTestFleet.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/ExchangeTestFleet.java
@@ -15,6 +15,7 @@
 import io.bilberrygrade.core.room.FleetCapacities;
 import io.bilberrygrade.core.room.RoomBounds;
 import io.bilberrygrade.serving.event.Event;
+import io.bilberrygrade.serving.exchange.ExchangeRounds;
 import io.bilberrygrade.serving.fuzz.SimulatedNetwork;
 import io.bilberrygrade.serving.fuzz.SimulatedPeer;
 import io.bilberrygrade.serving.fuzz.SimulatedProcess;
@@ -131,6 +132,7 @@
         final List<Event> mEvents = new ArrayList<>();
         long mHandled;
         boolean mCutOff;
+        boolean mCallsThrow;
         private final PeerIdentity mIdentity;
         private final PeerCallDispatcher mDispatcher;
 
@@ -179,7 +181,7 @@
                     new StateReader(
                             new SilentStore(), mState, clocks, mProcess, mRandom, () -> false);
             return new WorkExchange(
-                    this::call,
+                    this::exchangeCall,
                     mFleet,
                     self,
                     mLedger,
@@ -191,7 +193,7 @@
                     new SlownessWatch(mFleet, mEvents::add),
                     mRelays,
                     clocks,
-                    mProcess);
+                    new ExchangeRounds(mProcess, clocks::now, mEvents::add));
         }
 
         private DeploymentOptions options(int number) {
@@ -204,6 +206,13 @@
             return mNetwork.of(this).call(peer, message, timeout);
         }
 
+        private Uni<PeerMessage> exchangeCall(Address peer, PeerMessage message, Duration timeout) {
+            if (mCallsThrow) {
+                throw new IllegalStateException("injected");
+            }
+            return call(peer, message, timeout);
+        }
+
         private void start() {
             mNetwork.attach(address(), this);
             mProcess.schedule(
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/RestoreTestDaemon.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/RestoreTestDaemon.java
@@ -13,6 +13,7 @@
 import io.bilberrygrade.core.identity.Incarnation;
 import io.bilberrygrade.core.identity.InstanceId;
 import io.bilberrygrade.core.room.DeploymentOptions;
+import io.bilberrygrade.serving.exchange.ExchangeRounds;
 import io.bilberrygrade.serving.fuzz.SimulatedNetwork;
 import io.bilberrygrade.serving.fuzz.SimulatedPeer;
 import io.bilberrygrade.serving.fuzz.SimulatedProcess;
@@ -82,7 +83,7 @@
                         new SlownessWatch(fleet, e -> {}),
                         noRelays(self, time, random),
                         clocks,
-                        process);
+                        new ExchangeRounds(process, clocks::now, e -> {}));
         mCalls = new PeerCallDispatcher(mExchange, configExchange);
         network.attach(mAddress, this);
     }
--- a/serving/src/test/java/io/bilberrygrade/serving/forward/WorkExchangeFleetTest.java
+++ b/serving/src/test/java/io/bilberrygrade/serving/forward/WorkExchangeFleetTest.java
@@ -7,10 +7,18 @@
 import io.bilberrygrade.core.forward.StorePosition;
 import io.bilberrygrade.core.identity.Address;
 import io.bilberrygrade.core.identity.EndpointId;
+import io.bilberrygrade.serving.event.LifecycleEvent;
 import io.bilberrygrade.serving.forward.ExchangeTestFleet.Member;
+import io.bilberrygrade.serving.peer.Bytes;
+import io.bilberrygrade.serving.peer.CrashEntry;
+import io.bilberrygrade.serving.peer.CrashReport;
+import io.bilberrygrade.serving.peer.PeerMessage;
+import io.bilberrygrade.serving.peer.SuspectTable;
+import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -136,6 +144,64 @@
         checkAllCountWorkOfAll();
     }
 
+    // Guards against an exchange that ends for good with the first round that throws. Every round
+    // reports, and the event is recorded once a second at most.
+    @ParameterizedTest
+    @ValueSource(ints = {0, 20})
+    void roundsThatThrowDoNotEndTheExchange(int faulty) {
+        fleet(38);
+        Member member = members().get(faulty);
+        member.mCallsThrow = true;
+        advance(Duration.ofSeconds(5));
+        member.mCallsThrow = false;
+        long faults = unexpectedErrors(member);
+        advance(SETTLE_TIME);
+        checkAllCountWorkOfAll();
+        assertThat(faults).isBetween(2L, 6L);
+        assertThat(unexpectedErrors(member)).isEqualTo(faults);
+    }
+
+    // Guards against an age in a peer's message that can't be computed with: the daemon couldn't
+    // encode the record for others.
+    @ParameterizedTest
+    @ValueSource(longs = {Long.MAX_VALUE, Long.MIN_VALUE, 1_000})
+    void crashOfAnyAgeIsPassedOn(long ageMillis) {
+        fleet(4);
+        Member member = members().getFirst();
+        SuspectTable suspects = new SuspectTable(bytes(), bytes(), List.of("p"));
+        CrashEntry crash = new CrashEntry("a", 1, ageMillis, bytes(1), null, null);
+        CrashReport report = new CrashReport(7, List.of(crash), null, suspects);
+        PeerMessage.Work work =
+                new PeerMessage.Work(
+                        members().get(1).address().toString(),
+                        0,
+                        List.of(),
+                        List.of(),
+                        0,
+                        0,
+                        null,
+                        report,
+                        null,
+                        null);
+        assertThat(member.mExchange.answer(members().get(1).identity(), work))
+                .isInstanceOf(PeerMessage.WorkHeard.class);
+        advance(SETTLE_TIME);
+        checkAllCountWorkOfAll();
+        members().forEach(m -> assertThat(unexpectedErrors(m)).isZero());
+    }
+
+    private static Bytes bytes(int... values) {
+        Buffer buffer = Buffer.buffer();
+        IntStream.of(values).forEach(v -> buffer.appendByte((byte) v));
+        return Bytes.of(buffer);
+    }
+
+    private static long unexpectedErrors(Member member) {
+        return member.mEvents.stream()
+                .filter(LifecycleEvent.UnexpectedError.class::isInstance)
+                .count();
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {4, 38})
     void rollingRestartConverges(int members) {
